--- /dev/null
+++ b/src/http/server.h
@@ -0,0 +1,74 @@
+#ifndef LIMPETFALL_HTTP_SERVER_H_
+#define LIMPETFALL_HTTP_SERVER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "http/client.h"
+
+namespace limpetfall {
+
+/**
+ * One request on a connection and the way to answer it. An answer goes to the socket object on
+ * which the request arrived and to no other. All calls run on the connection's strand.
+ */
+class HttpExchange {
+ public:
+  virtual ~HttpExchange() = default;
+
+  [[nodiscard]] virtual const HttpRequest& request() const = 0;
+
+  /** Sends a whole answer. */
+  virtual boost::asio::awaitable<Result<void>> Send(HttpResponse response) = 0;
+
+  /** Sends the header of an answer whose body follows in chunks. */
+  virtual boost::asio::awaitable<Result<void>> StartStream(int status, Headers headers) = 0;
+  virtual boost::asio::awaitable<Result<void>> WriteChunk(std::string_view bytes) = 0;
+
+  /** Ends the chunked body. A stream that is destroyed without this closes the connection. */
+  virtual boost::asio::awaitable<Result<void>> FinishStream() = 0;
+};
+
+/** The coroutine is cancelled (terminal cancellation) when the peer closes the connection. */
+using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
+
+struct HttpServerOptions {
+  std::size_t max_header_bytes = 16 << 10;
+  std::size_t max_body_bytes = 1 << 20;
+  Milliseconds request_read_timeout{10000};
+  Milliseconds write_timeout{10000};
+  Milliseconds idle_timeout{60000};
+  std::size_t max_connections = 4096;
+};
+
+/**
+ * HTTP/1.1 server on Boost.Beast. Requests that are malformed, too large or too slow get a 4xx
+ * answer with `X-Verdict: not-run` and the connection closes.
+ *
+ *     BOOST_OUTCOME_TRY(auto server, HttpServer::Create(io, "127.0.0.1:8080", handler, {}));
+ */
+class HttpServer {
+ public:
+  static Result<std::unique_ptr<HttpServer>> Create(boost::asio::io_context& io,
+                                                    const std::string& address, HttpHandler handler,
+                                                    HttpServerOptions options);
+
+  virtual ~HttpServer() = default;
+
+  /** Returns the bound address, useful when the port was given as 0. */
+  [[nodiscard]] virtual std::string address() const = 0;
+
+  /** Closes the listener and idle connections; requests in flight go on, and keep-alive ends. */
+  virtual void StopAccepting() = 0;
+
+  /** Returns the number of requests that are being handled. */
+  [[nodiscard]] virtual std::size_t in_flight() const = 0;
+};
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_HTTP_SERVER_H_
--- /dev/null
+++ b/src/upstream/engine-control.h
@@ -0,0 +1,23 @@
+#ifndef LIMPETFALL_UPSTREAM_ENGINE_CONTROL_H_
+#define LIMPETFALL_UPSTREAM_ENGINE_CONTROL_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+
+#include "core/types.h"
+#include "http/client.h"
+
+namespace limpetfall {
+
+/** Reads what the engine at `address` says of itself. */
+boost::asio::awaitable<Result<VmReport>> FetchReport(HttpClient& client, std::string address,
+                                                     Deadline deadline);
+
+/** Tells the engine at `address` that it is member `rank` of `group`; an empty group id releases
+ * the VM. */
+boost::asio::awaitable<Result<void>> SendAssignment(HttpClient& client, std::string address,
+                                                    GroupRecord group, int rank, Deadline deadline);
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_UPSTREAM_ENGINE_CONTROL_H_
