--- /dev/null
+++ b/src/base/metrics.cc
@@ -0,0 +1,254 @@
+#include "base/metrics.h"
+
+#include <pistache/endpoint.h>
+
+#include <array>
+#include <boost/histogram.hpp>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <variant>
+
+#include "base/log.h"
+
+namespace limpetfall {
+namespace {
+
+// Five bins per decade: neighbouring bounds differ by a factor of 1.58.
+constexpr unsigned kHistogramBins = 35;
+constexpr double kHistogramLeast = 1e-4;
+constexpr double kHistogramMost = 1e3;
+
+// Bounds memory when a label takes values from callers; 10 teams by 3 classes by 7 outcomes fit.
+constexpr std::size_t kMaxLabelSets = 256;
+
+using LogAxis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+using BinCounts = decltype(boost::histogram::make_histogram(std::declval<LogAxis>()));
+
+struct Histogram {
+  BinCounts bins =
+      boost::histogram::make_histogram(LogAxis(kHistogramBins, kHistogramLeast, kHistogramMost));
+  double sum = 0;
+  std::uint64_t count = 0;
+};
+
+enum class Kind { kCounter, kGauge, kHistogram };
+
+struct Family {
+  Kind kind = Kind::kCounter;
+  std::map<Labels, double> values;
+  std::map<Labels, Histogram> histograms;
+};
+
+struct Shard {
+  mutable std::mutex mutex;
+  std::map<std::string, Family, std::less<>> families;
+};
+
+std::string FormatNumber(double value) {
+  if (std::isnan(value)) return "NaN";
+  if (std::isinf(value)) return value > 0 ? "+Inf" : "-Inf";
+  char text[32];
+  std::snprintf(text, sizeof text, "%.12g", value);
+  return text;
+}
+
+/** The format allows letters, digits and `_` in names (and `:` in names of metrics). */
+std::string CleanName(std::string_view name) {
+  std::string clean;
+  for (const unsigned char c : name) clean += std::isalnum(c) != 0 || c == '_' ? char(c) : '_';
+  if (clean.empty() || std::isdigit(static_cast<unsigned char>(clean[0])) != 0)
+    clean.insert(0, "_");
+  return clean;
+}
+
+std::string EscapeValue(std::string_view value) {
+  std::string escaped;
+  for (const char c : value) {
+    if (c == '\\' || c == '"') escaped += '\\';
+    if (c == '\n') {
+      escaped += "\\n";
+    } else {
+      escaped += c;
+    }
+  }
+  return escaped;
+}
+
+std::string FormatLabels(const Labels& labels, std::string_view bound = {}) {
+  std::string text;
+  for (const auto& [name, value] : labels) {
+    text += (text.empty() ? "" : ",") + CleanName(name) + "=\"" + EscapeValue(value) + '"';
+  }
+  if (!bound.empty()) text += (text.empty() ? "le=\"" : ",le=\"") + std::string(bound) + '"';
+  return text.empty() ? text : '{' + text + '}';
+}
+
+std::string_view KindName(Kind kind) {
+  switch (kind) {
+    case Kind::kCounter:
+      return "counter";
+    case Kind::kGauge:
+      return "gauge";
+    case Kind::kHistogram:
+      return "histogram";
+  }
+  return "untyped";
+}
+
+/** Returns the slot of a label set, or the one for "other" when the metric has too many. */
+template <typename Slot>
+Slot& SlotOf(std::map<Labels, Slot>& slots, const Labels& labels) {
+  if (const auto found = slots.find(labels); found != slots.end()) return found->second;
+  if (slots.size() < kMaxLabelSets || labels.empty()) return slots[labels];
+  Labels other = labels;
+  for (auto& [name, value] : other) value = "other";
+  return slots[other];
+}
+
+void AppendHistogram(std::string& text, const std::string& name, const Labels& labels,
+                     const Histogram& histogram) {
+  double cumulative = histogram.bins.at(-1);
+  const auto& axis = histogram.bins.axis();
+  for (int bin = 0; bin < axis.size(); ++bin) {
+    cumulative += histogram.bins.at(bin);
+    text += name + "_bucket" + FormatLabels(labels, FormatNumber(axis.bin(bin).upper())) + ' ' +
+            FormatNumber(cumulative) + '\n';
+  }
+  const std::string count = std::to_string(histogram.count);
+  text += name + "_bucket" + FormatLabels(labels, "+Inf") + ' ' + count + '\n';
+  text += name + "_sum" + FormatLabels(labels) + ' ' + FormatNumber(histogram.sum) + '\n';
+  text += name + "_count" + FormatLabels(labels) + ' ' + count + '\n';
+}
+
+std::string FamilyText(const std::string& name, const Family& family) {
+  std::string text = "# TYPE " + name + ' ' + std::string(KindName(family.kind)) + '\n';
+  for (const auto& [labels, value] : family.values) {
+    text += name + FormatLabels(labels) + ' ' + FormatNumber(value) + '\n';
+  }
+  for (const auto& [labels, histogram] : family.histograms) {
+    AppendHistogram(text, name, labels, histogram);
+  }
+  return text;
+}
+
+class MetricsTable : public Metrics {
+ public:
+  void Add(std::string_view name, const Labels& labels, double amount) override {
+    // A counter never decreases; a negative or undefined amount would read as a restart.
+    if (!(amount >= 0)) return;
+    this->Update(name, Kind::kCounter,
+                 [&](Family& family) { SlotOf(family.values, labels) += amount; });
+  }
+
+  void Set(std::string_view name, const Labels& labels, double value) override {
+    this->Update(name, Kind::kGauge,
+                 [&](Family& family) { SlotOf(family.values, labels) = value; });
+  }
+
+  void Observe(std::string_view name, const Labels& labels, double seconds) override {
+    if (!std::isfinite(seconds)) return;
+    this->Update(name, Kind::kHistogram, [&](Family& family) {
+      Histogram& histogram = SlotOf(family.histograms, labels);
+      histogram.bins(std::max(seconds, 0.0));
+      histogram.sum += std::max(seconds, 0.0);
+      ++histogram.count;
+    });
+  }
+
+  [[nodiscard]] std::string Text() const override {
+    std::map<std::string, std::string> texts;
+    for (const Shard& shard : this->shards) {
+      const std::lock_guard lock(shard.mutex);
+      for (const auto& [name, family] : shard.families) texts[name] = FamilyText(name, family);
+    }
+    std::string text;
+    for (const auto& [name, part] : texts) text += part;
+    return text;
+  }
+
+ private:
+  static constexpr std::size_t kShards = 16;
+
+  /** Applies `change` to the metric. The first use of a name decides its kind; others are dropped.
+   */
+  void Update(std::string_view name, Kind kind, const std::function<void(Family&)>& change) {
+    const std::string clean = CleanName(name);
+    Shard& shard = this->shards[std::hash<std::string>{}(clean) % kShards];
+    const std::lock_guard lock(shard.mutex);
+    const auto [position, inserted] = shard.families.try_emplace(clean);
+    if (inserted) position->second.kind = kind;
+    if (position->second.kind == kind) change(position->second);
+  }
+
+  std::array<Shard, kShards> shards;
+};
+
+class MetricsHandler : public Pistache::Http::Handler {
+ public:
+  HTTP_PROTOTYPE(MetricsHandler)
+
+  explicit MetricsHandler(std::shared_ptr<const Metrics> source) : metrics(std::move(source)) {}
+
+  void onRequest(const Pistache::Http::Request& request,
+                 Pistache::Http::ResponseWriter response) override {
+    if (request.resource() != "/metrics") {
+      response.send(Pistache::Http::Code::Not_Found, "only /metrics is served here\n");
+      return;
+    }
+    if (request.method() != Pistache::Http::Method::Get) {
+      response.send(Pistache::Http::Code::Method_Not_Allowed, "use GET\n");
+      return;
+    }
+    response.send(Pistache::Http::Code::Ok, this->metrics->Text(),
+                  Pistache::Http::Mime::MediaType::fromString("text/plain; version=0.0.4"));
+  }
+
+ private:
+  std::shared_ptr<const Metrics> metrics;
+};
+
+class PistacheServer : public MetricsServer {
+ public:
+  PistacheServer(const std::string& address, std::shared_ptr<const Metrics> metrics)
+      : endpoint(Pistache::Address(address)), host(Pistache::Address(address).host()) {
+    this->endpoint.init(Pistache::Http::Endpoint::options()
+                            .threads(1)
+                            .flags(Pistache::Tcp::Options::ReuseAddr)
+                            .maxRequestSize(16 << 10)
+                            .maxResponseSize(16 << 20));
+    this->endpoint.setHandler(std::make_shared<MetricsHandler>(std::move(metrics)));
+    this->endpoint.serveThreaded();
+  }
+
+  ~PistacheServer() override { this->endpoint.shutdown(); }
+
+  [[nodiscard]] std::string address() const override {
+    return this->host + ':' + std::to_string(this->endpoint.getPort());
+  }
+
+  PistacheServer(const PistacheServer&) = delete;
+  PistacheServer& operator=(const PistacheServer&) = delete;
+
+ private:
+  Pistache::Http::Endpoint endpoint;
+  std::string host;
+};
+
+}  // namespace
+
+std::shared_ptr<Metrics> Metrics::Create() { return std::make_shared<MetricsTable>(); }
+
+Result<std::unique_ptr<MetricsServer>> MetricsServer::Create(
+    const std::string& address, std::shared_ptr<const Metrics> metrics) {
+  try {
+    return std::make_unique<PistacheServer>(address, std::move(metrics));
+  } catch (const std::exception& error) {
+    return NotRun(ErrorCode::kUnavailable,
+                  "cannot serve metrics at " + address + ": " + error.what());
+  }
+}
+
+}  // namespace limpetfall
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -42,6 +42,9 @@
                                                        std::shared_ptr<const Metrics> metrics);
 
   virtual ~MetricsServer() = default;
+
+  /** Returns the bound address, useful when the port was given as 0. */
+  [[nodiscard]] virtual std::string address() const = 0;
 };
 
 }  // namespace limpetfall
--- a/src/core/shared-state.h
+++ b/src/core/shared-state.h
@@ -40,6 +40,13 @@
   /** Returns the live entries whose keys start with `prefix`, in order of key. */
   [[nodiscard]] std::vector<SharedEntry> List(std::string_view prefix, TimePoint now) const;
 
+  /** Calls `visitor` for each live entry without a copy. It runs under a shard's lock and must not
+   * call this object. */
+  void Visit(const std::function<void(const SharedEntry&)>& visitor, TimePoint now) const;
+
+  /** Frees the memory of entries whose deadline has passed; returns how many there were. */
+  std::size_t RemoveExpired(TimePoint now);
+
  private:
   static constexpr std::size_t kShards = 16;
 
@@ -49,6 +56,7 @@
   };
 
   [[nodiscard]] Shard& ShardOf(std::string_view key);
+  [[nodiscard]] const Shard& ShardOf(std::string_view key) const;
 
   std::array<Shard, kShards> shards;
   std::vector<Listener> listeners;
--- /dev/null
+++ b/test/log-test.cc
@@ -0,0 +1,89 @@
+#include "base/log.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+namespace limpetfall {
+namespace {
+
+/** Collects what is written to standard error and returns it as parsed lines. */
+template <typename Action>
+std::vector<nlohmann::json> LinesOf(Action action) {
+  std::ostringstream captured;
+  std::streambuf* const original = std::cerr.rdbuf(captured.rdbuf());
+  action();
+  std::cerr.rdbuf(original);
+  std::vector<nlohmann::json> lines;
+  std::istringstream text(captured.str());
+  for (std::string line; std::getline(text, line);) lines.push_back(nlohmann::json::parse(line));
+  return lines;
+}
+
+class LogTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LogTest);
+  CPPUNIT_TEST(FieldsKeepTheirTypes);
+  CPPUNIT_TEST(HostileTextStaysOneValidLine);
+  CPPUNIT_TEST(LevelFilters);
+  CPPUNIT_TEST(ThreadsDoNotMixLines);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { CPPUNIT_ASSERT(StartLogging("log-test", "info").has_value()); }
+
+  void FieldsKeepTheirTypes() {
+    const auto lines = LinesOf([] {
+      Log(LogLevel::kWarning, "group_lost", {{"group", "g7"}, {"generation", 12}, {"last", true}});
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), lines.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("warning"), lines[0]["level"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("log-test"), lines[0]["program"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(12, lines[0]["generation"].get<int>());
+    CPPUNIT_ASSERT(lines[0]["last"].is_boolean());
+  }
+
+  // Guards against caller text that breaks a line, the format string or the encoding, and against
+  // a field that overwrites the event.
+  void HostileTextStaysOneValidLine() {
+    const auto lines = LinesOf([] {
+      Log(LogLevel::kError, "bad",
+          {{"text", "a\n\"%msg %level\xff"}, {"event", "forged"}, {"rate", std::nan("")}});
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), lines.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("bad"), lines[0]["event"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("a\n\"%msg %level\xef\xbf\xbd"),
+                         lines[0]["text"].get<std::string>());
+  }
+
+  void LevelFilters() {
+    CPPUNIT_ASSERT(StartLogging("log-test", "error").has_value());
+    const auto lines = LinesOf([] {
+      Log(LogLevel::kWarning, "hidden");
+      Log(LogLevel::kError, "shown");
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), lines.size());
+    CPPUNIT_ASSERT(!StartLogging("log-test", "loud").has_value());
+  }
+
+  void ThreadsDoNotMixLines() {
+    const auto lines = LinesOf([] {
+      std::vector<std::jthread> threads;
+      for (int t = 0; t < 4; ++t) {
+        threads.emplace_back([t] {
+          for (int i = 0; i < 200; ++i) Log(LogLevel::kInfo, "tick", {{"thread", t}, {"i", i}});
+        });
+      }
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(800), lines.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogTest);
+
+}  // namespace
+}  // namespace limpetfall
