Add the RPC service between nodes

Cause: nodes must find each other, detect failures, spread shared entries and push urgent ones.

Change: NodeService runs a kj event loop on its own thread, with the membership core, a Cap'n Proto server and one connection per peer. - An exchange sends 64 bucket hashes; only entries of buckets that differ are compared, and only entries that one side lacks are sent. - Deadlines travel as remaining milliseconds. Each message also carries the sender's lower estimate of the receiver's clock; the receiver deducts the time under way and refuses messages older than 10 s. A delayed message therefore cannot extend the life of a group summary. - A call that fails or stays silent for half its limit is repeated on a new connection. A connection that reaches another node than expected counts as a failure.

--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -236,7 +236,7 @@
     return actions;
   }
   this->Store(info, now);
-  actions.emplace_back(AnnounceMember{info});
+  actions.emplace_back(AnnounceMember{info, false});
   return actions;
 }
 
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -42,6 +42,7 @@
 /** Tells the other nodes what is now known about a node. */
 struct AnnounceMember {
   NodeInfo info;
+  bool first_hand = true;  ///< Found out here, not learnt from another node.
 
   friend bool operator==(const AnnounceMember&, const AnnounceMember&) = default;
 };
--- /dev/null
+++ b/src/node/connection.h
@@ -0,0 +1,119 @@
+#ifndef LIMPETFALL_NODE_CONNECTION_H_
+#define LIMPETFALL_NODE_CONNECTION_H_
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/ids.h"
+#include "limpetfall/time.h"
+#include "node/node.capnp.h"
+
+// Internal to the package: connections between nodes, on the event loop's thread only.
+
+namespace limpetfall::detail {
+
+struct TrafficCounters {
+  std::atomic<std::uint64_t> sent = 0;
+  std::atomic<std::uint64_t> received = 0;
+};
+
+/** Returns the clock that nodes compare in messages. */
+std::uint64_t ClockMs(TimePoint now);
+
+/** A limit on one message, so that a claimed size cannot exhaust memory. */
+capnp::ReaderOptions MessageLimits();
+
+/** Counts the bytes of a stream and remembers when something last arrived. */
+class CountingStream : public kj::AsyncIoStream {
+ public:
+  CountingStream(kj::Own<kj::AsyncIoStream> stream, TrafficCounters& traffic)
+      : inner(kj::mv(stream)), counters(traffic) {}
+
+  [[nodiscard]] TimePoint last_read() const { return this->last_arrival; }
+
+  kj::Promise<size_t> tryRead(void* buffer, size_t least, size_t most) override;
+  kj::Promise<void> write(const void* buffer, size_t size) override;
+  kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override;
+  kj::Promise<void> whenWriteDisconnected() override { return inner->whenWriteDisconnected(); }
+  void shutdownWrite() override { this->inner->shutdownWrite(); }
+  void abortRead() override { this->inner->abortRead(); }
+
+ private:
+  kj::Own<kj::AsyncIoStream> inner;
+  TrafficCounters& counters;
+  TimePoint last_arrival = Clock::now();
+};
+
+/** A connection to a peer that has said who it is. */
+class Connection {
+ public:
+  Connection(kj::Own<kj::AsyncIoStream> socket, TrafficCounters& traffic);
+
+  wire::Node::Client& node() { return this->client; }
+
+  kj::Promise<void> WhenClosed() { return this->network.onDisconnect(); }
+
+  /** Takes in the peer's clock from a reply that arrived at `now`. */
+  void NoteClock(std::uint64_t peer_clock_ms, TimePoint now);
+
+  /** Returns an estimate of the peer's clock that is never ahead of it. */
+  [[nodiscard]] std::uint64_t PeerClock(TimePoint now) const;
+
+  NodeId peer;
+  TimePoint last_use;
+
+ private:
+  CountingStream stream;
+  capnp::TwoPartyVatNetwork network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
+  wire::Node::Client client;
+  std::int64_t offset_ms = 0;  ///< Peer's clock minus this one, at most.
+  bool has_offset = false;
+};
+
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+/** Open connections by address; one for each peer. */
+class ConnectionPool : private kj::TaskSet::ErrorHandler {
+ public:
+  using ClosedHandler = std::function<void(const NodeId&)>;
+
+  /** `on_closed` is called when the peer of a pooled connection closes it. */
+  ConnectionPool(kj::Network& network, TrafficCounters& traffic, ClosedHandler on_closed);
+
+  /** Returns the open connection or a new one. The caller bounds the time and calls `Drop`. */
+  kj::Promise<ConnectionPtr> Get(const std::string& address);
+
+  /** Forgets the connection to this address, so that the next call opens a new one. */
+  void Drop(const std::string& address);
+
+  /** Closes connections that were not used since `least`. */
+  void DropUnused(TimePoint least);
+
+ private:
+  struct Slot {
+    std::uint64_t number = 0;
+    kj::ForkedPromise<ConnectionPtr> promise;
+    ConnectionPtr open;
+  };
+
+  kj::Promise<ConnectionPtr> Open(const std::string& address);
+  void Watch(const std::string& address, std::uint64_t number, const ConnectionPtr& connection);
+  void taskFailed(kj::Exception&& exception) override;
+
+  kj::Network& network;
+  TrafficCounters& counters;
+  ClosedHandler closed;
+  std::uint64_t last_number = 0;
+  std::map<std::string, Slot> slots;
+  kj::TaskSet tasks;
+};
+
+}  // namespace limpetfall::detail
+
+#endif  // LIMPETFALL_NODE_CONNECTION_H_
--- /dev/null
+++ b/src/node/digest.cc
@@ -0,0 +1,34 @@
+#include "node/digest.h"
+
+#include <xxhash.h>
+
+namespace limpetfall::detail {
+namespace {
+
+constexpr std::uint64_t kExpiryStepMs = 2000;
+
+// Copies of one entry differ by the network delay; less than this is no extension.
+constexpr std::uint32_t kLeastExtensionMs = 500;
+
+}  // namespace
+
+std::uint64_t HashKey(std::string_view key) { return XXH3_64bits(key.data(), key.size()); }
+
+BucketHashes HashBuckets(const std::vector<EntryDigest>& digests, std::uint64_t receiver_clock_ms) {
+  BucketHashes hashes{};
+  for (const EntryDigest& digest : digests) {
+    const bool expires = digest.remaining_ms > 0 && digest.remaining_ms < kLongLivedMs;
+    const std::uint64_t step = (receiver_clock_ms + digest.remaining_ms) / kExpiryStepMs;
+    const std::array<std::uint64_t, 3> parts = {digest.key, digest.version, expires ? step : 0};
+    hashes[BucketOf(digest.key)] ^=
+        static_cast<std::uint32_t>(XXH3_64bits(parts.data(), sizeof parts));
+  }
+  return hashes;
+}
+
+bool IsNewer(const EntryDigest& mine, const EntryDigest& theirs) {
+  if (mine.version != theirs.version) return mine.version > theirs.version;
+  return mine.remaining_ms > theirs.remaining_ms + kLeastExtensionMs;
+}
+
+}  // namespace limpetfall::detail
--- /dev/null
+++ b/src/node/digest.h
@@ -0,0 +1,48 @@
+#ifndef LIMPETFALL_NODE_DIGEST_H_
+#define LIMPETFALL_NODE_DIGEST_H_
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "limpetfall/time.h"
+
+// Internal to the package: finds out which entries two nodes hold differently.
+
+namespace limpetfall::detail {
+
+// One hash per bucket is sent with each exchange: 256 bytes.
+inline constexpr std::size_t kBuckets = 64;
+
+/** What is compared of one entry. */
+struct EntryDigest {
+  std::uint64_t key = 0;  ///< Hash of the key.
+  std::uint64_t version = 0;
+  std::uint32_t remaining_ms = 0;  ///< 0 for members, which do not expire.
+
+  friend bool operator==(const EntryDigest&, const EntryDigest&) = default;
+};
+
+using BucketHashes = std::array<std::uint32_t, kBuckets>;
+
+// Longer lives compare as equal. Messages carry at most 24 h, so the expiry of an entry without an
+// end would otherwise differ at every comparison.
+inline constexpr std::uint32_t kLongLivedMs = 3'600'000;
+
+std::uint64_t HashKey(std::string_view key);
+
+inline std::size_t BucketOf(std::uint64_t key) { return key % kBuckets; }
+
+/**
+ * Hashes the digests of each bucket without regard to their order. Expiry counts in steps of 2 s on
+ * the receiver's clock, so that an extension is noticed and the network delay mostly is not.
+ */
+BucketHashes HashBuckets(const std::vector<EntryDigest>& digests, std::uint64_t receiver_clock_ms);
+
+/** Returns whether `mine` is worth sending to a node that holds `theirs` of the same key. */
+bool IsNewer(const EntryDigest& mine, const EntryDigest& theirs);
+
+}  // namespace limpetfall::detail
+
+#endif  // LIMPETFALL_NODE_DIGEST_H_
--- /dev/null
+++ b/src/node/node-loop.h
@@ -0,0 +1,143 @@
+#ifndef LIMPETFALL_NODE_NODE_LOOP_H_
+#define LIMPETFALL_NODE_NODE_LOOP_H_
+
+#include <kj/async-io.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "node/connection.h"
+#include "node/mailbox.h"
+#include "node/node-service.h"
+#include "node/node-table.h"
+
+// Internal to the package: everything that runs on the event loop's thread.
+
+namespace limpetfall::detail {
+
+/** Delivers a value when the last reference to it is dropped, also when the loop ends early. */
+template <typename T>
+class Completion {
+ public:
+  explicit Completion(std::function<void(T)> deliver) : done(std::move(deliver)) {}
+  ~Completion() { this->done(std::move(this->value)); }
+
+  Completion(const Completion&) = delete;
+  Completion& operator=(const Completion&) = delete;
+
+  T value{};
+
+ private:
+  std::function<void(T)> done;
+};
+
+class NodeLoop : private kj::TaskSet::ErrorHandler {
+ public:
+  NodeLoop(kj::AsyncIoContext& context, const NodeServiceOptions& settings, NodeTable& entries,
+           TrafficCounters& traffic, Mailbox& tasks_from_outside, Metrics& meters);
+
+  /** Runs until `Stop`. */
+  void Run(kj::Own<kj::ConnectionReceiver> listener);
+
+  // The functions below run on the loop's thread.
+
+  void Stop() { this->stop->fulfill(); }
+
+  /** Queues an urgent entry; one from the network is only forwarded. */
+  void QueueUrgent(SharedEntry entry, bool from_network);
+
+  void PushToAll(const SharedEntry& entry, Deadline deadline,
+                 const std::shared_ptr<Completion<int>>& acknowledged);
+  void Fetch(std::vector<std::string> digests, Deadline deadline,
+             std::shared_ptr<Completion<Sections>> found);
+  void AddSeeds(const std::vector<std::string>& addresses);
+  void Perform(const MembershipActions& actions);
+
+  // Calls from peers.
+
+  void OnExchange(wire::ExchangeRequest::Reader request, wire::ExchangeResponse::Builder response);
+  std::uint32_t OnPush(std::uint64_t sent_at_ms, capnp::List<wire::Entry>::Reader entries);
+  kj::Promise<bool> OnProbe(wire::NodeInfo::Reader target);
+  void OnFetch(capnp::List<capnp::Text>::Reader digests,
+               wire::Node::FetchSectionsResults::Builder results);
+  [[nodiscard]] const NodeId& node() const { return this->id; }
+
+  /** Returns whether the calling thread is storing an entry that came from a peer. */
+  static bool StoresFromNetwork();
+
+ private:
+  using Answered = std::function<void()>;
+
+  struct FetchState;
+
+  template <typename Function>
+  auto Attempt(const std::string& address, const NodeId& expected, Milliseconds limit,
+               Function call);
+  template <typename Function>
+  auto Call(const std::string& address, const NodeId& expected, Milliseconds limit, Function call);
+
+  kj::Promise<void> Accept(kj::ConnectionReceiver& listener);
+  kj::Promise<void> Serve(kj::Own<kj::AsyncIoStream> socket);
+  kj::Promise<void> WhenIdle(CountingStream& stream);
+  kj::Promise<void> RunMailbox();
+  kj::Promise<void> RunTicks();
+  void Tick(TimePoint now);
+  void TickSecond(TimePoint now);
+  void ReportMetrics();
+
+  kj::Promise<void> Exchange(const ConnectionPtr& connection, const Answered& answered);
+  kj::Promise<void> ExchangeEntries(const ConnectionPtr& connection,
+                                    const TableDifference& difference);
+  void StoreAll(capnp::List<wire::Entry>::Reader entries, Milliseconds age, Urgency urgency,
+                std::uint32_t* held);
+  [[nodiscard]] Milliseconds AgeOf(std::uint64_t sent_at_ms, TimePoint now) const;
+
+  void Do(const SendProbe& probe);
+  void Do(const SendIndirectProbe& probe);
+  void Do(const AnnounceMember& announcement);
+  void ContactSeed();
+  void OnClosed(const NodeId& peer);
+
+  void ScheduleFlush();
+  void Flush();
+  kj::Promise<std::uint32_t> Push(const NodeInfo& target, const std::vector<SharedEntry>& entries,
+                                  Milliseconds limit);
+  kj::Promise<void> FetchNext(const std::shared_ptr<FetchState>& fetch);
+  void taskFailed(kj::Exception&& exception) override;
+
+  kj::AsyncIoContext& io;
+  kj::Timer& timer;
+  const NodeServiceOptions& options;
+  NodeId id;
+  NodeTable& table;
+  TrafficCounters& counters;
+  Mailbox& mailbox;
+  Metrics& metrics;
+  std::mt19937_64 random;
+  std::vector<std::string> seeds;
+  kj::PromiseFulfillerPair<void> stopping = kj::newPromiseAndFulfiller<void>();
+  kj::Own<kj::PromiseFulfiller<void>> stop = kj::mv(stopping.fulfiller);
+
+  std::map<std::string, SharedEntry> urgent;       ///< Waiting for the next flush.
+  std::map<std::string, std::uint64_t> forwarded;  ///< Versions already forwarded, by key.
+  std::set<NodeId> introductions;                  ///< Members to which this node is still unknown.
+  bool flush_scheduled = false;
+  std::uint64_t seconds = 0;
+  TimePoint next_second;
+  NodeTraffic reported;
+  std::size_t incoming = 0;
+
+  capnp::Capability::Client server;
+  ConnectionPool pool;
+  kj::TaskSet tasks;  ///< Last, so that no task outlives what it uses.
+};
+
+}  // namespace limpetfall::detail
+
+#endif  // LIMPETFALL_NODE_NODE_LOOP_H_
--- /dev/null
+++ b/src/node/node-table.cc
@@ -0,0 +1,152 @@
+#include "node/node-table.h"
+
+#include <algorithm>
+#include <bitset>
+#include <utility>
+
+namespace limpetfall::detail {
+namespace {
+
+// Messages are limited to 8 MiB; what does not fit follows with a later exchange.
+constexpr std::size_t kMaxMessageBytes = 1 << 20;
+
+constexpr std::size_t kEntryOverhead = 160;
+constexpr std::size_t kMemberBytes = 96;
+
+// Members do not expire as entries do; the membership core removes them.
+constexpr auto kMemberLifetime = std::chrono::hours(1);
+
+std::string MemberKey(const NodeId& node) { return "node/" + node.value; }
+
+std::size_t ApproximateBytes(const SharedEntry& entry) {
+  std::size_t bytes = kEntryOverhead + entry.key.size();
+  if (const auto* config = std::get_if<ConfigAnnouncement>(&entry.value)) {
+    bytes += config->manifest.size();
+  } else if (const auto* group = std::get_if<GroupSummary>(&entry.value)) {
+    bytes += kMemberBytes * group->members.size();
+  }
+  return bytes;
+}
+
+EntryDigest DigestOf(const SharedEntry& entry, TimePoint now) {
+  const auto remaining =
+      std::clamp<std::int64_t>(TimeLeft(entry.expires, now).count(), 1, kLongLivedMs);
+  return {HashKey(entry.key), entry.version, static_cast<std::uint32_t>(remaining)};
+}
+
+}  // namespace
+
+SharedEntry MemberEntry(const NodeInfo& info, TimePoint now) {
+  return {MemberKey(info.node), MemberVersion(info), now + kMemberLifetime, info};
+}
+
+NodeTable::NodeTable(SharedState& entries, Membership membership)
+    : state(entries), core(std::move(membership)) {}
+
+NodeInfo NodeTable::Self() const {
+  return this->With([](const Membership& membership) { return membership.self(); });
+}
+
+std::vector<NodeInfo> NodeTable::LiveMembers() const {
+  return this->With([](const Membership& membership) {
+    auto members = membership.Members();
+    std::erase_if(members, [&](const NodeInfo& info) {
+      return info.state == MemberState::kDead || info.node == membership.self().node;
+    });
+    return members;
+  });
+}
+
+std::vector<EntryDigest> NodeTable::Digests(TimePoint now) const {
+  std::vector<EntryDigest> digests;
+  for (const NodeInfo& info :
+       this->With([](const Membership& membership) { return membership.Members(); })) {
+    digests.push_back({HashKey(MemberKey(info.node)), MemberVersion(info), 0});
+  }
+  this->state.Visit([&](const SharedEntry& entry) { digests.push_back(DigestOf(entry, now)); },
+                    now);
+  return digests;
+}
+
+TableDifference NodeTable::Compare(const std::vector<std::uint16_t>& differing,
+                                   const std::vector<EntryDigest>& theirs, TimePoint now) const {
+  std::bitset<kBuckets> buckets;
+  for (const std::uint16_t bucket : differing) {
+    if (bucket < kBuckets) buckets.set(bucket);
+  }
+  std::unordered_map<std::uint64_t, EntryDigest> mine;
+  for (const EntryDigest& digest : this->Digests(now)) {
+    if (buckets.test(BucketOf(digest.key))) mine.emplace(digest.key, digest);
+  }
+  TableDifference difference;
+  for (const EntryDigest& digest : theirs) {
+    const auto found = mine.find(digest.key);
+    if (found == mine.end()) {
+      difference.wanted.push_back(digest.key);
+      continue;
+    }
+    if (IsNewer(digest, found->second)) difference.wanted.push_back(digest.key);
+    if (!IsNewer(found->second, digest)) mine.erase(found);
+  }
+  for (const auto& [key, digest] : mine) difference.offered.insert(key);
+  return difference;
+}
+
+std::vector<SharedEntry> NodeTable::Collect(const EntryKeys& keys, TimePoint now) const {
+  std::vector<SharedEntry> found;
+  if (keys.empty()) return found;
+  std::size_t bytes = 0;
+  const auto add = [&](const SharedEntry& entry) {
+    if (bytes > 0 && bytes + ApproximateBytes(entry) > kMaxMessageBytes) return;
+    bytes += ApproximateBytes(entry);
+    found.push_back(entry);
+  };
+  for (const NodeInfo& info :
+       this->With([](const Membership& membership) { return membership.Members(); })) {
+    if (keys.contains(HashKey(MemberKey(info.node)))) add(MemberEntry(info, now));
+  }
+  this->state.Visit(
+      [&](const SharedEntry& entry) {
+        if (keys.contains(HashKey(entry.key))) add(entry);
+      },
+      now);
+  return found;
+}
+
+bool NodeTable::Store(const SharedEntry& entry, Urgency urgency, TimePoint now,
+                      MembershipActions& actions) {
+  if (const auto* info = std::get_if<NodeInfo>(&entry.value)) {
+    const std::lock_guard lock(this->mutex);
+    for (auto& action : this->core.OnUpdate(*info, now)) actions.push_back(std::move(action));
+    return true;
+  }
+  if (this->state.Put(entry, urgency, now)) return true;
+  const auto held = this->state.Find(entry.key, now);
+  return held && held->version >= entry.version;
+}
+
+void NodeTable::NoteContact(const NodeId& node, TimePoint now) {
+  const std::lock_guard lock(this->mutex);
+  this->contacts[node] = now;
+}
+
+std::vector<NodeId> NodeTable::ContactsSince(TimePoint least) const {
+  const std::lock_guard lock(this->mutex);
+  std::vector<NodeId> nodes;
+  for (const auto& [node, time] : this->contacts) {
+    const auto info = this->core.Find(node);
+    if (time >= least && info && info->state != MemberState::kDead) nodes.push_back(node);
+  }
+  return nodes;
+}
+
+std::size_t NodeTable::RemoveExpired(TimePoint now) {
+  {
+    const std::lock_guard lock(this->mutex);
+    std::erase_if(this->contacts,
+                  [&](const auto& item) { return !this->core.Find(item.first).has_value(); });
+  }
+  return this->state.RemoveExpired(now);
+}
+
+}  // namespace limpetfall::detail
--- /dev/null
+++ b/src/node/node-table.h
@@ -0,0 +1,80 @@
+#ifndef LIMPETFALL_NODE_NODE_TABLE_H_
+#define LIMPETFALL_NODE_NODE_TABLE_H_
+
+#include <map>
+#include <mutex>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/membership.h"
+#include "core/shared-state.h"
+#include "node/digest.h"
+
+// Internal to the package: members and shared entries as one table that nodes compare.
+
+namespace limpetfall::detail {
+
+using EntryKeys = std::unordered_set<std::uint64_t>;
+
+/** What remains to do after a comparison with a peer. */
+struct TableDifference {
+  std::vector<std::uint64_t> wanted;  ///< Key hashes that the peer holds in a newer version.
+  EntryKeys offered;                  ///< Key hashes that the peer lacks.
+};
+
+/** A member as an entry: its key is "node/<id>". */
+SharedEntry MemberEntry(const NodeInfo& info, TimePoint now);
+
+/** Thread-safe. The membership core is reached through `With`, under a lock. */
+class NodeTable {
+ public:
+  NodeTable(SharedState& entries, Membership membership);
+
+  template <typename Action>
+  auto With(Action action) {
+    const std::lock_guard lock(this->mutex);
+    return action(this->core);
+  }
+
+  template <typename Action>
+  auto With(Action action) const {
+    const std::lock_guard lock(this->mutex);
+    return action(this->core);
+  }
+
+  [[nodiscard]] NodeInfo Self() const;
+
+  /** Returns the other nodes that are not dead. */
+  [[nodiscard]] std::vector<NodeInfo> LiveMembers() const;
+
+  [[nodiscard]] std::vector<EntryDigest> Digests(TimePoint now) const;
+
+  /** Compares the buckets in `differing` with what the peer holds in them. */
+  [[nodiscard]] TableDifference Compare(const std::vector<std::uint16_t>& differing,
+                                        const std::vector<EntryDigest>& theirs,
+                                        TimePoint now) const;
+
+  /** Returns the entries with these key hashes, as many as fit into one message. */
+  [[nodiscard]] std::vector<SharedEntry> Collect(const EntryKeys& keys, TimePoint now) const;
+
+  /** Stores an entry from a peer and appends what follows; returns whether it is held now. */
+  bool Store(const SharedEntry& entry, Urgency urgency, TimePoint now, MembershipActions& actions);
+
+  /** Remembers that messages were exchanged with a node. */
+  void NoteContact(const NodeId& node, TimePoint now);
+
+  [[nodiscard]] std::vector<NodeId> ContactsSince(TimePoint least) const;
+
+  std::size_t RemoveExpired(TimePoint now);
+
+ private:
+  mutable std::mutex mutex;
+  SharedState& state;
+  Membership core;
+  std::map<NodeId, TimePoint> contacts;
+};
+
+}  // namespace limpetfall::detail
+
+#endif  // LIMPETFALL_NODE_NODE_TABLE_H_
