Count all four exchanges of a second in the core bench

Cause: with the second probe, a node takes part in four exchanges a second, not two, so the bench understated the processor time of the core.

--- a/test/bench/node-bench.cc
+++ b/test/bench/node-bench.cc
@@ -86,7 +86,7 @@
   const double start = ProcessorSeconds();
   std::uint64_t sum = 0;
   for (int round = 0; round < kRounds; ++round) {
-    // As the loop does: ten ticks in each second and two exchanges, one of them a peer's.
+    // As the loop does: ten ticks in each second and four exchanges, two of them of peers.
     for (int tick = 0; tick < 10; ++tick) {
       now += Milliseconds(100);
       for (const auto& action : table.With([&](Membership& c) { return c.Tick(now); })) {
@@ -96,7 +96,7 @@
       }
       sum += std::uint64_t(table.With([](const Membership& c) { return c.NextTick(); }) > now);
     }
-    for (int exchange = 0; exchange < 2; ++exchange) {
+    for (int exchange = 0; exchange < 4; ++exchange) {
       sum += detail::HashBuckets(table.Digests(Clock::now()), 5)[0];
     }
   }
