--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -24,6 +24,7 @@
   std::string admin_address;
   std::string metrics_address;
   std::string node_address;
+  std::string advertised_address;  ///< Where other nodes connect; `node_address` when not set.
   std::vector<std::string> seeds;  ///< RPC addresses of other nodes.
   int threads = 2;
 
--- /dev/null
+++ b/test/harness/process.cc
@@ -0,0 +1,160 @@
+#include "harness/process.h"
+
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cctype>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace limpetfall::testing {
+namespace {
+
+std::string ProgramPath(const std::string& program) {
+  const char* folder = std::getenv("LIMPETFALL_BIN");
+  return (folder == nullptr ? std::string("build") : std::string(folder)) + "/" + program;
+}
+
+// Runs in the child between fork and exec, so it calls async-signal-safe functions only.
+[[noreturn]] void RunChild(const char* path, char* const* arguments, int output) {
+  // A test that is killed itself must not leave its children behind.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  dup2(output, STDOUT_FILENO);
+  dup2(output, STDERR_FILENO);
+  execv(path, arguments);
+  _exit(127);
+}
+
+std::size_t AppendBody(char* data, std::size_t size, std::size_t count, void* target) {
+  static_cast<std::string*>(target)->append(data, size * count);
+  return size * count;
+}
+
+std::size_t AddHeader(char* data, std::size_t size, std::size_t count, void* target) {
+  std::string line(data, size * count);
+  std::size_t colon = line.find(':');
+  if (colon == std::string::npos) return size * count;
+  std::string name = line.substr(0, colon);
+  for (char& letter : name) {
+    letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+  }
+  std::size_t first = line.find_first_not_of(" \t", colon + 1);
+  std::size_t last = line.find_last_not_of(" \t\r\n");
+  bool blank = first == std::string::npos || last < first;
+  auto& headers = *static_cast<std::map<std::string, std::string>*>(target);
+  headers[name] = blank ? "" : line.substr(first, last - first + 1);
+  return size * count;
+}
+
+}  // namespace
+
+std::unique_ptr<Process> Process::Start(const std::string& program,
+                                        const std::vector<std::string>& arguments,
+                                        const std::string& log_path) {
+  std::string path = ProgramPath(program);
+  std::vector<char*> argv{path.data()};
+  std::vector<std::string> copies = arguments;
+  for (std::string& argument : copies) argv.push_back(argument.data());
+  argv.push_back(nullptr);
+  int output = open(log_path.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
+  if (output < 0) throw std::runtime_error("cannot open " + log_path);
+  pid_t child = fork();
+  if (child == 0) RunChild(path.c_str(), argv.data(), output);
+  close(output);
+  if (child < 0) throw std::runtime_error("cannot start " + path);
+  return std::unique_ptr<Process>(new Process(child, log_path));
+}
+
+Process::~Process() { this->Kill(); }
+
+void Process::Signal(int signal) const {
+  if (!this->exited) kill(this->child, signal);
+}
+
+void Process::Freeze() const { this->Signal(SIGSTOP); }
+
+void Process::Thaw() const { this->Signal(SIGCONT); }
+
+void Process::Kill() {
+  if (this->exited) return;
+  this->Signal(SIGKILL);
+  int status = 0;
+  if (waitpid(this->child, &status, 0) == this->child) this->Collect(status);
+}
+
+bool Process::running() {
+  int status = 0;
+  if (!this->exited && waitpid(this->child, &status, WNOHANG) == this->child) this->Collect(status);
+  return !this->exited;
+}
+
+bool Process::WaitForExit(std::chrono::milliseconds longest) {
+  return WaitFor([this] { return !this->running(); }, longest);
+}
+
+void Process::Collect(int status) {
+  this->exited = true;
+  this->code = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+std::string Process::log() const {
+  std::ifstream file(this->log_path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+bool WaitFor(const std::function<bool()>& condition, std::chrono::milliseconds longest) {
+  auto deadline = std::chrono::steady_clock::now() + longest;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= deadline) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return true;
+}
+
+Reply Fetch(const std::string& method, const std::string& url, const std::string& body,
+            const std::map<std::string, std::string>& headers, std::chrono::milliseconds longest) {
+  static const CURLcode kGlobal = curl_global_init(CURL_GLOBAL_DEFAULT);
+  Reply reply;
+  std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(curl_easy_init(), &curl_easy_cleanup);
+  if (kGlobal != CURLE_OK || easy == nullptr) throw std::runtime_error("libcurl does not start");
+  curl_slist* lines = curl_slist_append(nullptr, "Expect:");
+  for (const auto& [name, value] : headers) {
+    std::string line = name + ": " + value;
+    lines = curl_slist_append(lines, line.c_str());
+  }
+  std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> owner(lines, &curl_slist_free_all);
+  curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy.get(), CURLOPT_CUSTOMREQUEST, method.c_str());
+  curl_easy_setopt(easy.get(), CURLOPT_HTTPHEADER, lines);
+  curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(longest.count()));
+  curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, &AppendBody);
+  curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &reply.body);
+  curl_easy_setopt(easy.get(), CURLOPT_HEADERFUNCTION, &AddHeader);
+  curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &reply.headers);
+  if (!body.empty()) {
+    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, body.c_str());
+    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
+  }
+  CURLcode code = curl_easy_perform(easy.get());
+  if (code != CURLE_OK) {
+    reply.error = curl_easy_strerror(code);
+    return reply;
+  }
+  long status = 0;
+  curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &status);
+  reply.status = static_cast<int>(status);
+  return reply;
+}
+
+}  // namespace limpetfall::testing
