--- /dev/null
+++ b/src/core/admission.cc
@@ -0,0 +1,266 @@
+#include "core/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace limpetfall {
+namespace {
+
+// Time over which a team's demand is averaged. Demand reaches other nodes within about a second, so
+// a shorter time would shift shares between nodes on noise.
+constexpr double kDemandSeconds = 2;
+
+// A team may send this many seconds of its share at once.
+constexpr double kRateBurstSeconds = 1;
+
+// A share of 1/16 follows a change of service time within some tens of requests.
+constexpr double kMeanWeight = 1.0 / 16;
+constexpr double kAloneWeight = 0.5;
+
+double Seconds(Clock::duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+Clock::duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+AdmissionQueue::AdmissionQueue(AdmissionOptions options) : options(options) {}
+
+void AdmissionQueue::SetTeams(const std::vector<TeamSpec>& specs, TimePoint now) {
+  for (const TeamSpec& spec : specs) {
+    Team& team = this->TeamOf(spec.name);
+    team.spec = spec;
+    if (team.rate_updated == TimePoint()) team.rate_updated = now;
+  }
+  std::erase_if(this->teams, [&](const auto& item) {
+    const bool listed = std::any_of(specs.begin(), specs.end(),
+                                    [&](const TeamSpec& spec) { return spec.name == item.first; });
+    return !listed && item.second.queued == 0;
+  });
+}
+
+AdmissionQueue::Team& AdmissionQueue::TeamOf(const TeamName& name) {
+  auto [found, inserted] = this->teams.try_emplace(name);
+  if (inserted) found->second.spec.name = name;
+  return found->second;
+}
+
+void AdmissionQueue::OnDemand(const TeamDemand& demand, Deadline expires) {
+  this->TeamOf(demand.team).other_nodes[demand.node] = {demand.requests_per_second, expires};
+}
+
+std::vector<TeamDemand> AdmissionQueue::Demand(const NodeId& self, TimePoint now) const {
+  std::vector<TeamDemand> demand;
+  for (const auto& [name, team] : this->teams) {
+    demand.push_back({self, name, this->DemandAt(team, now)});
+  }
+  return demand;
+}
+
+double AdmissionQueue::DemandAt(const Team& team, TimePoint now) const {
+  return team.demand * std::exp(-Seconds(now - team.demand_updated) / kDemandSeconds);
+}
+
+void AdmissionQueue::CountDemand(Team& team, TimePoint now) {
+  team.demand = this->DemandAt(team, now) + 1 / kDemandSeconds;
+  team.demand_updated = now;
+}
+
+// The team's limit is divided among the nodes in proportion to the demand at each of them.
+bool AdmissionQueue::TakeRateToken(Team& team, TimePoint now) {
+  const double limit = team.spec.requests_per_second;
+  if (limit <= 0) return true;
+  std::erase_if(team.other_nodes, [&](const auto& item) { return item.second.expires <= now; });
+  double elsewhere = 0;
+  for (const auto& [node, demand] : team.other_nodes) elsewhere += demand.requests_per_second;
+  const double own = this->DemandAt(team, now);
+  const double share = limit * own / (own + elsewhere);
+
+  const double burst = std::max(1.0, share * kRateBurstSeconds);
+  team.rate_tokens = std::min(burst, team.rate_tokens + share * Seconds(now - team.rate_updated));
+  team.rate_updated = now;
+  if (team.rate_tokens < 1) return false;
+  team.rate_tokens -= 1;
+  return true;
+}
+
+// In a busy lane, requests leave at the rate (running requests) / (mean duration). A request waits
+// for those of higher priority and, among equals, for its team's share of the rest.
+Milliseconds AdmissionQueue::ExpectedWait(const AdmissionRequest& request) const {
+  auto lane = this->lanes.find(request.lane);
+  if (lane == this->lanes.end() || lane->second.mean_seconds == 0) return Milliseconds(0);
+  if (lane->second.running == 0 || lane->second.queued == 0) return Milliseconds(0);
+
+  double higher = 0;
+  double equal = 0;
+  double own = 0;
+  double own_weight = 1;
+  double other_weights = 0;
+  for (const auto& [name, team] : this->teams) {
+    const bool mine = name == request.team;
+    if (mine) own_weight = team.spec.weight;
+    std::size_t same = 0;
+    for (const auto& [flow, ids] : team.flows) {
+      if (flow.lane != request.lane) continue;
+      if (flow.priority < request.priority) higher += static_cast<double>(ids.size());
+      if (flow.priority == request.priority) same += ids.size();
+    }
+    equal += static_cast<double>(same);
+    if (mine) own += static_cast<double>(same);
+    if (!mine && same > 0) other_weights += team.spec.weight;
+  }
+  const double in_turn = own * (own_weight + other_weights) / own_weight;
+  const double ahead = higher + std::min(equal, in_turn);
+  const double seconds = ahead * lane->second.mean_seconds / lane->second.running;
+  return std::chrono::duration_cast<Milliseconds>(FromSeconds(seconds));
+}
+
+bool AdmissionQueue::MeetsDeadline(const AdmissionRequest& request, TimePoint now) const {
+  if (request.deadline <= now) return false;
+  auto lane = this->lanes.find(request.lane);
+  // An idle lane takes every request, so that the mean is measured again.
+  if (lane == this->lanes.end() || lane->second.running == 0) return true;
+  return now + this->ExpectedWait(request) + FromSeconds(lane->second.mean_seconds) <=
+         request.deadline;
+}
+
+Result<AdmissionId> AdmissionQueue::Enqueue(const AdmissionRequest& request, TimePoint now) {
+  Team& team = this->TeamOf(request.team);
+  if (!request.again) {
+    this->CountDemand(team, now);
+    if (this->waiting.size() >= this->options.max_queued) {
+      return NotRun(ErrorCode::kResourceExhausted, "the queue of this node is full");
+    }
+    if (team.queued >= static_cast<std::size_t>(std::max(1, team.spec.max_queued_per_node))) {
+      return NotRun(ErrorCode::kResourceExhausted,
+                    "the queue of team " + request.team.value + " is full");
+    }
+  }
+  if (!this->MeetsDeadline(request, now)) {
+    return NotRun(ErrorCode::kDeadlineExceeded,
+                  "the request cannot be served before its deadline; expected wait " +
+                      std::to_string(this->ExpectedWait(request).count()) + " ms");
+  }
+  if (!request.again && !this->TakeRateToken(team, now)) {
+    return NotRun(ErrorCode::kResourceExhausted,
+                  "team " + request.team.value + " is over its request rate");
+  }
+
+  // A team that had nothing waiting does not catch up on capacity it did not ask for.
+  Lane& lane = this->lanes[request.lane];
+  const bool backlogged = std::any_of(team.flows.begin(), team.flows.end(), [&](const auto& flow) {
+    return flow.first.lane == request.lane;
+  });
+  double& start_tag = lane.start_tags[request.team];
+  if (!backlogged) start_tag = std::max(start_tag, lane.virtual_now);
+
+  const AdmissionId id = ++this->last_id;
+  auto& ids = team.flows[{request.lane, request.priority}];
+  ++team.queued;
+  ++lane.queued;
+  if (request.again) {
+    ids.push_front(id);  // It has already waited for its turn once.
+  } else {
+    ids.push_back(id);
+  }
+  this->by_deadline.emplace(request.deadline, id);
+  this->waiting.emplace(id, Waiting{request, now});
+  return id;
+}
+
+int AdmissionQueue::EffectivePriority(const Waiting& entry, TimePoint now) const {
+  const auto steps = (now - entry.since) / this->options.aging_step;
+  return std::max<int>(0, static_cast<int>(entry.request.priority) - static_cast<int>(steps));
+}
+
+std::optional<AdmissionId> AdmissionQueue::Next(const std::set<std::string>& blocked_lanes,
+                                                TimePoint now) const {
+  std::optional<AdmissionId> best;
+  std::pair<int, double> best_rank;
+  for (const auto& [name, team] : this->teams) {
+    for (const auto& [flow, ids] : team.flows) {
+      if (blocked_lanes.contains(flow.lane)) continue;
+      const Lane& lane = this->lanes.at(flow.lane);
+      const std::pair<int, double> rank{this->EffectivePriority(this->waiting.at(ids.front()), now),
+                                        lane.start_tags.at(name) - lane.virtual_now};
+      if (best && best_rank <= rank) continue;
+      best = ids.front();
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+const std::string& AdmissionQueue::LaneOf(AdmissionId id) const {
+  return this->waiting.at(id).request.lane;
+}
+
+void AdmissionQueue::Remove(AdmissionId id) {
+  const AdmissionRequest& request = this->waiting.at(id).request;
+  Team& team = this->TeamOf(request.team);
+  auto flow = team.flows.find({request.lane, request.priority});
+  std::erase(flow->second, id);
+  if (flow->second.empty()) team.flows.erase(flow);
+  --team.queued;
+  --this->lanes.at(request.lane).queued;
+  this->by_deadline.erase({request.deadline, id});
+  this->waiting.erase(id);
+}
+
+void AdmissionQueue::Start(AdmissionId id, TimePoint now) {
+  const AdmissionRequest request = this->waiting.at(id).request;
+  Lane& lane = this->lanes.at(request.lane);
+  double& start_tag = lane.start_tags.at(request.team);
+  lane.virtual_now = std::max(lane.virtual_now, start_tag);
+  start_tag += request.cost / std::max(this->TeamOf(request.team).spec.weight, 1e-3);
+  this->Remove(id);
+  ++lane.running;
+  this->in_service.emplace(id, Running{request.lane, now});
+}
+
+void AdmissionQueue::Finish(AdmissionId id, bool served, TimePoint now) {
+  auto found = this->in_service.find(id);
+  if (found == this->in_service.end()) return;
+  Lane& lane = this->lanes.at(found->second.lane);
+  --lane.running;
+  if (served) {
+    const double seconds = Seconds(now - found->second.since);
+    // A request that ran alone may have been let in only to measure the lane again.
+    const double weight = lane.mean_seconds == 0 ? 1
+                          : lane.running == 0    ? kAloneWeight
+                                                 : kMeanWeight;
+    lane.mean_seconds += weight * (seconds - lane.mean_seconds);
+  }
+  this->in_service.erase(found);
+}
+
+bool AdmissionQueue::Cancel(AdmissionId id) {
+  if (!this->waiting.contains(id)) return false;
+  this->Remove(id);
+  return true;
+}
+
+std::vector<AdmissionId> AdmissionQueue::Expire(TimePoint now) {
+  std::vector<AdmissionId> expired;
+  for (const auto& [deadline, id] : this->by_deadline) {
+    const Lane& lane = this->lanes.at(this->waiting.at(id).request.lane);
+    const double needed = lane.running == 0 ? 0 : lane.mean_seconds;
+    if (deadline <= now + FromSeconds(needed)) expired.push_back(id);
+  }
+  for (AdmissionId id : expired) this->Remove(id);
+  return expired;
+}
+
+void RetryBudget::OnRequest(double share) {
+  this->available = std::min(kMaximum, this->available + share);
+}
+
+bool RetryBudget::TryTake() {
+  if (this->available < 1) return false;
+  this->available -= 1;
+  return true;
+}
+
+}  // namespace limpetfall
