--- /dev/null
+++ b/src/daemon/admission-gate.h
@@ -0,0 +1,71 @@
+#ifndef LIMPETFALL_DAEMON_ADMISSION_GATE_H_
+#define LIMPETFALL_DAEMON_ADMISSION_GATE_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/admission.h"
+
+namespace limpetfall {
+
+/**
+ * Lets coroutines wait for their turn in an `AdmissionQueue`. Thread-safe. A coroutine that is
+ * cancelled or destroyed while it waits leaves the queue.
+ */
+class AdmissionGate : public std::enable_shared_from_this<AdmissionGate> {
+ public:
+  /** A turn; destroying it ends the turn and lets the next request in. */
+  class Slot {
+   public:
+    Slot() = default;
+    Slot(std::shared_ptr<AdmissionGate> gate, AdmissionId id) : gate(std::move(gate)), id(id) {}
+    Slot(Slot&& other) noexcept = default;
+    Slot& operator=(Slot&& other) noexcept;
+    ~Slot();
+
+    /** Says that the request was served, so its duration counts for the service rate. */
+    void MarkServed() { this->served = true; }
+
+   private:
+    void Release();
+
+    std::shared_ptr<AdmissionGate> gate;
+    AdmissionId id = 0;
+    bool served = false;
+  };
+
+  /**
+   * Takes the capacity that a request needs and returns whether that succeeded. It is called under
+   * the lock of the gate, from any thread, until it returns true or the waiting coroutine resumes.
+   */
+  using TryStart = std::function<bool()>;
+
+  static std::shared_ptr<AdmissionGate> Create(boost::asio::any_io_executor executor,
+                                               AdmissionOptions options);
+
+  virtual ~AdmissionGate() = default;
+
+  /** Waits until it is the turn of `request` and `try_start` succeeds. */
+  virtual boost::asio::awaitable<Result<Slot>> Wait(AdmissionRequest request,
+                                                    TryStart try_start) = 0;
+
+  /** Lets in the requests that can start now. Called when capacity may have appeared. */
+  virtual void Pump() = 0;
+
+  virtual void SetTeams(const std::vector<TeamSpec>& specs) = 0;
+  virtual void OnDemand(const TeamDemand& demand, Deadline expires) = 0;
+  [[nodiscard]] virtual std::vector<TeamDemand> Demand(const NodeId& self) const = 0;
+  [[nodiscard]] virtual std::size_t queued() const = 0;
+
+ private:
+  virtual void Finish(AdmissionId id, bool served) = 0;
+};
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_DAEMON_ADMISSION_GATE_H_
