--- /dev/null
+++ b/src/core/assembly.cc
@@ -0,0 +1,757 @@
+#include "core/assembly.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace limpetfall {
+
+using detail::GroupTrack;
+using detail::GroupView;
+using detail::VmTrack;
+using detail::VmView;
+
+namespace {
+
+// A VM that was lost more often than this in the window is used last, because it is likely to take
+// its next group down too.
+constexpr std::chrono::minutes kLossWindow{10};
+// One loss per VM and day until the domain has a record of its own.
+constexpr double kPriorLossesPerVmSecond = 1.0 / 86400;
+// Domains that may exceed their quota take their turns, so that not all build the missing group.
+constexpr std::size_t kTurns = 8;
+
+double Seconds(Clock::duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+bool Contains(const std::vector<VmId>& vms, const VmId& vm) {
+  return std::find(vms.begin(), vms.end(), vm) != vms.end();
+}
+
+std::uint64_t StableHash(const std::string& text) {
+  std::uint64_t hash = 14695981039346656037ULL;
+  for (unsigned char byte : text) hash = (hash ^ byte) * 1099511628211ULL;
+  return hash;
+}
+
+}  // namespace
+
+template <AssemblyPolicy Policy>
+Assembly<Policy> Assembly<Policy>::Create(AssemblyOptions options, Policy policy) {
+  return Assembly(std::move(options), std::move(policy));
+}
+
+template <AssemblyPolicy Policy>
+Assembly<Policy>::Assembly(AssemblyOptions core_options, Policy core_policy)
+    : options(std::move(core_options)), policy(std::move(core_policy)) {}
+
+template <AssemblyPolicy Policy>
+AssemblyOutput Assembly<Policy>::Step(const AssemblyInput& step_input, TimePoint now) {
+  this->input = &step_input;
+  if (!this->first_step) {
+    this->first_step = now;
+    this->inherited_record = step_input.record.revision != 0;
+  }
+  // After a pause of this process all reports look old although the VMs may be well.
+  if (this->last_step && now - *this->last_step > this->options.report_lost) {
+    for (auto& [id, track] : this->vm_tracks) track.first_seen = now;
+  }
+  this->last_step = now;
+  this->Observe(now);
+  this->BuildVmViews(now);
+  this->ObserveAbsence(now);
+  this->BuildGroupViews();
+  this->MakePlan(now);
+
+  AssemblyOutput output;
+  if (this->plan.changed) output.proposal = this->plan.record;
+  this->AddSummaries(output, now);
+  this->AddCommands(output, now);
+  this->input = nullptr;
+  return output;
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::Observe(TimePoint now) {
+  for (const Vm& vm : this->input->vms) {
+    const auto [found, added] = this->vm_tracks.try_emplace(vm.id);
+    if (!added) continue;
+    found->second.first_seen = now;
+    // A former owner may have sent commands just before this one took over.
+    if (this->inherited_record && now == *this->first_step) {
+      found->second.other_command_allowed =
+          now + this->options.command_timeout + this->options.order_delay_bound;
+    }
+  }
+  for (const auto& [report, received] : this->input->reports) {
+    const auto found = this->vm_tracks.find(report.vm);
+    if (found != this->vm_tracks.end()) this->ObserveReport(report, received, found->second);
+  }
+  std::set<VmId> listed;
+  for (const Vm& vm : this->input->vms) listed.insert(vm.id);
+  std::erase_if(this->vm_tracks,
+                [&listed](const auto& entry) { return !listed.contains(entry.first); });
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::ObserveReport(const VmReport& report, TimePoint received, VmTrack& track) {
+  if (track.last_report && received <= *track.last_report) return;
+  this->highest_reported = std::max(this->highest_reported, report.generation);
+  if (track.absent && track.last_report) {
+    this->estimates.AddRestart(Seconds(received - *track.last_report),
+                               report.instance == track.instance);
+  }
+  if (report.instance != track.instance) {
+    // The restarted engine knows nothing of earlier commands.
+    track.commanded_at.reset();
+    track.loading_since.reset();
+  }
+  if (report.state == EngineState::kLoading) {
+    if (!track.loading_since) track.loading_since = received;
+  } else {
+    if (report.state == EngineState::kReady && track.loading_since) {
+      this->estimates.AddLoad(report.model, Seconds(received - *track.loading_since));
+    }
+    track.loading_since.reset();
+  }
+  track.absent = false;
+  track.instance = report.instance;
+  track.last_report = received;
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::BuildVmViews(TimePoint now) {
+  this->views.clear();
+  for (const Vm& vm : this->input->vms) this->views[vm.id].vm = &vm;
+  for (const ReceivedReport& received : this->input->reports) {
+    const auto found = this->views.find(received.report.vm);
+    if (found == this->views.end()) continue;
+    found->second.report = &received.report;
+    found->second.received = received.received;
+  }
+  for (auto& [id, view] : this->views) {
+    const bool fresh = view.report != nullptr && now - view.received <= this->options.report_lost;
+    view.known = fresh || now - this->vm_tracks.at(id).first_seen > this->options.report_lost;
+    view.leaving = fresh && (view.vm->leaving || view.report->state == EngineState::kLeaving);
+    view.present = fresh && !view.leaving;
+  }
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::ObserveAbsence(TimePoint now) {
+  for (const auto& [id, view] : this->views) {
+    VmTrack& track = this->vm_tracks.at(id);
+    if (!view.known || view.present || view.leaving || track.absent) continue;
+    track.absent = true;
+    if (track.last_report) track.losses.push_back(now);
+  }
+  for (auto& [id, track] : this->vm_tracks) {
+    std::erase_if(track.losses, [now](TimePoint loss) { return now - loss > kLossWindow; });
+  }
+}
+
+template <AssemblyPolicy Policy>
+bool Assembly<Policy>::IsReady(const VmId& member, int rank, const GroupRecord& group) const {
+  const auto found = this->views.find(member);
+  if (found == this->views.end() || found->second.report == nullptr) return false;
+  const VmReport& report = *found->second.report;
+  return report.state == EngineState::kReady && report.group == group.group &&
+         report.generation == group.generation && report.model == group.model &&
+         report.version == group.version && report.rank == rank &&
+         report.size == static_cast<int>(group.members.size());
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::BuildGroupViews() {
+  this->groups.clear();
+  for (const GroupRecord& record : this->input->record.groups) {
+    GroupView view;
+    view.record = record;
+    view.product = FindProduct(this->input->placement.products, record.model, record.version);
+    view.ready = true;
+    view.oldest_report = TimePoint::max();
+    GroupTrack& track = this->group_tracks[record.group];
+    if (track.generation != record.generation) {
+      track = GroupTrack{record.generation, {}, track.published, std::nullopt};
+    }
+    for (std::size_t i = 0; i < record.members.size(); ++i) {
+      this->ViewMember(record.members[i], static_cast<int>(i), track, view);
+    }
+    this->groups.push_back(std::move(view));
+  }
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::ViewMember(const VmId& member, int rank, GroupTrack& track,
+                                  GroupView& view) {
+  const auto found = this->views.find(member);
+  if (found == this->views.end()) {
+    view.absent.push_back(member);
+    view.ready = false;
+    return;
+  }
+  const VmView& vm = found->second;
+  view.known = view.known && vm.known;
+  if (!vm.present && !vm.leaving) {
+    view.ready = false;
+    if (vm.known) view.absent.push_back(member);
+    return;
+  }
+  view.oldest_report = std::min(view.oldest_report, vm.received);
+  if (vm.leaving) {
+    view.leaving.push_back(member);
+    return;
+  }
+  if (vm.report->group == view.record.group && vm.report->generation == view.record.generation) {
+    track.instances.try_emplace(member, vm.report->instance);
+  }
+  const auto instance = track.instances.find(member);
+  if (instance != track.instances.end() && instance->second != vm.report->instance) {
+    view.restarted = true;
+  }
+  if (!this->IsReady(member, rank, view.record)) view.ready = false;
+}
+
+template <AssemblyPolicy Policy>
+bool Assembly<Policy>::IsServing(const GroupView& view) const {
+  return view.known && view.ready && !view.restarted && view.absent.empty() && view.leaving.empty();
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::MakePlan(TimePoint now) {
+  this->plan = {};
+  this->plan.record = this->input->record;
+  this->plan.record.domain = this->options.domain;
+  std::set<VmId> assigned;
+  int loading = 0;
+  bool known = true;
+  for (const GroupView& view : this->groups) {
+    assigned.insert(view.record.members.begin(), view.record.members.end());
+    known = known && view.known;
+    if (!view.ready && view.absent.empty() && !view.restarted) ++loading;
+  }
+  for (const auto& [id, view] : this->views) {
+    if (view.present && !assigned.contains(id)) this->plan.free.push_back(id);
+  }
+  this->plan.slots =
+      this->input->policy.weight_store_slots - this->input->slots_in_use_elsewhere - loading;
+  // Nothing is planned on half of the picture, for example right after taking over.
+  if (!known) {
+    for (const auto& [id, track] : this->group_tracks) {
+      if (track.drain_since) this->plan.drains.insert(id);
+    }
+    return;
+  }
+  this->RepairGroups(now);
+  this->RetireUnwanted(now);
+  this->BuildWanted(now);
+  for (auto& [id, track] : this->group_tracks) {
+    if (!this->plan.drains.contains(id)) track.drain_since.reset();
+  }
+}
+
+template <AssemblyPolicy Policy>
+std::vector<int> Assembly<Policy>::HandlingOrder() const {
+  const auto& products = this->input->placement.products;
+  std::vector<int> order;
+  for (std::size_t i = 0; i < products.size(); ++i) order.push_back(static_cast<int>(i));
+  if constexpr (Policy::kByPriority) {
+    std::stable_sort(order.begin(), order.end(), [&products](int a, int b) {
+      return products[static_cast<std::size_t>(a)].priority <
+             products[static_cast<std::size_t>(b)].priority;
+    });
+  }
+  return order;
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::RepairGroups(TimePoint now) {
+  for (int product : this->HandlingOrder()) {
+    for (const GroupView& view : this->groups) {
+      if (view.product == product && this->InPlan(view.record.group)) this->Repair(view, now);
+    }
+  }
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::Repair(const GroupView& view, TimePoint now) {
+  std::vector<VmId> missing = view.absent;
+  missing.insert(missing.end(), view.leaving.begin(), view.leaving.end());
+  if (missing.empty()) {
+    if (view.restarted) this->Renew(view);
+    return;
+  }
+  // A planned stop interrupts no request, so a group that is still whole drains first.
+  if (view.absent.empty() && !view.restarted) {
+    this->plan.drains.insert(view.record.group);
+    if (!this->Drained(view, now)) return;
+  }
+  const Product& product = this->input->placement.products[static_cast<std::size_t>(view.product)];
+  const int healthy = static_cast<int>(view.record.members.size() - missing.size());
+  RepairSituation situation = this->Situation(product, healthy, missing, now);
+  const GroupView* victim = this->FindVictim(product, &view);
+  if (victim != nullptr) {
+    const Product& other =
+        this->input->placement.products[static_cast<std::size_t>(victim->product)];
+    const int usable = static_cast<int>(victim->record.members.size() - victim->absent.size() -
+                                        victim->leaving.size());
+    if (usable + situation.free_vms >= situation.missing) {
+      situation.victim = Victim{usable, PriorityWeight(other.priority), this->IsServing(*victim),
+                                this->estimates.LoadTime(other.model)};
+    }
+  }
+  this->Apply(this->policy.ChooseRepair(situation), view, missing, victim, now);
+}
+
+template <AssemblyPolicy Policy>
+RepairSituation Assembly<Policy>::Situation(const Product& product, int healthy,
+                                            const std::vector<VmId>& missing, TimePoint now) const {
+  RepairSituation situation;
+  situation.size = product.size;
+  situation.healthy = healthy;
+  situation.missing = static_cast<int>(missing.size());
+  situation.may_return = !missing.empty();
+  for (const VmId& vm : missing) {
+    const auto view = this->views.find(vm);
+    if (view == this->views.end() || view->second.leaving || view->second.vm->leaving) {
+      situation.may_return = false;
+      continue;
+    }
+    const VmTrack& track = this->vm_tracks.at(vm);
+    const TimePoint since = track.last_report.value_or(track.first_seen);
+    situation.away_s = std::max(situation.away_s, Seconds(now - since));
+  }
+  situation.wait_limit_s = static_cast<double>(this->input->policy.member_restart_wait_ms) / 1000;
+  situation.remaining_restart_s = this->estimates.RemainingRestart(situation.away_s);
+  situation.reload_share = this->estimates.ReloadShare();
+  situation.load_s = this->estimates.LoadTime(product.model);
+  situation.priority_weight = PriorityWeight(product.priority);
+  situation.downtime_weight = this->input->policy.group_downtime_weight;
+  situation.free_vms = static_cast<int>(this->plan.free.size());
+  return situation;
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::Apply(limpetfall::Repair choice, const GroupView& view,
+                             const std::vector<VmId>& missing, const GroupView* victim,
+                             TimePoint now) {
+  if (choice == limpetfall::Repair::kWait) return;
+  if (choice == limpetfall::Repair::kRelease) {
+    this->RemoveGroup(view);
+    return;
+  }
+  if (this->plan.slots <= 0) return;
+  if (choice == limpetfall::Repair::kBreakUp) {
+    if (this->IsServing(*victim)) {
+      this->plan.drains.insert(victim->record.group);
+      if (!this->Drained(*victim, now)) return;
+    }
+    this->RemoveGroup(*victim);
+  }
+  const std::vector<VmId> added = this->TakeFree(static_cast<int>(missing.size()), now);
+  auto replacement = added.begin();
+  for (GroupRecord& group : this->plan.record.groups) {
+    if (group.group != view.record.group) continue;
+    for (VmId& member : group.members) {
+      if (Contains(missing, member)) member = *replacement++;
+    }
+    group.generation = this->NextGeneration();
+  }
+  --this->plan.slots;
+}
+
+// A new generation tells the remaining members to join the restarted one, and no engine can confuse
+// the group with the one before the restart.
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::Renew(const GroupView& view) {
+  if (this->plan.slots <= 0) return;
+  for (GroupRecord& group : this->plan.record.groups) {
+    if (group.group == view.record.group) group.generation = this->NextGeneration();
+  }
+  --this->plan.slots;
+}
+
+template <AssemblyPolicy Policy>
+bool Assembly<Policy>::IsVictim(const GroupView& view, const Product& product,
+                                const GroupView* own) const {
+  if (&view == own || view.product < 0 || !this->InPlan(view.record.group)) return false;
+  const Product& other = this->input->placement.products[static_cast<std::size_t>(view.product)];
+  const bool whole = view.absent.empty() && view.leaving.empty() && !view.restarted;
+  // Groups that this step changed already are left alone.
+  for (const GroupRecord& group : this->plan.record.groups) {
+    if (group.group == view.record.group && group != view.record) return false;
+  }
+  if (!whole) return other.priority >= product.priority;
+  if (other.priority <= product.priority || !view.ready) return false;
+  const auto [here, in_all] = this->WholeGroups(view.product);
+  // The share of each domain keeps owners that act at the same time from taking too many together.
+  return in_all > other.min_groups && here > this->ProtectedHere(view.product);
+}
+
+template <AssemblyPolicy Policy>
+std::pair<int, int> Assembly<Policy>::WholeGroups(int product) const {
+  int here = 0;
+  for (const GroupView& view : this->groups) {
+    const bool whole = view.ready && view.absent.empty() && view.leaving.empty();
+    const bool leaves = this->plan.drains.contains(view.record.group);
+    if (view.product == product && whole && !view.restarted && !leaves &&
+        this->InPlan(view.record.group)) {
+      ++here;
+    }
+  }
+  const auto index = static_cast<std::size_t>(product);
+  const bool counted = index < this->input->elsewhere.size();
+  return {here, here + (counted ? this->input->elsewhere[index] : 0)};
+}
+
+template <AssemblyPolicy Policy>
+int Assembly<Policy>::ProtectedHere(int product) const {
+  const auto found = this->input->placement.protected_quotas.find(this->options.domain);
+  if (found == this->input->placement.protected_quotas.end()) return 0;
+  return found->second[static_cast<std::size_t>(product)];
+}
+
+template <AssemblyPolicy Policy>
+const GroupView* Assembly<Policy>::FindVictim(const Product& product, const GroupView* own) const {
+  const GroupView* best = nullptr;
+  const auto rank = [this](const GroupView& view) {
+    const Product& other = this->input->placement.products[static_cast<std::size_t>(view.product)];
+    // Incomplete groups first, then the lowest priority, then the youngest group.
+    return std::make_tuple(this->IsServing(view), -static_cast<int>(other.priority),
+                           ~view.record.generation);
+  };
+  for (const GroupView& view : this->groups) {
+    if (!this->IsVictim(view, product, own)) continue;
+    if (best == nullptr || rank(view) < rank(*best)) best = &view;
+  }
+  return best;
+}
+
+template <AssemblyPolicy Policy>
+bool Assembly<Policy>::Drained(const GroupView& view, TimePoint now) {
+  GroupTrack& track = this->group_tracks[view.record.group];
+  if (!track.drain_since) track.drain_since = now;
+  if (now - *track.drain_since >= this->options.drain_limit) return true;
+  const auto first = this->views.find(view.record.members.front());
+  if (first == this->views.end() || first->second.report == nullptr) return true;
+  const VmReport& report = *first->second.report;
+  return first->second.received - *track.drain_since >= this->options.drain_settle &&
+         report.running + report.queued == 0;
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::RemoveGroup(const GroupView& view) {
+  std::erase_if(this->plan.record.groups,
+                [&view](const GroupRecord& group) { return group.group == view.record.group; });
+  this->plan.changed = true;
+  for (const VmId& member : view.record.members) {
+    const auto found = this->views.find(member);
+    if (found != this->views.end() && found->second.present) this->plan.free.push_back(member);
+  }
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::RetireUnwanted(TimePoint now) {
+  const auto& products = this->input->placement.products;
+  for (std::size_t i = 0; i < products.size(); ++i) {
+    const int index = static_cast<int>(i);
+    if (this->GroupsInAll(index) <= products[i].wanted || this->GroupsHere(index) == 0) {
+      this->surplus_since.erase(index);
+    } else {
+      this->surplus_since.try_emplace(index, now);
+    }
+  }
+  bool draining = std::any_of(this->groups.begin(), this->groups.end(), [](const GroupView& view) {
+    return !view.ready && view.absent.empty();
+  });
+  for (const GroupView& view : this->groups) {
+    if (!this->InPlan(view.record.group)) continue;
+    bool retire = view.product < 0;
+    if (view.product >= 0) {
+      const auto index = static_cast<std::size_t>(view.product);
+      const auto since = this->surplus_since.find(view.product);
+      const auto quota = this->input->placement.quotas.find(this->options.domain);
+      const int own_quota = quota == this->input->placement.quotas.end() ? 0 : quota->second[index];
+      retire = since != this->surplus_since.end() && this->GroupsHere(view.product) > own_quota &&
+               (products[index].wanted == 0 || now - since->second >= this->options.surplus_linger);
+    }
+    if (!retire) continue;
+    if (!this->IsServing(view)) {
+      this->RemoveGroup(view);
+      continue;
+    }
+    // One group at a time, and none while another loads, so that a change of version does not take
+    // all capacity at once.
+    if (draining) continue;
+    draining = true;
+    this->plan.drains.insert(view.record.group);
+    if (this->Drained(view, now)) this->RemoveGroup(view);
+  }
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::BuildWanted(TimePoint now) {
+  const auto& products = this->input->placement.products;
+  const auto quota = this->input->placement.quotas.find(this->options.domain);
+  if (quota == this->input->placement.quotas.end()) return;
+  const ZoneId zone = this->input->vms.empty() ? ZoneId() : this->input->vms.front().zone;
+  for (int product : this->HandlingOrder()) {
+    const auto index = static_cast<std::size_t>(product);
+    if (this->GroupsInAll(product) >= products[index].wanted) {
+      this->lacking_since.erase(product);
+      continue;
+    }
+    this->lacking_since.try_emplace(product, now);
+    while (this->GroupsInAll(product) < products[index].wanted) {
+      const bool within = this->GroupsHere(product) < quota->second[index];
+      if (!within && !this->MayExceedQuota(product, now)) break;
+      if (!ZoneAllowed(products[index], zone) || !this->BuildOne(product, now)) break;
+      if (!within) this->lacking_since[product] = now;
+    }
+  }
+}
+
+template <AssemblyPolicy Policy>
+bool Assembly<Policy>::MayExceedQuota(int product, TimePoint now) {
+  const Product& wanted = this->input->placement.products[static_cast<std::size_t>(product)];
+  const std::size_t turn =
+      StableHash(this->options.domain.value + '/' + wanted.model.value) % kTurns;
+  return now - this->lacking_since[product] >= this->options.settle * (1 + turn);
+}
+
+template <AssemblyPolicy Policy>
+bool Assembly<Policy>::BuildOne(int product, TimePoint now) {
+  const Product& wanted = this->input->placement.products[static_cast<std::size_t>(product)];
+  if (this->plan.slots <= 0) return false;
+  BuildSituation situation;
+  situation.size = wanted.size;
+  situation.free_vms = static_cast<int>(this->plan.free.size());
+  situation.wanted_spares = this->input->policy.spare_vms_per_domain;
+  situation.below_min = this->GroupsInAll(product) < wanted.min_groups;
+  situation.priority_weight = PriorityWeight(wanted.priority);
+  situation.downtime_weight = this->input->policy.group_downtime_weight;
+  situation.losses_per_second = this->LossesPerSecond(now);
+  situation.remaining_restart_s = this->estimates.RemainingRestart(0);
+  if (!this->policy.MayBuild(situation)) {
+    if (situation.free_vms < wanted.size) this->TakeVictimFor(product, now);
+    if (static_cast<int>(this->plan.free.size()) < wanted.size) return false;
+    if (static_cast<int>(this->plan.free.size()) == situation.free_vms) return false;
+  }
+  GroupRecord group;
+  group.generation = this->NextGeneration();
+  group.group = GroupId(this->options.domain.value + "/g" + std::to_string(group.generation));
+  group.model = wanted.model;
+  group.version = wanted.version;
+  group.members = this->TakeFree(wanted.size, now);
+  this->plan.record.groups.push_back(std::move(group));
+  --this->plan.slots;
+  return true;
+}
+
+// Breaks up a lower-priority group for one that is wanted and cannot be built otherwise.
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::TakeVictimFor(int product, TimePoint now) {
+  const Product& wanted = this->input->placement.products[static_cast<std::size_t>(product)];
+  const GroupView* victim = this->FindVictim(wanted, nullptr);
+  if (victim == nullptr) return;
+  const int missing = wanted.size - static_cast<int>(this->plan.free.size());
+  RepairSituation situation = this->Situation(wanted, 0, {}, now);
+  situation.missing = wanted.size;
+  // Without a group there is nothing to wait for but the return of other members.
+  situation.remaining_restart_s = std::max(situation.remaining_restart_s, situation.wait_limit_s);
+  const Product& other = this->input->placement.products[static_cast<std::size_t>(victim->product)];
+  const int usable = static_cast<int>(victim->record.members.size() - victim->absent.size() -
+                                      victim->leaving.size());
+  if (usable < missing) return;
+  situation.victim = Victim{usable, PriorityWeight(other.priority), this->IsServing(*victim),
+                            this->estimates.LoadTime(other.model)};
+  if (this->policy.ChooseRepair(situation) != limpetfall::Repair::kBreakUp) return;
+  if (this->IsServing(*victim)) {
+    this->plan.drains.insert(victim->record.group);
+    if (!this->Drained(*victim, now)) return;
+  }
+  this->RemoveGroup(*victim);
+}
+
+template <AssemblyPolicy Policy>
+std::vector<VmId> Assembly<Policy>::TakeFree(int count, TimePoint now) {
+  std::vector<VmId>& free = this->plan.free;
+  std::sort(free.begin(), free.end());
+  const auto rank = [this, now](const VmId& vm) {
+    const VmTrack& track = this->vm_tracks.at(vm);
+    const bool held =
+        !this->input->policy.engines_check_generation && track.other_command_allowed > now;
+    return std::make_pair(track.losses.size(), held);
+  };
+  std::stable_sort(free.begin(), free.end(),
+                   [&rank](const VmId& a, const VmId& b) { return rank(a) < rank(b); });
+  std::vector<VmId> taken(free.begin(), free.begin() + count);
+  free.erase(free.begin(), free.begin() + count);
+  return taken;
+}
+
+template <AssemblyPolicy Policy>
+Generation Assembly<Policy>::NextGeneration() {
+  this->plan.changed = true;
+  Generation& last = this->plan.record.last_generation;
+  // Engines may remember more than the store, if the store lost its data.
+  last = std::max(last, this->highest_reported) + 1;
+  return last;
+}
+
+template <AssemblyPolicy Policy>
+int Assembly<Policy>::GroupsHere(int product) const {
+  const auto& products = this->input->placement.products;
+  int count = 0;
+  for (const GroupRecord& group : this->plan.record.groups) {
+    if (FindProduct(products, group.model, group.version) == product) ++count;
+  }
+  return count;
+}
+
+template <AssemblyPolicy Policy>
+int Assembly<Policy>::GroupsInAll(int product) const {
+  const auto index = static_cast<std::size_t>(product);
+  const int elsewhere = index < this->input->elsewhere.size() ? this->input->elsewhere[index] : 0;
+  return this->GroupsHere(product) + elsewhere;
+}
+
+template <AssemblyPolicy Policy>
+bool Assembly<Policy>::InPlan(const GroupId& group) const {
+  return std::any_of(this->plan.record.groups.begin(), this->plan.record.groups.end(),
+                     [&group](const GroupRecord& record) { return record.group == group; });
+}
+
+template <AssemblyPolicy Policy>
+double Assembly<Policy>::LossesPerSecond(TimePoint now) const {
+  double rate = kPriorLossesPerVmSecond * static_cast<double>(this->views.size());
+  const double window = std::clamp(Seconds(now - *this->first_step), 60.0, Seconds(kLossWindow));
+  for (const auto& [id, track] : this->vm_tracks) {
+    rate += static_cast<double>(track.losses.size()) / window;
+  }
+  return rate;
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::AddSummaries(AssemblyOutput& output, TimePoint now) {
+  for (const GroupView& view : this->groups) {
+    // An earlier owner's summary stands until this one knows better.
+    if (view.known) this->AddSummary(view, output, now);
+  }
+  this->AddRemovedGroups(output, now);
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::AddSummary(const GroupView& view, AssemblyOutput& output, TimePoint now) {
+  SummaryUpdate update;
+  GroupSummary& summary = update.summary;
+  summary.group = view.record.group;
+  summary.generation = view.record.generation;
+  summary.domain = this->options.domain;
+  summary.model = view.record.model;
+  summary.version = view.record.version;
+  for (const VmId& member : view.record.members) {
+    const auto found = this->views.find(member);
+    if (found == this->views.end()) {
+      summary.members.push_back({member, "", ""});
+      continue;
+    }
+    const VmView& vm = found->second;
+    summary.zone = vm.vm->zone;
+    summary.members.push_back(
+        {member, vm.vm->address, vm.report == nullptr ? "" : vm.report->instance});
+  }
+  const auto first = this->views.find(view.record.members.front());
+  if (first != this->views.end() && first->second.report != nullptr) {
+    summary.running = first->second.report->running;
+    summary.queued = first->second.report->queued;
+  }
+  update.serve_until = now + this->options.summary_lifetime;
+  if (!view.absent.empty() || view.restarted) {
+    summary.state = GroupState::kLost;
+  } else if (!view.leaving.empty()) {
+    summary.state = GroupState::kDraining;
+  } else if (!view.ready) {
+    summary.state = GroupState::kLoading;
+  } else if (this->plan.drains.contains(view.record.group)) {
+    summary.state = GroupState::kDraining;
+  } else {
+    summary.state = GroupState::kServing;
+    update.serve_until = view.oldest_report + this->options.summary_lifetime;
+  }
+  GroupTrack& track = this->group_tracks[view.record.group];
+  update.urgent = track.published != summary.state;
+  track.published = summary.state;
+  output.summaries.push_back(std::move(update));
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::AddRemovedGroups(AssemblyOutput& output, TimePoint now) {
+  std::set<GroupId> current;
+  for (const GroupView& view : this->groups) current.insert(view.record.group);
+  for (auto track = this->group_tracks.begin(); track != this->group_tracks.end();) {
+    if (current.contains(track->first)) {
+      ++track;
+      continue;
+    }
+    SummaryUpdate update;
+    update.summary.group = track->first;
+    update.summary.generation = track->second.generation;
+    update.summary.domain = this->options.domain;
+    update.summary.state = GroupState::kLost;
+    update.serve_until = now + this->options.summary_lifetime;
+    update.urgent = true;
+    output.summaries.push_back(std::move(update));
+    track = this->group_tracks.erase(track);
+  }
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::AddCommands(AssemblyOutput& output, TimePoint now) {
+  std::set<VmId> assigned;
+  for (const GroupView& view : this->groups) {
+    for (std::size_t i = 0; i < view.record.members.size(); ++i) {
+      assigned.insert(view.record.members[i]);
+      this->AddCommand(view.record.members[i], view.record, static_cast<int>(i), output, now);
+    }
+  }
+  GroupRecord none;
+  none.generation = this->input->record.last_generation;
+  for (const auto& [id, view] : this->views) {
+    if (!assigned.contains(id)) this->AddCommand(id, none, 0, output, now);
+  }
+}
+
+template <AssemblyPolicy Policy>
+void Assembly<Policy>::AddCommand(const VmId& vm, const GroupRecord& group, int rank,
+                                  AssemblyOutput& output, TimePoint now) {
+  const auto found = this->views.find(vm);
+  if (found == this->views.end() || !found->second.present) return;
+  const VmReport& report = *found->second.report;
+  const bool released = group.group.value.empty();
+  const bool obeyed = released ? report.group.value.empty()
+                               : report.group == group.group &&
+                                     report.generation == group.generation && report.rank == rank;
+  if (obeyed) return;
+  VmTrack& track = this->vm_tracks.at(vm);
+  const bool repeated = track.commanded_group == group.group &&
+                        (released || track.commanded_generation == group.generation);
+  const bool recent =
+      track.commanded_at && now - *track.commanded_at < this->options.resend_interval;
+  if (repeated && recent) return;
+  // An engine that does not check generations would obey an older command that arrives later.
+  const bool held = !this->input->policy.engines_check_generation && !repeated &&
+                    now < track.other_command_allowed;
+  if (held) return;
+  track.commanded_group = group.group;
+  track.commanded_generation = group.generation;
+  track.commanded_at = now;
+  track.other_command_allowed =
+      now + this->options.command_timeout + this->options.order_delay_bound;
+  output.commands.push_back({vm, found->second.vm->address, group, rank});
+}
+
+template class Assembly<CostPolicy>;
+template class Assembly<AlwaysWaitPolicy>;
+template class Assembly<RebuildInOrderPolicy>;
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/core/assembly.h
@@ -0,0 +1,220 @@
+#ifndef LIMPETFALL_CORE_ASSEMBLY_H_
+#define LIMPETFALL_CORE_ASSEMBLY_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/assembly-policy.h"
+#include "core/document.h"
+#include "core/placement.h"
+#include "core/types.h"
+
+namespace limpetfall {
+
+struct AssemblyOptions {
+  DomainId domain;
+  Milliseconds report_lost{1250};  ///< A VM is absent when its last report is older.
+  Milliseconds summary_lifetime{8000};
+  Milliseconds command_timeout{500};  ///< Time from sending a command to its deadline.
+  Milliseconds order_delay_bound{5000};
+  Milliseconds resend_interval{1000};
+  Milliseconds drain_settle{1000};  ///< Time until nodes know that a group drains.
+  Milliseconds drain_limit{60000};  ///< Longest wait for requests in flight.
+  Milliseconds settle{2000};        ///< Time for counts of other domains to arrive.
+  Milliseconds surplus_linger{60000};
+
+  friend bool operator==(const AssemblyOptions&, const AssemblyOptions&) = default;
+};
+
+/** A report and when it was received. */
+struct ReceivedReport {
+  VmReport report;
+  TimePoint received;
+
+  friend bool operator==(const ReceivedReport&, const ReceivedReport&) = default;
+};
+
+struct AssemblyInput {
+  std::vector<Vm> vms;  ///< VMs of this domain.
+  std::vector<ReceivedReport> reports;
+  DomainRecord record;  ///< As last read from the store or written to it.
+  Placement placement;
+  PolicySpec policy;
+  std::vector<int> elsewhere;  ///< Groups of each product in other domains that are not lost.
+  int slots_in_use_elsewhere = 0;
+};
+
+/** Tells one engine its place. An empty group id releases the VM. */
+struct AssignmentCommand {
+  VmId vm;
+  std::string address;
+  GroupRecord group;
+  int rank = 0;
+
+  friend bool operator==(const AssignmentCommand&, const AssignmentCommand&) = default;
+};
+
+struct SummaryUpdate {
+  GroupSummary summary;
+  Deadline serve_until;
+  bool urgent = false;
+
+  friend bool operator==(const SummaryUpdate&, const SummaryUpdate&) = default;
+};
+
+struct AssemblyOutput {
+  /** To be written by compare-and-swap against `revision` of the record that was passed in. */
+  std::optional<DomainRecord> proposal;
+  std::vector<AssignmentCommand> commands;  ///< Follow from the record that was passed in.
+  std::vector<SummaryUpdate> summaries;
+};
+
+namespace detail {
+
+/** What the core remembers about one VM between steps. */
+struct VmTrack {
+  TimePoint first_seen;
+  std::string instance;
+  std::optional<TimePoint> last_report;
+  bool absent = false;
+  std::vector<TimePoint> losses;
+  std::optional<TimePoint> loading_since;
+  GroupId commanded_group;
+  Generation commanded_generation = 0;
+  std::optional<TimePoint> commanded_at;
+  Deadline other_command_allowed;  ///< Until then an older command may still arrive.
+};
+
+/** What the core remembers about one group between steps. */
+struct GroupTrack {
+  Generation generation = 0;
+  std::map<VmId, std::string> instances;  ///< Engine instances first seen at this generation.
+  std::optional<GroupState> published;
+  std::optional<TimePoint> drain_since;
+};
+
+struct VmView {
+  const Vm* vm = nullptr;  ///< Null when the VM list no longer names it.
+  const VmReport* report = nullptr;
+  TimePoint received;
+  bool known = false;    ///< Enough time has passed to judge the VM.
+  bool present = false;  ///< Reports, and is not leaving.
+  bool leaving = false;
+};
+
+struct GroupView {
+  GroupRecord record;
+  int product = -1;
+  std::vector<VmId> absent;
+  std::vector<VmId> leaving;
+  bool known = true;
+  bool ready = false;      ///< Every member that is not leaving is ready at this generation.
+  bool restarted = false;  ///< A member's engine was restarted since it joined.
+  TimePoint oldest_report;
+};
+
+struct Plan {
+  DomainRecord record;
+  std::vector<VmId> free;
+  std::set<GroupId> drains;
+  int slots = 0;
+  bool changed = false;
+};
+
+}  // namespace detail
+
+/**
+ * Assembles the VMs of one fabric domain into groups. Pure: takes the observed state and `now`, and
+ * returns a record to write, commands for engines and summaries for all nodes.
+ *
+ *     auto assembly = Assembly<CostPolicy>::Create(options, CostPolicy{});
+ *     AssemblyOutput output = assembly.Step(input, now);
+ */
+template <AssemblyPolicy Policy>
+class Assembly {
+ public:
+  static Assembly Create(AssemblyOptions options, Policy policy);
+
+  AssemblyOutput Step(const AssemblyInput& input, TimePoint now);
+
+ private:
+  Assembly(AssemblyOptions options, Policy policy);
+
+  void Observe(TimePoint now);
+  void ObserveReport(const VmReport& report, TimePoint received, detail::VmTrack& track);
+  void ObserveAbsence(TimePoint now);
+  void BuildVmViews(TimePoint now);
+  void BuildGroupViews();
+  void ViewMember(const VmId& member, int rank, detail::GroupTrack& track, detail::GroupView& view);
+  [[nodiscard]] bool IsReady(const VmId& member, int rank, const GroupRecord& group) const;
+
+  void MakePlan(TimePoint now);
+  void RepairGroups(TimePoint now);
+  void Repair(const detail::GroupView& view, TimePoint now);
+  void Apply(limpetfall::Repair choice, const detail::GroupView& view,
+             const std::vector<VmId>& missing, const detail::GroupView* victim, TimePoint now);
+  void Renew(const detail::GroupView& view);
+  void RetireUnwanted(TimePoint now);
+  void BuildWanted(TimePoint now);
+  bool BuildOne(int product, TimePoint now);
+  void TakeVictimFor(int product, TimePoint now);
+  bool MayExceedQuota(int product, TimePoint now);
+
+  [[nodiscard]] RepairSituation Situation(const Product& product, int healthy,
+                                          const std::vector<VmId>& missing, TimePoint now) const;
+  [[nodiscard]] const detail::GroupView* FindVictim(const Product& product,
+                                                    const detail::GroupView* own) const;
+  [[nodiscard]] bool IsVictim(const detail::GroupView& view, const Product& product,
+                              const detail::GroupView* own) const;
+  [[nodiscard]] std::vector<int> HandlingOrder() const;
+  [[nodiscard]] int GroupsHere(int product) const;
+  [[nodiscard]] int GroupsInAll(int product) const;
+  /** Returns the whole groups of this domain that do not drain, and those of all domains. */
+  [[nodiscard]] std::pair<int, int> WholeGroups(int product) const;
+  [[nodiscard]] int ProtectedHere(int product) const;
+  [[nodiscard]] bool IsServing(const detail::GroupView& view) const;
+  [[nodiscard]] bool InPlan(const GroupId& group) const;
+  [[nodiscard]] double LossesPerSecond(TimePoint now) const;
+
+  bool Drained(const detail::GroupView& view, TimePoint now);
+  void RemoveGroup(const detail::GroupView& view);
+  std::vector<VmId> TakeFree(int count, TimePoint now);
+  Generation NextGeneration();
+
+  void AddSummaries(AssemblyOutput& output, TimePoint now);
+  void AddSummary(const detail::GroupView& view, AssemblyOutput& output, TimePoint now);
+  void AddRemovedGroups(AssemblyOutput& output, TimePoint now);
+  void AddCommands(AssemblyOutput& output, TimePoint now);
+  void AddCommand(const VmId& vm, const GroupRecord& group, int rank, AssemblyOutput& output,
+                  TimePoint now);
+
+  AssemblyOptions options;
+  Policy policy;
+  Estimates estimates;
+  std::map<VmId, detail::VmTrack> vm_tracks;
+  std::map<GroupId, detail::GroupTrack> group_tracks;
+  std::map<int, TimePoint> lacking_since;
+  std::map<int, TimePoint> surplus_since;
+  std::optional<TimePoint> first_step;
+  std::optional<TimePoint> last_step;
+  Generation highest_reported = 0;
+  bool inherited_record = false;
+
+  // Valid during one step.
+  const AssemblyInput* input = nullptr;
+  std::map<VmId, detail::VmView> views;
+  std::vector<detail::GroupView> groups;
+  detail::Plan plan;
+};
+
+extern template class Assembly<CostPolicy>;
+extern template class Assembly<AlwaysWaitPolicy>;
+extern template class Assembly<RebuildInOrderPolicy>;
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_CORE_ASSEMBLY_H_
--- /dev/null
+++ b/src/core/domain-record.h
@@ -0,0 +1,29 @@
+#ifndef LIMPETFALL_CORE_DOMAIN_RECORD_H_
+#define LIMPETFALL_CORE_DOMAIN_RECORD_H_
+
+#include <string>
+
+#include "core/types.h"
+#include "limpetfall/result.h"
+
+namespace limpetfall {
+
+/** A domain record as the store holds it. */
+struct StoredDomainRecord {
+  DomainRecord record;
+  std::string writer;  ///< Differs for each write, so that a lost reply can be resolved.
+
+  friend bool operator==(const StoredDomainRecord&, const StoredDomainRecord&) = default;
+};
+
+/** Returns the key of the domain's record. */
+std::string DomainRecordKey(const DomainId& domain);
+
+std::string FormatDomainRecord(const DomainRecord& record, const std::string& writer);
+
+/** Parses a stored record. A record that names a VM twice is refused. */
+Result<StoredDomainRecord> ParseDomainRecord(const std::string& text, std::int64_t revision);
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_CORE_DOMAIN_RECORD_H_
--- /dev/null
+++ b/src/core/placement.cc
@@ -0,0 +1,99 @@
+#include "core/placement.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace limpetfall {
+namespace {
+
+struct DomainRoom {
+  ZoneId zone;
+  int vms = 0;
+};
+
+std::map<DomainId, DomainRoom> RoomOf(const std::vector<Vm>& vms) {
+  std::map<DomainId, DomainRoom> room;
+  for (const Vm& vm : vms) {
+    if (vm.leaving) continue;
+    DomainRoom& domain = room[vm.domain];
+    domain.zone = vm.zone;
+    ++domain.vms;
+  }
+  return room;
+}
+
+// Takes the domain with the most room, so that groups of a product spread over domains.
+bool PlaceOne(const Product& product, std::size_t index, std::map<DomainId, DomainRoom>& room,
+              Placement& placement) {
+  auto best = room.end();
+  for (auto domain = room.begin(); domain != room.end(); ++domain) {
+    if (domain->second.vms < product.size || !ZoneAllowed(product, domain->second.zone)) continue;
+    if (best == room.end() || domain->second.vms > best->second.vms) best = domain;
+  }
+  if (best == room.end()) return false;
+  best->second.vms -= product.size;
+  ++placement.quotas[best->first][index];
+  return true;
+}
+
+int Share(int total, std::size_t parts, std::size_t index) {
+  const int count = static_cast<int>(parts);
+  return total / count + (static_cast<int>(index) < total % count ? 1 : 0);
+}
+
+}  // namespace
+
+std::vector<Product> ProductsOf(const Document& document) {
+  std::vector<Product> products;
+  for (const ModelSpec& model : document.models) {
+    for (std::size_t i = 0; i < model.versions.size(); ++i) {
+      products.push_back({model.name, model.versions[i], model.vms_per_group,
+                          Share(model.groups, model.versions.size(), i),
+                          Share(model.min_groups, model.versions.size(), i), model.priority,
+                          model.zones});
+    }
+  }
+  return products;
+}
+
+int FindProduct(const std::vector<Product>& products, const ModelName& model,
+                const ModelVersion& version) {
+  for (std::size_t i = 0; i < products.size(); ++i) {
+    if (products[i].model == model && products[i].version == version) return static_cast<int>(i);
+  }
+  return -1;
+}
+
+bool ZoneAllowed(const Product& product, const ZoneId& zone) {
+  return product.zones.empty() ||
+         std::find(product.zones.begin(), product.zones.end(), zone) != product.zones.end();
+}
+
+Placement PlanPlacement(const Document& document, const std::vector<Vm>& vms) {
+  Placement placement{ProductsOf(document), {}, {}};
+  auto room = RoomOf(vms);
+  for (const auto& [domain, unused] : room) {
+    placement.quotas[domain].resize(placement.products.size());
+  }
+  std::vector<std::size_t> order(placement.products.size());
+  std::iota(order.begin(), order.end(), 0);
+  std::stable_sort(order.begin(), order.end(), [&placement](std::size_t a, std::size_t b) {
+    return placement.products[a].priority < placement.products[b].priority;
+  });
+  // Protected groups of all products come before the further groups of any product.
+  for (std::size_t index : order) {
+    const Product& product = placement.products[index];
+    const int protected_groups = std::min(product.min_groups, product.wanted);
+    for (int i = 0; i < protected_groups; ++i) PlaceOne(product, index, room, placement);
+  }
+  placement.protected_quotas = placement.quotas;
+  for (std::size_t index : order) {
+    const Product& product = placement.products[index];
+    for (int i = std::min(product.min_groups, product.wanted); i < product.wanted; ++i) {
+      if (!PlaceOne(product, index, room, placement)) break;
+    }
+  }
+  return placement;
+}
+
+}  // namespace limpetfall
