--- /dev/null
+++ b/src/daemon/domain-owner.cc
@@ -0,0 +1,94 @@
+#include "daemon/domain-owner.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <random>
+
+namespace limpetfall {
+
+std::string GroupSummaryKey(const GroupId& group) { return "group/" + group.value; }
+
+namespace detail {
+namespace {
+
+// Load figures and unchanged states are spread this often; changes of state at once.
+constexpr Milliseconds kLoadInterval{1000};
+constexpr Milliseconds kRenewInterval{2000};
+
+// Versions of one record revision; a later revision starts above all of an earlier one.
+constexpr int kVersionBits = 20;
+
+bool Differs(const GroupSummary& a, const GroupSummary& b) {
+  GroupSummary with_same_load = b;
+  with_same_load.running = a.running;
+  with_same_load.queued = a.queued;
+  return a != with_same_load;
+}
+
+}  // namespace
+
+AssemblyOptions AssemblyOptionsFrom(const Settings& settings, const DomainId& domain) {
+  AssemblyOptions options;
+  options.domain = domain;
+  // One lost round is no sign of a lost VM.
+  options.report_lost = Milliseconds(2 * settings.report_timeout_ms + settings.report_interval_ms);
+  options.summary_lifetime = Milliseconds(settings.summary_lifetime_ms);
+  options.order_delay_bound = Milliseconds(settings.order_delay_bound_ms);
+  options.drain_limit = Milliseconds(settings.request_timeout_ms);
+  return options;
+}
+
+std::vector<int> CountElsewhere(const std::vector<SharedEntry>& entries, const DomainId& own,
+                                const std::vector<Product>& products, int& loading) {
+  std::vector<int> counts(products.size());
+  loading = 0;
+  for (const SharedEntry& entry : entries) {
+    const auto* group = std::get_if<GroupSummary>(&entry.value);
+    if (group == nullptr || group->domain == own || group->state == GroupState::kLost) continue;
+    if (group->state == GroupState::kLoading) ++loading;
+    const int product = FindProduct(products, group->model, group->version);
+    if (product >= 0) ++counts[static_cast<std::size_t>(product)];
+  }
+  return counts;
+}
+
+std::string NewWriterToken(const NodeId& node) {
+  static const std::uint64_t process = std::random_device{}();
+  static std::atomic<std::uint64_t> count = 0;
+  return node.value + "-" + std::to_string(getpid()) + "-" + std::to_string(process) + "-" +
+         std::to_string(++count);
+}
+
+void SummaryPublisher::Publish(SharedState& state, const std::vector<SummaryUpdate>& updates,
+                               std::int64_t record_revision, TimePoint now) {
+  for (const SummaryUpdate& update : updates) {
+    const auto last = this->published.find(update.summary.group);
+    if (last != this->published.end() && !update.urgent) {
+      const bool changed = Differs(last->second.summary, update.summary);
+      const bool load_changed = last->second.summary != update.summary;
+      const auto age = now - last->second.at;
+      if (!changed && age < (load_changed ? kLoadInterval : kRenewInterval)) continue;
+    }
+    const std::string key = GroupSummaryKey(update.summary.group);
+    std::uint64_t version = static_cast<std::uint64_t>(record_revision) << kVersionBits;
+    if (const auto existing = state.Find(key, now)) {
+      const auto* other = std::get_if<GroupSummary>(&existing->value);
+      // Another owner has rebuilt the group; this one's record is old.
+      if (other != nullptr && other->generation > update.summary.generation) continue;
+      version = std::max(version, existing->version + 1);
+    }
+    const bool lost_or_serving = update.urgent && update.summary.state != GroupState::kLoading;
+    state.Put({key, version, update.serve_until, update.summary},
+              lost_or_serving ? Urgency::kUrgent : Urgency::kNormal, now);
+    this->published[update.summary.group] = {update.summary, now};
+  }
+  std::erase_if(this->published, [&updates](const auto& entry) {
+    return std::none_of(updates.begin(), updates.end(), [&entry](const SummaryUpdate& update) {
+      return update.summary.group == entry.first;
+    });
+  });
+}
+
+}  // namespace detail
+}  // namespace limpetfall
