--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -39,7 +39,7 @@
  */
 struct Placement {
   std::vector<Product> products;
-  std::map<DomainId, std::vector<int>> quotas;  ///< By index of `products`.
+  std::map<DomainId, std::vector<int>> quotas;            ///< By index of `products`.
   std::map<DomainId, std::vector<int>> protected_quotas;  ///< The part for `min_groups`.
 
   friend bool operator==(const Placement&, const Placement&) = default;
--- /dev/null
+++ b/src/core/replay.cc
@@ -0,0 +1,282 @@
+#include "core/replay.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+#include "core/replay-fleet.h"
+
+namespace limpetfall {
+namespace {
+
+using detail::ReplayFleet;
+using detail::ReplayVm;
+
+constexpr double kTick = 0.25;
+// While nothing changes, virtual time passes in longer steps. Must stay a multiple of the tick.
+constexpr double kQuietTick = 5;
+constexpr double kQuietAfter = 120;
+
+TimePoint AtSeconds(double seconds) {
+  // Away from zero, so that "before the start" is a valid time point.
+  return TimePoint(std::chrono::hours(1)) +
+         Milliseconds(static_cast<std::int64_t>(std::llround(seconds * 1000)));
+}
+
+template <AssemblyPolicy P>
+struct ReplayDomain {
+  DomainId domain;
+  Assembly<P> core;
+  DomainRecord record;
+  std::map<VmId, ReceivedReport> reports;
+  std::map<GroupId, GroupSummary> summaries;
+  std::map<GroupId, double> not_serving_since;
+};
+
+template <AssemblyPolicy P>
+class Replay {
+ public:
+  Replay(const Trace& source, std::optional<double> weight_override)
+      : trace(source), weight(weight_override), fleet(source), document(source.document) {
+    if (this->weight) this->document.policy.group_downtime_weight = *this->weight;
+    for (const TraceDomain& domain : source.domains) {
+      AssemblyOptions options;
+      options.domain = domain.domain;
+      this->domains.push_back({domain.domain, Assembly<P>::Create(options, P{}), {}, {}, {}, {}});
+    }
+  }
+
+  ReplayOutcome Run() {
+    this->Replan();
+    auto next = this->trace.events.begin();
+    double quiet_since = 0;
+    for (double now = 0; now < this->trace.until;) {
+      bool busy = false;
+      for (; next != this->trace.events.end() && next->at <= now; ++next) {
+        this->Handle(*next, now);
+        busy = true;
+      }
+      for (auto& domain : this->domains) busy = this->StepDomain(domain, now) || busy;
+      if (busy) quiet_since = now;
+      const double step = now - quiet_since > kQuietAfter ? kQuietTick : kTick;
+      double until = std::min(now + step, this->trace.until);
+      if (next != this->trace.events.end())
+        until = std::min(until, std::max(next->at, now + kTick));
+      this->Measure(now, until - now);
+      now = until;
+    }
+    for (; next != this->trace.events.end(); ++next) this->Handle(*next, this->trace.until);
+    return std::move(this->outcome);
+  }
+
+ private:
+  void Replan() {
+    this->list = this->fleet.List();
+    this->placement = PlanPlacement(this->document, this->list);
+  }
+
+  void Handle(const TraceEvent& event, double now) {
+    switch (event.kind) {
+      case TraceEventKind::kSurge:
+        this->running[event.model] = event.count;
+        break;
+      case TraceEventKind::kDocument:
+        this->document = event.document;
+        if (this->weight) this->document.policy.group_downtime_weight = *this->weight;
+        break;
+      case TraceEventKind::kSlots:
+        this->document.policy.weight_store_slots = event.count;
+        break;
+      case TraceEventKind::kExpect:
+        this->Expect(event, now);
+        break;
+      default:
+        this->fleet.Apply(event);
+    }
+    this->Replan();
+  }
+
+  void Expect(const TraceEvent& event, double now) {
+    int serving = 0;
+    for (const auto& domain : this->domains) {
+      for (const auto& [id, summary] : domain.summaries) {
+        if (summary.model == event.model && this->Serves(domain, summary, now)) ++serving;
+      }
+    }
+    if (serving >= event.count) return;
+    this->Fail(now, std::to_string(serving) + " groups of " + event.model.value +
+                        " serve, expected " + std::to_string(event.count));
+  }
+
+  void Fail(double now, const std::string& what) {
+    this->outcome.failures.push_back(this->trace.name + " at " + std::to_string(now) +
+                                     " s: " + what);
+  }
+
+  // ---- one round of one domain's owner
+
+  bool StepDomain(ReplayDomain<P>& domain, double now) {
+    AssemblyInput input = this->InputOf(domain, now);
+    AssemblyOutput output = domain.core.Step(input, AtSeconds(now));
+    bool busy = this->TakeSummaries(domain, output.summaries, now);
+    if (output.proposal) {
+      this->TakeRecord(domain, *output.proposal, now);
+      busy = true;
+    }
+    for (const AssignmentCommand& command : output.commands) {
+      this->fleet.Obey(command, now);
+      busy = true;
+    }
+    return busy;
+  }
+
+  AssemblyInput InputOf(ReplayDomain<P>& domain, double now) {
+    AssemblyInput input;
+    for (const Vm& vm : this->list) {
+      if (vm.domain != domain.domain) continue;
+      input.vms.push_back(vm);
+      const ReplayVm& engine = this->fleet.vms().at(vm.id);
+      if (engine.alive) {
+        VmReport report = this->fleet.Report(engine, now);
+        report.running = this->RunningOn(domain, engine, now);
+        domain.reports[vm.id] = {std::move(report), AtSeconds(now)};
+      }
+      const auto report = domain.reports.find(vm.id);
+      if (report != domain.reports.end()) input.reports.push_back(report->second);
+    }
+    input.record = domain.record;
+    input.placement = this->placement;
+    input.policy = this->document.policy;
+    input.elsewhere.resize(this->placement.products.size());
+    for (const auto& other : this->domains) {
+      if (other.domain == domain.domain) continue;
+      for (const auto& [id, summary] : other.summaries) {
+        if (summary.state == GroupState::kLost) continue;
+        if (summary.state == GroupState::kLoading) ++input.slots_in_use_elsewhere;
+        const int product = FindProduct(this->placement.products, summary.model, summary.version);
+        if (product >= 0) ++input.elsewhere[static_cast<std::size_t>(product)];
+      }
+    }
+    return input;
+  }
+
+  // Requests in flight end some time after the group gets no new ones.
+  int RunningOn(const ReplayDomain<P>& domain, const ReplayVm& vm, double now) const {
+    if (vm.rank != 0 || vm.group.group.value.empty()) return 0;
+    const auto running = this->running.find(vm.group.model);
+    if (running == this->running.end()) return 0;
+    const auto stopped = domain.not_serving_since.find(vm.group.group);
+    const bool drained =
+        stopped != domain.not_serving_since.end() && now - stopped->second > trace.request_s;
+    return drained ? 0 : running->second;
+  }
+
+  bool TakeSummaries(ReplayDomain<P>& domain, const std::vector<SummaryUpdate>& updates,
+                     double now) {
+    bool changed = false;
+    domain.summaries.clear();
+    for (const SummaryUpdate& update : updates) {
+      const GroupSummary& summary = update.summary;
+      changed = changed || update.urgent || summary.state != GroupState::kServing;
+      if (summary.state == GroupState::kServing) {
+        domain.not_serving_since.erase(summary.group);
+      } else {
+        domain.not_serving_since.try_emplace(summary.group, now);
+      }
+      domain.summaries[summary.group] = summary;
+    }
+    return changed;
+  }
+
+  void TakeRecord(ReplayDomain<P>& domain, DomainRecord proposal, double now) {
+    std::set<VmId> members;
+    for (const GroupRecord& group : proposal.groups) {
+      for (const VmId& vm : group.members) {
+        if (!members.insert(vm).second) this->Fail(now, vm.value + " is in two groups");
+      }
+    }
+    if (proposal.last_generation < domain.record.last_generation) {
+      this->Fail(now, "generation goes back in " + domain.domain.value);
+    }
+    proposal.revision = domain.record.revision + 1;
+    domain.record = std::move(proposal);
+    ++this->outcome.records_written;
+  }
+
+  // ---- measures
+
+  bool Serves(const ReplayDomain<P>& domain, const GroupSummary& summary, double now) const {
+    if (summary.state != GroupState::kServing) return false;
+    for (const GroupRecord& group : domain.record.groups) {
+      if (group.group == summary.group && group.generation == summary.generation) {
+        return this->fleet.IsWhole(group, now);
+      }
+    }
+    return false;
+  }
+
+  void Measure(double now, double seconds) {
+    std::vector<int> serving(this->placement.products.size());
+    int busy_vms = 0;
+    int loading = 0;
+    for (const auto& domain : this->domains) {
+      for (const auto& [id, summary] : domain.summaries) {
+        if (summary.state == GroupState::kLoading) ++loading;
+        if (!this->Serves(domain, summary, now)) continue;
+        busy_vms += static_cast<int>(summary.members.size());
+        const int product = FindProduct(this->placement.products, summary.model, summary.version);
+        if (product >= 0) ++serving[static_cast<std::size_t>(product)];
+      }
+    }
+    this->outcome.most_loading = std::max(this->outcome.most_loading, loading);
+    if (now < this->trace.measure_from) return;
+    for (std::size_t i = 0; i < serving.size(); ++i) {
+      const int lacking = std::max(0, this->placement.products[i].wanted - serving[i]);
+      this->outcome.downtime_group_s += lacking * seconds;
+    }
+    int healthy = 0;
+    for (const auto& [id, vm] : this->fleet.vms()) healthy += vm.alive && !vm.leaving ? 1 : 0;
+    this->outcome.stranded_vm_s += std::max(0, healthy - busy_vms) * seconds;
+  }
+
+  const Trace& trace;
+  std::optional<double> weight;
+  ReplayFleet fleet;
+  Document document;
+  std::vector<Vm> list;
+  Placement placement;
+  std::vector<ReplayDomain<P>> domains;
+  std::map<ModelName, int> running;
+  ReplayOutcome outcome;
+};
+
+void CheckTotals(const Trace& trace, ReplayOutcome& outcome) {
+  if (trace.max_downtime && outcome.downtime_group_s > *trace.max_downtime) {
+    outcome.failures.push_back(trace.name + ": downtime of " +
+                               std::to_string(outcome.downtime_group_s) +
+                               " group-seconds is above the stated outcome");
+  }
+  if (trace.max_stranded && outcome.stranded_vm_s > *trace.max_stranded) {
+    outcome.failures.push_back(trace.name + ": " + std::to_string(outcome.stranded_vm_s) +
+                               " stranded VM-seconds are above the stated outcome");
+  }
+}
+
+}  // namespace
+
+ReplayOutcome RunTrace(const Trace& trace, ReplayPolicy policy, std::optional<double> weight) {
+  switch (policy) {
+    case ReplayPolicy::kAlwaysWait:
+      return Replay<AlwaysWaitPolicy>(trace, weight).Run();
+    case ReplayPolicy::kRebuildInOrder:
+      return Replay<RebuildInOrderPolicy>(trace, weight).Run();
+    case ReplayPolicy::kCost:
+      break;
+  }
+  ReplayOutcome outcome = Replay<CostPolicy>(trace, weight).Run();
+  if (!weight) CheckTotals(trace, outcome);
+  return outcome;
+}
+
+}  // namespace limpetfall
--- a/src/daemon/domain-owner.h
+++ b/src/daemon/domain-owner.h
@@ -104,7 +104,7 @@
  * compare-and-swap, sends commands and publishes summaries. Runs on one strand.
  */
 template <Store S, OwnerContext C, EngineFleet E, AssemblyPolicy P = CostPolicy>
-class DomainOwner {
+class DomainOwner : public std::enable_shared_from_this<DomainOwner<S, C, E, P>> {
  public:
   static std::shared_ptr<DomainOwner> Create(DomainId domain, Settings settings,
                                              std::shared_ptr<S> store,
@@ -126,18 +126,23 @@
     }
     this->BeginTick();
     std::vector<Vm> vms = VmsOf(*list, this->domain);
+    if (!this->has_record) co_await this->ReadRecord();
+    if (!this->has_record) co_return;
+    if (!this->RecordIsFresh(this->record_recheck)) co_await this->StartRefresh();
     co_await this->Poll(vms);
-    if (!this->RecordIsFresh(this->record_recheck)) co_await this->ReadRecord();
-    if (!this->has_record || !this->context->OwnsDomain(this->domain)) co_return;
+    if (!this->active || !this->context->OwnsDomain(this->domain)) co_return;
 
     this->UpdatePlacement(document, list);
+    std::int64_t revision = this->record.revision;
     AssemblyOutput output = this->Step(vms, document->document.policy);
     if (output.proposal && this->record_current) {
       DomainRecord proposal = std::move(*output.proposal);
       const bool written = co_await this->Write(std::move(proposal));
-      if (written) output = this->Step(vms, document->document.policy);
+      if (!written) co_return;
+      revision = this->record.revision;
+      output = this->Step(vms, document->document.policy);
     }
-    co_await this->Send(std::move(output.commands));
+    co_await this->Send(std::move(output.commands), revision);
   }
 
  private:
@@ -174,6 +179,7 @@
   void Abdicate() {
     if (!this->active) return;
     this->active = false;
+    ++this->term;
     this->has_record = false;
     this->record_current = false;
     this->reports.clear();
@@ -255,7 +261,14 @@
 
   boost::asio::awaitable<bool> ReadRecord() {
     const TimePoint asked = this->context->Now();
+    const std::uint64_t started_in = this->term;
     auto stored = co_await this->store->Get(this->key, this->PlatformDeadline());
+    if (this->term != started_in) co_return false;
+    // A write by this owner may have ended while the read was under way.
+    const std::int64_t revision = stored && stored.value() ? stored.value()->revision : 0;
+    if (stored && this->has_record && revision < this->record.revision) {
+      co_return this->record_current;
+    }
     if (!stored) {
       this->record_current = false;
       co_return false;
@@ -263,6 +276,20 @@
     co_return this->TakeStored(stored.value(), asked);
   }
 
+  // Reads the record beside the rounds, because reports would grow old while the platform is
+  // silent.
+  boost::asio::awaitable<void> StartRefresh() {
+    if (this->refreshing) co_return;
+    this->refreshing = true;
+    const auto executor = co_await boost::asio::this_coro::executor;
+    boost::asio::co_spawn(executor, Refresh(this->shared_from_this()), boost::asio::detached);
+  }
+
+  static boost::asio::awaitable<void> Refresh(std::shared_ptr<DomainOwner> self) {
+    co_await self->ReadRecord();
+    self->refreshing = false;
+  }
+
   // Returns whether the record in the store is now the proposal.
   boost::asio::awaitable<bool> Write(DomainRecord proposal) {
     const std::string token = detail::NewWriterToken(this->settings.node);
@@ -322,13 +349,14 @@
 
   // A paused owner that wakes may hold a record that another owner has replaced, so a command goes
   // out only while a read or write of the record is recent.
-  boost::asio::awaitable<void> Send(std::vector<AssignmentCommand> commands) {
+  boost::asio::awaitable<void> Send(std::vector<AssignmentCommand> commands,
+                                    std::int64_t revision) {
     if (commands.empty()) co_return;
     if (!this->RecordIsFresh(this->command_deadline)) {
-      const std::int64_t revision = this->record.revision;
       const bool known = co_await this->ReadRecord();
-      if (!known || this->record.revision != revision) co_return;
+      if (!known) co_return;
     }
+    if (this->record.revision != revision) co_return;
     std::vector<boost::asio::awaitable<void>> tasks;
     for (AssignmentCommand& command : commands) {
       tasks.push_back(
@@ -361,12 +389,14 @@
   Assembly<P> core;
 
   bool active = false;
+  std::uint64_t term = 0;  ///< Counts the times that this node stopped being the owner.
   TimePoint last_tick;
   std::map<VmId, ReceivedReport> reports;
 
   DomainRecord record;
   std::string writer;
-  bool has_record = false;      ///< The record was read since this node became the owner.
+  bool has_record = false;  ///< The record was read since this node became the owner.
+  bool refreshing = false;
   bool record_current = false;  ///< No sign that the store holds another record.
   Deadline command_deadline;
   Deadline record_recheck;
