--- /dev/null
+++ b/src/caller/caller-api.h
@@ -0,0 +1,240 @@
+#ifndef LIMPETFALL_CALLER_CALLER_API_H_
+#define LIMPETFALL_CALLER_CALLER_API_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/request.h"
+#include "http/error-response.h"
+#include "http/server.h"
+
+namespace limpetfall {
+
+struct CallerApiOptions {
+  ZoneId zone;                             ///< Assumed for callers that do not name theirs.
+  Milliseconds request_timeout{60000};     ///< For requests without X-Deadline-Ms.
+  Milliseconds longest_timeout{3600000};   ///< Upper bound of X-Deadline-Ms.
+  int max_tokens_limit = 1 << 20;          ///< Upper bound of max_tokens.
+  std::size_t max_answer_bytes = 8 << 20;  ///< Of a completion that is not streamed.
+};
+
+namespace detail {
+
+/** A checked completion call. */
+struct CompletionCall {
+  CompletionRequest request;
+  bool stream = false;
+};
+
+/** What a target means before its input is checked. */
+enum class CallerRoute { kAddresses, kCompletions, kService, kHealth, kUnknown };
+
+CallerRoute RouteOf(std::string_view target);
+
+/** Returns the caller's request id, a new one if there is none, or an error if it is malformed. */
+Result<RequestId> RequestIdOf(const HttpRequest& request);
+
+// The message of each parse error names every fault of the input, separated by "; ".
+
+Result<CompletionCall> ParseCompletion(const HttpRequest& request, const RequestId& id,
+                                       const CallerApiOptions& options, TimePoint now);
+Result<ServiceCall> ParseServiceCall(const HttpRequest& request, const RequestId& id,
+                                     const CallerApiOptions& options, TimePoint now);
+Result<ZoneId> ParseZone(const HttpRequest& request, const CallerApiOptions& options);
+
+/** Returns the status that stands for the error before anything else was sent. */
+int StatusOf(const Error& error);
+
+HttpResponse CallerError(const Error& error, const RequestId& id, ConfigVersion version);
+HttpResponse MethodNotAllowed(std::string_view allowed, const RequestId& id, ConfigVersion version);
+HttpResponse AddressesResponse(const AddressList& list, const RequestId& id, ConfigVersion version);
+HttpResponse HealthResponse(bool accepts_work, const RequestId& id, ConfigVersion version);
+HttpResponse CompletionResponse(const RequestId& id, ConfigVersion version, std::string_view text,
+                                int tokens);
+HttpResponse ServiceResponse(const RequestId& id, ServiceAnswer answer);
+
+Headers StreamHeaders(const RequestId& id, ConfigVersion version);
+std::string TokenEvent(const RequestId& id, int index, std::string_view text);
+std::string ErrorEvent(const RequestId& id, const Error& error);
+inline constexpr std::string_view kEndEvent = "data: [DONE]\n\n";
+
+/** Sends each token to the caller as it comes. */
+class StreamSink final : public CompletionSink {
+ public:
+  StreamSink(HttpExchange& http_exchange, RequestId request_id)
+      : exchange(http_exchange), id(std::move(request_id)) {}
+
+  boost::asio::awaitable<Result<void>> OnStart(ConfigVersion version) override;
+  boost::asio::awaitable<Result<void>> OnToken(std::string_view text) override;
+
+  [[nodiscard]] bool started() const { return this->is_started; }
+
+ private:
+  HttpExchange& exchange;
+  RequestId id;
+  bool is_started = false;
+  int tokens = 0;
+};
+
+/** Collects the tokens of a completion that is sent as one body. */
+class BodySink final : public CompletionSink {
+ public:
+  explicit BodySink(std::size_t max_answer_bytes) : max_bytes(max_answer_bytes) {}
+
+  boost::asio::awaitable<Result<void>> OnStart(ConfigVersion version) override;
+  boost::asio::awaitable<Result<void>> OnToken(std::string_view text) override;
+
+  [[nodiscard]] std::optional<ConfigVersion> version() const { return this->started_under; }
+  [[nodiscard]] const std::string& text() const { return this->body; }
+  [[nodiscard]] int tokens() const { return this->token_count; }
+
+ private:
+  std::size_t max_bytes;
+  std::optional<ConfigVersion> started_under;
+  std::string body;
+  int token_count = 0;
+};
+
+}  // namespace detail
+
+/**
+ * The HTTP API for callers. Checks the input, hands it to the backend and gives the answer the
+ * form that callers expect.
+ *
+ *     auto api = CallerApi<Node>::Create(node, options);
+ *     auto server = HttpServer::Create(io, "127.0.0.1:8080", api->Handler(), {});
+ */
+template <RequestBackend Backend>
+class CallerApi : public std::enable_shared_from_this<CallerApi<Backend>> {
+ public:
+  static std::shared_ptr<CallerApi> Create(std::shared_ptr<Backend> backend,
+                                           CallerApiOptions options) {
+    return std::shared_ptr<CallerApi>(new CallerApi(std::move(backend), std::move(options)));
+  }
+
+  /** Returns a handler that keeps this object alive. */
+  HttpHandler Handler() {
+    return [self = this->shared_from_this()](HttpExchange& exchange) {
+      return self->Handle(exchange);
+    };
+  }
+
+ private:
+  CallerApi(std::shared_ptr<Backend> request_backend, CallerApiOptions api_options)
+      : backend(std::move(request_backend)), options(std::move(api_options)) {}
+
+  boost::asio::awaitable<void> Handle(HttpExchange& exchange) {
+    const Result<RequestId> id = detail::RequestIdOf(exchange.request());
+    if (!id) return this->Refuse(exchange, id.error(), RequestId());
+    switch (detail::RouteOf(exchange.request().target)) {
+      case detail::CallerRoute::kAddresses:
+        return this->Addresses(exchange, id.value());
+      case detail::CallerRoute::kCompletions:
+        return this->Complete(exchange, id.value());
+      case detail::CallerRoute::kService:
+        return this->CallService(exchange, id.value());
+      case detail::CallerRoute::kHealth:
+        return this->Health(exchange, id.value());
+      case detail::CallerRoute::kUnknown:
+        break;
+    }
+    const Error error = NotRun(ErrorCode::kNotFound, "there is no such call");
+    return this->Refuse(exchange, error, id.value());
+  }
+
+  boost::asio::awaitable<void> Answer(HttpExchange& exchange, HttpResponse response) {
+    // The caller has gone when this fails; nobody is left to tell.
+    (void)co_await exchange.Send(std::move(response));
+  }
+
+  boost::asio::awaitable<void> Refuse(HttpExchange& exchange, Error error, RequestId id) {
+    return this->Answer(exchange, detail::CallerError(error, id, this->backend->ActiveConfig()));
+  }
+
+  boost::asio::awaitable<void> Addresses(HttpExchange& exchange, RequestId id) {
+    const ConfigVersion version = this->backend->ActiveConfig();
+    if (exchange.request().method != "GET") {
+      return this->Answer(exchange, detail::MethodNotAllowed("GET", id, version));
+    }
+    const Result<ZoneId> zone = detail::ParseZone(exchange.request(), this->options);
+    if (!zone) return this->Refuse(exchange, zone.error(), id);
+    return this->Answer(
+        exchange, detail::AddressesResponse(this->backend->Addresses(zone.value()), id, version));
+  }
+
+  boost::asio::awaitable<void> Health(HttpExchange& exchange, RequestId id) {
+    const ConfigVersion version = this->backend->ActiveConfig();
+    if (exchange.request().method != "GET" && exchange.request().method != "HEAD") {
+      return this->Answer(exchange, detail::MethodNotAllowed("GET, HEAD", id, version));
+    }
+    return this->Answer(exchange,
+                        detail::HealthResponse(this->backend->AcceptsWork(), id, version));
+  }
+
+  boost::asio::awaitable<void> Complete(HttpExchange& exchange, RequestId id) {
+    if (exchange.request().method != "POST") {
+      const ConfigVersion version = this->backend->ActiveConfig();
+      HttpResponse refusal = detail::MethodNotAllowed("POST", id, version);
+      co_return co_await this->Answer(exchange, std::move(refusal));
+    }
+    const auto call = detail::ParseCompletion(exchange.request(), id, this->options, Clock::now());
+    if (!call) co_return co_await this->Refuse(exchange, call.error(), id);
+    if (!this->backend->AcceptsWork())
+      co_return co_await this->Refuse(exchange, this->no_new_work, id);
+    const CompletionRequest& request = call.value().request;
+    if (call.value().stream) co_return co_await this->Stream(exchange, request);
+    co_return co_await this->CompleteWhole(exchange, request);
+  }
+
+  boost::asio::awaitable<void> CompleteWhole(HttpExchange& exchange, CompletionRequest request) {
+    detail::BodySink sink(this->options.max_answer_bytes);
+    const Result<void> completed = co_await this->backend->Complete(request, sink);
+    if (!completed) {
+      const ConfigVersion version = sink.version().value_or(this->backend->ActiveConfig());
+      HttpResponse failure = detail::CallerError(completed.error(), request.id, version);
+      co_return co_await this->Answer(exchange, std::move(failure));
+    }
+    const ConfigVersion version = sink.version().value_or(this->backend->ActiveConfig());
+    HttpResponse response =
+        detail::CompletionResponse(request.id, version, sink.text(), sink.tokens());
+    co_return co_await this->Answer(exchange, std::move(response));
+  }
+
+  boost::asio::awaitable<void> Stream(HttpExchange& exchange, CompletionRequest request) {
+    detail::StreamSink sink(exchange, request.id);
+    const Result<void> completed = co_await this->backend->Complete(request, sink);
+    if (!sink.started()) {
+      if (!completed) co_return co_await this->Refuse(exchange, completed.error(), request.id);
+      // A completion may have no token at all.
+      const Result<void> opened = co_await sink.OnStart(this->backend->ActiveConfig());
+      if (!opened) co_return;
+    }
+    const std::string last = completed ? std::string(detail::kEndEvent)
+                                       : detail::ErrorEvent(request.id, completed.error());
+    const Result<void> written = co_await exchange.WriteChunk(last);
+    if (written) (void)co_await exchange.FinishStream();
+  }
+
+  boost::asio::awaitable<void> CallService(HttpExchange& exchange, RequestId id) {
+    const auto call = detail::ParseServiceCall(exchange.request(), id, this->options, Clock::now());
+    if (!call) co_return co_await this->Refuse(exchange, call.error(), id);
+    if (!this->backend->AcceptsWork())
+      co_return co_await this->Refuse(exchange, this->no_new_work, id);
+    const ServiceCall& service_call = call.value();
+    Result<ServiceAnswer> answer = co_await this->backend->CallService(service_call);
+    if (!answer) co_return co_await this->Refuse(exchange, answer.error(), id);
+    HttpResponse response = detail::ServiceResponse(id, std::move(answer).value());
+    co_return co_await this->Answer(exchange, std::move(response));
+  }
+
+  const std::shared_ptr<Backend> backend;
+  const CallerApiOptions options;
+  const Error no_new_work = NotRun(ErrorCode::kUnavailable, "this node takes no new work");
+};
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_CALLER_CALLER_API_H_
--- /dev/null
+++ b/src/http/client.cc
@@ -0,0 +1,766 @@
+#include "http/client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cctype>
+#include <charconv>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace limpetfall {
+namespace {
+
+namespace asio = boost::asio;
+
+// A stream that is not read stops reading from its socket at this size, so that a slow reader holds
+// up the upstream and not this process's memory.
+constexpr std::size_t kStreamBufferBytes = 64 << 10;
+
+// Must stay below the shortest idle timeout of an upstream; otherwise an upstream closes a pooled
+// connection just when a request is sent on it, and the request ends as may-have-run.
+constexpr std::chrono::seconds kMaxIdleAge{15};
+
+enum class Wake { kChanged, kDeadline, kCancelled };
+
+using WakeHandler = asio::async_result<asio::use_awaitable_t<>, void(Wake)>::handler_type;
+
+/** A coroutine that waits for a transfer. */
+struct Waiter {
+  WakeHandler handler;
+  asio::any_io_executor work;  ///< Keeps the caller's io_context running.
+};
+
+/** One request and what has arrived of its answer. */
+struct Transfer {
+  Transfer(asio::io_context& io, HttpRequest http_request, bool whole_answer, std::size_t max_bytes)
+      : request(std::move(http_request)),
+        whole(whole_answer),
+        max_body_bytes(max_bytes),
+        timer(io) {}
+
+  const HttpRequest request;
+  const bool whole;  ///< The answer is handed over at its end; otherwise piece by piece.
+  const std::size_t max_body_bytes;
+
+  // Used by the client's thread only.
+  CURL* easy = nullptr;
+  curl_slist* header_list = nullptr;
+  asio::steady_timer timer;
+
+  // Guarded by `mutex`.
+  std::mutex mutex;
+  bool connected = false;       ///< Set before the first byte of the request is sent.
+  bool abandoned = false;       ///< Nothing may be sent any more.
+  bool resend_refused = false;  ///< libcurl wanted to send the request a second time.
+  bool too_large = false;
+  bool paused = false;
+  bool header_done = false;
+  bool header_taken = false;
+  bool done = false;
+  int status = 0;
+  Headers headers;
+  std::string body;
+  std::optional<Error> failure;
+  std::optional<Waiter> waiter;
+  std::uint64_t wait_id = 0;
+  Deadline wait_deadline;
+  Deadline timer_expiry = Deadline::max();  ///< When the timer is set to fire; max when it is not.
+};
+
+using TransferPtr = std::shared_ptr<Transfer>;
+
+/** Resumes the waiting coroutine, if any, on its executor. The mutex must be held. */
+void WakeWaiter(Transfer& transfer, Wake wake) {
+  if (!transfer.waiter) return;
+  Waiter waiter = std::move(*transfer.waiter);
+  transfer.waiter.reset();
+  asio::any_io_executor executor = waiter.work;
+  asio::post(executor,
+             [handler = std::move(waiter.handler), wake]() mutable { std::move(handler)(wake); });
+}
+
+/** Returns the verdict of a transfer that is given up now. The mutex must be held. */
+Verdict VerdictNow(const Transfer& transfer) {
+  return transfer.connected ? Verdict::kMayHaveRun : Verdict::kNotRun;
+}
+
+bool HasBody(const HttpRequest& request) {
+  return !request.body.empty() || request.method == "POST" || request.method == "PUT" ||
+         request.method == "PATCH";
+}
+
+/** Says whether the end of the answer can be told from a cut connection. */
+bool StatesItsLength(const Transfer& transfer) {
+  if (transfer.request.method == "HEAD") return true;
+  if (transfer.status == 204 || transfer.status == 304) return true;
+  return transfer.headers.contains("Content-Length") ||
+         transfer.headers.contains("Transfer-Encoding");
+}
+
+bool IsSafeText(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    const auto byte = static_cast<unsigned char>(c);
+    return byte >= 0x20 && byte != 0x7f;
+  });
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+           std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+  });
+}
+
+bool IsAddress(const std::string& address) {
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos) return false;
+  std::string host = address.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  boost::system::error_code error;
+  asio::ip::make_address(host, error);
+  if (error) return false;
+  std::uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+  return parsed.ec == std::errc() && parsed.ptr == end && port != 0;
+}
+
+/** Refuses requests that could not be sent exactly as given. */
+Result<void> CheckRequest(const HttpRequest& request) {
+  if (!IsToken(request.method)) {
+    return NotRun(ErrorCode::kInvalidArgument, "the method is not a token");
+  }
+  if (!IsAddress(request.address)) {
+    return NotRun(ErrorCode::kInvalidArgument,
+                  "address \"" + request.address + "\" is not of the form IP:port");
+  }
+  if (!request.target.starts_with('/') || !IsSafeText(request.target) ||
+      request.target.find(' ') != std::string::npos) {
+    return NotRun(ErrorCode::kInvalidArgument, "the target is not an absolute path");
+  }
+  for (const auto& [name, value] : request.headers) {
+    if (!IsToken(name) || !IsSafeText(value)) {
+      return NotRun(ErrorCode::kInvalidArgument, "header \"" + name + "\" is malformed");
+    }
+  }
+  return success();
+}
+
+Error ErrorOf(const Transfer& transfer, CURLcode code) {
+  const std::string where = "upstream " + transfer.request.address + ": ";
+  const std::string reason = curl_easy_strerror(code);
+  if (!transfer.connected) {
+    return NotRun(ErrorCode::kUnavailable, where + "no connection: " + reason);
+  }
+  if (transfer.too_large) {
+    return MayHaveRun(
+        ErrorCode::kUpstreamProtocol,
+        where + "the answer exceeds " + std::to_string(transfer.max_body_bytes) + " bytes");
+  }
+  if (transfer.resend_refused) {
+    return MayHaveRun(ErrorCode::kUpstreamLost,
+                      where + "the pooled connection was closed before an answer arrived");
+  }
+  switch (code) {
+    case CURLE_PARTIAL_FILE:
+    case CURLE_RECV_ERROR:
+    case CURLE_SEND_ERROR:
+    case CURLE_GOT_NOTHING:
+      return MayHaveRun(ErrorCode::kUpstreamLost, where + "the connection was lost: " + reason);
+    default:
+      return MayHaveRun(ErrorCode::kUpstreamProtocol, where + "the answer is malformed: " + reason);
+  }
+}
+
+std::string_view TrimSpaces(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+/** Runs libcurl's multi interface on a thread of its own. */
+class CurlLoop {
+ public:
+  static Result<std::shared_ptr<CurlLoop>> Create(const HttpClientOptions& options) {
+    static const CURLcode global = curl_global_init(CURL_GLOBAL_ALL);
+    if (global != CURLE_OK) return NotRun(ErrorCode::kInternal, "libcurl cannot be initialised");
+    std::shared_ptr<CurlLoop> loop(new CurlLoop(options));
+    if (loop->multi == nullptr) return NotRun(ErrorCode::kInternal, "libcurl gave no handle");
+    return loop;
+  }
+
+  ~CurlLoop() {
+    asio::post(this->io, [this] { this->Close(); });
+    this->work.reset();
+    this->thread.join();
+  }
+
+  CurlLoop(const CurlLoop&) = delete;
+  CurlLoop& operator=(const CurlLoop&) = delete;
+
+  [[nodiscard]] asio::io_context& context() { return this->io; }
+
+  void Start(const TransferPtr& transfer) {
+    asio::post(this->io, [this, transfer] { this->Add(transfer); });
+  }
+
+  /** Ends the transfer. Nothing is sent for it after this call has returned. */
+  Verdict Abandon(const TransferPtr& transfer) {
+    const std::lock_guard lock(transfer->mutex);
+    return this->AbandonLocked(transfer);
+  }
+
+  /** Lets a stream whose buffer was full read on. */
+  void Resume(const TransferPtr& transfer) {
+    asio::post(this->io, [this, transfer] {
+      if (transfer->easy == nullptr) return;
+      curl_easy_pause(transfer->easy, CURLPAUSE_CONT);
+      this->Act(CURL_SOCKET_TIMEOUT, 0);
+    });
+  }
+
+  /** Registers the waiting coroutine; it resumes at a change, the deadline or its cancellation. */
+  void Await(const TransferPtr& transfer, Deadline deadline, WakeHandler handler) {
+    auto slot = asio::get_associated_cancellation_slot(handler);
+    const std::lock_guard lock(transfer->mutex);
+    const std::uint64_t id = ++transfer->wait_id;
+    if (slot.is_connected()) {
+      slot.assign([this, weak = std::weak_ptr(transfer), id](asio::cancellation_type) {
+        if (const auto target = weak.lock()) this->CancelWait(target, id);
+      });
+    }
+    const asio::any_io_executor executor = asio::get_associated_executor(handler);
+    transfer->waiter.emplace(Waiter{
+        std::move(handler), asio::prefer(executor, asio::execution::outstanding_work.tracked)});
+    transfer->wait_deadline = deadline;
+    if (HasNews(*transfer)) return WakeWaiter(*transfer, Wake::kChanged);
+    if (deadline >= transfer->timer_expiry) return;
+    transfer->timer_expiry = deadline;
+    asio::post(this->io, [this, transfer, deadline] { this->ArmTimer(transfer, deadline); });
+  }
+
+ private:
+  /** Readiness of one socket, as libcurl asked for it. */
+  struct SocketWatch {
+    explicit SocketWatch(asio::io_context& io) : descriptor(io) {}
+
+    asio::posix::stream_descriptor descriptor;
+    int wanted = 0;
+    bool removed = false;
+    bool reading = false;
+    bool writing = false;
+  };
+
+  explicit CurlLoop(const HttpClientOptions& options)
+      : connect_timeout(options.connect_timeout),
+        io(1),
+        work(asio::make_work_guard(this->io)),
+        multi_timer(this->io),
+        multi(curl_multi_init()) {
+    if (this->multi != nullptr) {
+      curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &CurlLoop::OnSocket);
+      curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+      curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &CurlLoop::OnTimer);
+      curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+      curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS,
+                        static_cast<long>(options.max_idle_connections));
+    }
+    this->thread = std::thread([this] { this->io.run(); });
+  }
+
+  static bool HasNews(const Transfer& transfer) {
+    if (transfer.done || transfer.whole) return transfer.done;
+    return !transfer.body.empty() || (transfer.header_done && !transfer.header_taken);
+  }
+
+  Verdict AbandonLocked(const TransferPtr& transfer) {
+    if (transfer->done || transfer->abandoned) return VerdictNow(*transfer);
+    transfer->abandoned = true;
+    asio::post(this->io, [this, transfer] { this->Remove(transfer); });
+    return VerdictNow(*transfer);
+  }
+
+  void CancelWait(const TransferPtr& transfer, std::uint64_t id) {
+    const std::lock_guard lock(transfer->mutex);
+    if (transfer->wait_id != id || !transfer->waiter) return;
+    this->AbandonLocked(transfer);
+    WakeWaiter(*transfer, Wake::kCancelled);
+  }
+
+  // The rest runs on the client's thread.
+
+  void ArmTimer(const TransferPtr& transfer, Deadline expiry) {
+    if (transfer->timer.expiry() == expiry) return;
+    transfer->timer.expires_at(expiry);
+    transfer->timer.async_wait(
+        [this, weak = std::weak_ptr(transfer)](boost::system::error_code error) {
+          if (error) return;
+          if (const auto target = weak.lock()) this->OnDeadline(target);
+        });
+  }
+
+  void OnDeadline(const TransferPtr& transfer) {
+    Deadline next;
+    {
+      const std::lock_guard lock(transfer->mutex);
+      transfer->timer_expiry = Deadline::max();
+      if (!transfer->waiter) return;
+      if (Clock::now() >= transfer->wait_deadline) {
+        // The other pooled connections to this address may be silent as well.
+        if (transfer->connected)
+          this->silent_until[transfer->request.address] = Clock::now() + kMaxIdleAge;
+        this->AbandonLocked(transfer);
+        return WakeWaiter(*transfer, Wake::kDeadline);
+      }
+      next = transfer->wait_deadline;
+      transfer->timer_expiry = next;
+    }
+    this->ArmTimer(transfer, next);
+  }
+
+  void Add(const TransferPtr& transfer) {
+    {
+      const std::lock_guard lock(transfer->mutex);
+      if (transfer->abandoned) return;
+    }
+    transfer->easy = this->TakeEasy();
+    if (transfer->easy == nullptr) return this->Finish(transfer, CURLE_OUT_OF_MEMORY);
+    this->active.emplace(transfer->easy, transfer);
+    this->SetUp(*transfer);
+    if (curl_multi_add_handle(this->multi, transfer->easy) != CURLM_OK) {
+      this->Finish(transfer, CURLE_FAILED_INIT);
+    }
+  }
+
+  void SetUp(Transfer& transfer) {
+    CURL* easy = transfer.easy;
+    const HttpRequest& request = transfer.request;
+    const std::string url = "http://" + request.address + "/";
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request.target.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(std::max<std::int64_t>(1, this->connect_timeout.count())));
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(kMaxIdleAge.count()));
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, this->IsSilent(request.address) ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &CurlLoop::OnConnected);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlLoop::OnHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlLoop::OnBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+    SetUpBody(transfer);
+    SetUpHeaders(transfer);
+  }
+
+  static void SetUpBody(Transfer& transfer) {
+    const HttpRequest& request = transfer.request;
+    if (request.method == "HEAD") {
+      curl_easy_setopt(transfer.easy, CURLOPT_NOBODY, 1L);
+      return;
+    }
+    if (HasBody(request)) {
+      curl_easy_setopt(transfer.easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(request.body.size()));
+      curl_easy_setopt(transfer.easy, CURLOPT_POSTFIELDS, request.body.c_str());
+    }
+    curl_easy_setopt(transfer.easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  }
+
+  static void SetUpHeaders(Transfer& transfer) {
+    const Headers& headers = transfer.request.headers;
+    curl_slist* list = nullptr;
+    for (const auto& [name, value] : headers) {
+      // libcurl drops "name:" and sends an empty header for "name;".
+      const std::string line = value.empty() ? name + ";" : name + ": " + value;
+      list = curl_slist_append(list, line.c_str());
+    }
+    // Without these lines libcurl adds a form content type and waits for "100 Continue".
+    if (!headers.contains("Content-Type")) list = curl_slist_append(list, "Content-Type:");
+    if (!headers.contains("Expect")) list = curl_slist_append(list, "Expect:");
+    transfer.header_list = list;
+    curl_easy_setopt(transfer.easy, CURLOPT_HTTPHEADER, list);
+  }
+
+  bool IsSilent(const std::string& address) {
+    const auto found = this->silent_until.find(address);
+    if (found == this->silent_until.end()) return false;
+    if (Clock::now() < found->second) return true;
+    this->silent_until.erase(found);
+    return false;
+  }
+
+  CURL* TakeEasy() {
+    if (this->free_handles.empty()) return curl_easy_init();
+    CURL* easy = this->free_handles.back();
+    this->free_handles.pop_back();
+    return easy;
+  }
+
+  void Remove(const TransferPtr& transfer) {
+    transfer->timer.cancel();
+    if (transfer->easy == nullptr) return;
+    CURL* easy = std::exchange(transfer->easy, nullptr);
+    // Removing an unfinished transfer closes its connection.
+    curl_multi_remove_handle(this->multi, easy);
+    this->active.erase(easy);
+    curl_easy_reset(easy);
+    curl_slist_free_all(std::exchange(transfer->header_list, nullptr));
+    if (this->free_handles.size() < kFreeHandles) {
+      this->free_handles.push_back(easy);
+    } else {
+      curl_easy_cleanup(easy);
+    }
+  }
+
+  void Finish(const TransferPtr& transfer, CURLcode code) {
+    this->Remove(transfer);
+    const std::lock_guard lock(transfer->mutex);
+    if (code != CURLE_OK) {
+      transfer->failure = ErrorOf(*transfer, code);
+    } else if (!StatesItsLength(*transfer)) {
+      transfer->failure = MayHaveRun(ErrorCode::kUpstreamProtocol,
+                                     "upstream " + transfer->request.address +
+                                         ": the answer does not state its length, so it cannot be "
+                                         "told from a cut one");
+    }
+    transfer->done = true;
+    WakeWaiter(*transfer, Wake::kChanged);
+  }
+
+  void Act(curl_socket_t socket, int events) {
+    int running = 0;
+    curl_multi_socket_action(this->multi, socket, events, &running);
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+      if (message->msg != CURLMSG_DONE) continue;
+      const CURLcode code = message->data.result;
+      const auto found = this->active.find(message->easy_handle);
+      if (found == this->active.end()) continue;
+      const TransferPtr transfer = found->second;
+      this->Finish(transfer, code);
+    }
+  }
+
+  void Close() {
+    const auto transfers = std::exchange(this->active, {});
+    for (const auto& [easy, transfer] : transfers) this->Remove(transfer);
+    for (CURL* easy : this->free_handles) curl_easy_cleanup(easy);
+    curl_multi_cleanup(this->multi);
+    this->multi = nullptr;
+    this->multi_timer.cancel();
+    for (auto& [socket, watch] : this->sockets) Release(*watch);
+    this->sockets.clear();
+    this->io.stop();
+  }
+
+  static void Release(SocketWatch& watch) {
+    watch.removed = true;
+    if (watch.descriptor.is_open()) watch.descriptor.release();
+  }
+
+  void Watch(const std::shared_ptr<SocketWatch>& watch, curl_socket_t socket) {
+    if ((watch->wanted & CURL_POLL_IN) != 0 && !watch->reading) {
+      watch->reading = true;
+      watch->descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                                   [this, watch, socket](boost::system::error_code error) {
+                                     watch->reading = false;
+                                     this->OnReady(watch, socket, error, CURL_POLL_IN,
+                                                   CURL_CSELECT_IN);
+                                   });
+    }
+    if ((watch->wanted & CURL_POLL_OUT) != 0 && !watch->writing) {
+      watch->writing = true;
+      watch->descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
+                                   [this, watch, socket](boost::system::error_code error) {
+                                     watch->writing = false;
+                                     this->OnReady(watch, socket, error, CURL_POLL_OUT,
+                                                   CURL_CSELECT_OUT);
+                                   });
+    }
+  }
+
+  void OnReady(const std::shared_ptr<SocketWatch>& watch, curl_socket_t socket,
+               boost::system::error_code error, int wanted, int event) {
+    if (watch->removed || this->multi == nullptr) return;
+    if (error == asio::error::operation_aborted) return;
+    if ((watch->wanted & wanted) != 0) this->Act(socket, error ? CURL_CSELECT_ERR : event);
+    if (!watch->removed) this->Watch(watch, socket);
+  }
+
+  static int OnSocket(CURL*, curl_socket_t socket, int what, void* data, void*) {
+    auto* self = static_cast<CurlLoop*>(data);
+    auto found = self->sockets.find(socket);
+    if (what == CURL_POLL_REMOVE) {
+      if (found == self->sockets.end()) return 0;
+      Release(*found->second);
+      self->sockets.erase(found);
+      return 0;
+    }
+    if (found == self->sockets.end()) {
+      auto watch = std::make_shared<SocketWatch>(self->io);
+      boost::system::error_code error;
+      watch->descriptor.assign(socket, error);
+      if (error) return -1;
+      found = self->sockets.emplace(socket, std::move(watch)).first;
+    }
+    found->second->wanted = what;
+    self->Watch(found->second, socket);
+    return 0;
+  }
+
+  static int OnTimer(CURLM*, long timeout_ms, void* data) {
+    auto* self = static_cast<CurlLoop*>(data);
+    if (timeout_ms < 0) {
+      self->multi_timer.cancel();
+      return 0;
+    }
+    self->multi_timer.expires_after(Milliseconds(timeout_ms));
+    self->multi_timer.async_wait([self](boost::system::error_code error) {
+      if (error || self->multi == nullptr) return;
+      self->Act(CURL_SOCKET_TIMEOUT, 0);
+    });
+    return 0;
+  }
+
+  // libcurl calls this when a connection is ready and before it sends a request, also when it sends
+  // the request again because a pooled connection was closed. It has no option against sending
+  // again, so the second call refuses: the first bytes may have been read.
+  static int OnConnected(void* data, char*, char*, int, int) {
+    auto* transfer = static_cast<Transfer*>(data);
+    const std::lock_guard lock(transfer->mutex);
+    if (transfer->abandoned) return CURL_PREREQFUNC_ABORT;
+    if (transfer->connected) {
+      transfer->resend_refused = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
+    transfer->connected = true;
+    return CURL_PREREQFUNC_OK;
+  }
+
+  static std::size_t OnHeader(char* bytes, std::size_t size, std::size_t count, void* data) {
+    auto* transfer = static_cast<Transfer*>(data);
+    const std::lock_guard lock(transfer->mutex);
+    // Lines after the header are trailers; nothing in the protocols here uses them.
+    if (!transfer->header_done) AddHeaderLine(*transfer, std::string_view(bytes, size * count));
+    return size * count;
+  }
+
+  static void AddHeaderLine(Transfer& transfer, std::string_view line) {
+    if (line.starts_with("HTTP/")) {
+      transfer.headers.clear();
+      const auto space = line.find(' ');
+      transfer.status = 0;
+      if (space == std::string_view::npos) return;
+      std::from_chars(line.data() + space + 1, line.data() + line.size(), transfer.status);
+      return;
+    }
+    if (TrimSpaces(line).empty()) {
+      if (transfer.status < 200) return;  // An interim answer; the real one follows.
+      transfer.header_done = true;
+      if (!transfer.whole) WakeWaiter(transfer, Wake::kChanged);
+      return;
+    }
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) return;
+    const std::string_view value = TrimSpaces(line.substr(colon + 1));
+    auto [entry, added] =
+        transfer.headers.emplace(std::string(TrimSpaces(line.substr(0, colon))), value);
+    // A repeated header must not pass for a single one with either value.
+    if (!added) entry->second.append(", ").append(value);
+  }
+
+  static std::size_t OnBody(char* bytes, std::size_t size, std::size_t count, void* data) {
+    auto* transfer = static_cast<Transfer*>(data);
+    const std::size_t length = size * count;
+    const std::lock_guard lock(transfer->mutex);
+    if (transfer->whole && transfer->body.size() + length > transfer->max_body_bytes) {
+      transfer->too_large = true;
+      return 0;
+    }
+    if (!transfer->whole && transfer->body.size() >= kStreamBufferBytes) {
+      transfer->paused = true;
+      return CURL_WRITEFUNC_PAUSE;
+    }
+    transfer->body.append(bytes, length);
+    if (!transfer->whole) WakeWaiter(*transfer, Wake::kChanged);
+    return length;
+  }
+
+  static constexpr std::size_t kFreeHandles = 256;
+
+  const Milliseconds connect_timeout;
+  asio::io_context io;
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  asio::steady_timer multi_timer;
+  CURLM* multi;
+  std::unordered_map<CURL*, TransferPtr> active;
+  std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> sockets;
+  std::vector<CURL*> free_handles;
+  std::unordered_map<std::string, Deadline> silent_until;  ///< Pooled connections are not used.
+  std::thread thread;
+};
+
+using CurlLoopPtr = std::shared_ptr<CurlLoop>;
+
+asio::awaitable<Wake> WaitForChange(CurlLoop& loop, TransferPtr transfer, Deadline deadline) {
+  auto initiation = [&loop, transfer, deadline](WakeHandler handler) {
+    loop.Await(transfer, deadline, std::move(handler));
+  };
+  const asio::use_awaitable_t<> token;
+  const Wake wake =
+      co_await asio::async_initiate<const asio::use_awaitable_t<>&, void(Wake)>(initiation, token);
+  co_return wake;
+}
+
+/** Ends its transfer when the coroutine or stream that owns it goes away. */
+class OwnedTransfer {
+ public:
+  OwnedTransfer(CurlLoopPtr curl_loop, TransferPtr started)
+      : loop(std::move(curl_loop)), transfer(std::move(started)) {
+    this->loop->Start(this->transfer);
+  }
+  OwnedTransfer(OwnedTransfer&&) = default;
+  OwnedTransfer& operator=(OwnedTransfer&&) = delete;
+  ~OwnedTransfer() {
+    if (this->transfer) this->loop->Abandon(this->transfer);
+  }
+
+  [[nodiscard]] Transfer& operator*() const { return *this->transfer; }
+
+  /** Waits for news of the answer; an error means that the transfer has been given up. */
+  asio::awaitable<Result<void>> Wait(Deadline deadline) {
+    const Wake wake = co_await WaitForChange(*this->loop, this->transfer, deadline);
+    if (wake == Wake::kChanged) co_return success();
+    const Verdict verdict = this->loop->Abandon(this->transfer);
+    const std::string where = "upstream " + this->transfer->request.address + ": ";
+    if (wake == Wake::kCancelled) {
+      co_return Error{ErrorCode::kCancelled, where + "the request was cancelled", verdict};
+    }
+    co_return Error{ErrorCode::kDeadlineExceeded, where + "no answer before the deadline", verdict};
+  }
+
+  void Resume() { this->loop->Resume(this->transfer); }
+
+ private:
+  CurlLoopPtr loop;
+  TransferPtr transfer;
+};
+
+class CurlStream final : public HttpStream {
+ public:
+  CurlStream(OwnedTransfer owned, int status, Headers headers)
+      : transfer(std::move(owned)), answer_status(status), answer_headers(std::move(headers)) {}
+
+  [[nodiscard]] int status() const override { return this->answer_status; }
+  [[nodiscard]] const Headers& headers() const override { return this->answer_headers; }
+
+  asio::awaitable<Result<std::optional<std::string>>> Read(Deadline deadline) override {
+    for (;;) {
+      if (this->ended) co_return *this->ended;
+      if (auto bytes = this->TakeBytes()) co_return std::move(bytes);
+      if (this->ended) co_return *this->ended;
+      const Result<void> waited = co_await this->transfer.Wait(deadline);
+      if (!waited) this->ended = Result<std::optional<std::string>>(waited.error());
+    }
+  }
+
+ private:
+  std::optional<std::string> TakeBytes() {
+    Transfer& state = *this->transfer;
+    const std::lock_guard lock(state.mutex);
+    if (!state.body.empty()) {
+      if (std::exchange(state.paused, false)) this->transfer.Resume();
+      return std::exchange(state.body, {});
+    }
+    if (!state.done) return std::nullopt;
+    if (state.failure) {
+      this->ended = Result<std::optional<std::string>>(*state.failure);
+    } else {
+      this->ended = Result<std::optional<std::string>>(std::optional<std::string>());
+    }
+    return std::nullopt;
+  }
+
+  OwnedTransfer transfer;
+  int answer_status;
+  Headers answer_headers;
+  std::optional<Result<std::optional<std::string>>> ended;  ///< What every further read returns.
+};
+
+class CurlClient final : public HttpClient {
+ public:
+  CurlClient(CurlLoopPtr curl_loop, HttpClientOptions client_options)
+      : loop(std::move(curl_loop)), options(client_options) {}
+
+  asio::awaitable<Result<HttpResponse>> Fetch(HttpRequest request, Deadline deadline) override {
+    BOOST_OUTCOME_CO_TRY(CheckRequest(request));
+    OwnedTransfer transfer = this->Begin(std::move(request), true);
+    BOOST_OUTCOME_CO_TRY(co_await transfer.Wait(deadline));
+    Transfer& state = *transfer;
+    const std::lock_guard lock(state.mutex);
+    if (state.failure) co_return *state.failure;
+    co_return HttpResponse{state.status, std::move(state.headers), std::move(state.body)};
+  }
+
+  asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(HttpRequest request,
+                                                            Deadline deadline) override {
+    BOOST_OUTCOME_CO_TRY(CheckRequest(request));
+    OwnedTransfer transfer = this->Begin(std::move(request), false);
+    BOOST_OUTCOME_CO_TRY(co_await transfer.Wait(deadline));
+    int status = 0;
+    Headers headers;
+    {
+      Transfer& state = *transfer;
+      const std::lock_guard lock(state.mutex);
+      if (!state.header_done && state.failure) co_return *state.failure;
+      state.header_taken = true;
+      status = state.status;
+      headers = state.headers;
+    }
+    co_return std::make_unique<CurlStream>(std::move(transfer), status, std::move(headers));
+  }
+
+ private:
+  OwnedTransfer Begin(HttpRequest request, bool whole) {
+    return OwnedTransfer(
+        this->loop, std::make_shared<Transfer>(this->loop->context(), std::move(request), whole,
+                                               this->options.max_body_bytes));
+  }
+
+  CurlLoopPtr loop;
+  HttpClientOptions options;
+};
+
+}  // namespace
+
+bool HeaderNameLess::operator()(const std::string& a, const std::string& b) const {
+  return std::lexicographical_compare(
+      a.begin(), a.end(), b.begin(), b.end(),
+      [](unsigned char x, unsigned char y) { return std::tolower(x) < std::tolower(y); });
+}
+
+Result<std::shared_ptr<HttpClient>> HttpClient::Create(HttpClientOptions options) {
+  BOOST_OUTCOME_TRY(auto loop, CurlLoop::Create(options));
+  return std::make_shared<CurlClient>(std::move(loop), options);
+}
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/http/error-response.h
@@ -0,0 +1,28 @@
+#ifndef LIMPETFALL_HTTP_ERROR_RESPONSE_H_
+#define LIMPETFALL_HTTP_ERROR_RESPONSE_H_
+
+#include <string>
+#include <string_view>
+
+#include "http/client.h"
+#include "limpetfall/result.h"
+
+namespace limpetfall {
+
+/** Says whether `text` may be a request id: 1 to 128 letters, digits, `-`, `_`, `.` or `:`. */
+bool IsRequestId(std::string_view text);
+
+/** Returns `{"error":{"code","message","verdict","request_id"}}`. */
+std::string ErrorBody(const Error& error, std::string_view request_id);
+
+/**
+ * Makes an answer with the error as its JSON body and the headers `X-Verdict` and, unless it is
+ * empty, `X-Request-Id`.
+ *
+ *     co_await exchange.Send(ErrorResponse(413, NotRun(ErrorCode::kInvalidArgument, "..."), id));
+ */
+HttpResponse ErrorResponse(int status, const Error& error, std::string_view request_id);
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_HTTP_ERROR_RESPONSE_H_
--- /dev/null
+++ b/src/http/server.cc
@@ -0,0 +1,608 @@
+#include "http/server.h"
+
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/lexical_cast.hpp>
+#include <charconv>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+#include "http/error-response.h"
+
+namespace limpetfall {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+using Parser = http::request_parser<http::string_body>;
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+
+// Bytes that a client may send ahead of the current answer; more stay in the socket.
+constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
+
+// An answer to a request that was not read to its end is lost when the socket is closed with unread
+// bytes, so the rest is read and thrown away for this long.
+constexpr Milliseconds kLingerTime{1000};
+
+// Time without accepts after the process has run out of file descriptors.
+constexpr Milliseconds kAcceptPause{50};
+
+std::string AddressOf(const tcp::endpoint& endpoint) {
+  return boost::lexical_cast<std::string>(endpoint);
+}
+
+Result<tcp::endpoint> ParseEndpoint(const std::string& address) {
+  const Error bad =
+      NotRun(ErrorCode::kInvalidArgument, "address \"" + address + "\" is not of the form IP:port");
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos) return bad;
+  std::string host = address.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  error_code error;
+  const auto ip = asio::ip::make_address(host, error);
+  if (error) return bad;
+  std::uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return bad;
+  return tcp::endpoint(ip, port);
+}
+
+/** Replaces control characters, which would end the header early. */
+std::string HeaderText(std::string text) {
+  for (char& c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte < 0x20 || byte == 0x7f) c = ' ';
+  }
+  return text;
+}
+
+template <typename Message>
+void SetHeaders(Message& message, const Headers& headers) {
+  for (const auto& [name, value] : headers) message.set(name, HeaderText(value));
+}
+
+bool MayHaveBody(int status) { return status >= 200 && status != 204 && status != 304; }
+
+class Connection;
+
+/** What all connections of a server share. */
+struct ServerCore {
+  ServerCore(asio::io_context& io, HttpHandler http_handler, HttpServerOptions server_options)
+      : handler(std::move(http_handler)),
+        options(server_options),
+        acceptor(asio::make_strand(io)),
+        accept_timer(this->acceptor.get_executor()) {}
+
+  const HttpHandler handler;
+  const HttpServerOptions options;
+  tcp::acceptor acceptor;  ///< Used on its strand only, after it has been opened.
+  asio::steady_timer accept_timer;
+  std::atomic<bool> stopping = false;
+  std::atomic<std::size_t> in_flight = 0;
+
+  std::mutex mutex;
+  std::unordered_map<Connection*, std::weak_ptr<Connection>> connections;  ///< Under `mutex`.
+
+  std::vector<std::shared_ptr<Connection>> Connections() {
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::shared_ptr<Connection>> live;
+    for (const auto& [key, weak] : this->connections) {
+      if (auto connection = weak.lock()) live.push_back(std::move(connection));
+    }
+    return live;
+  }
+};
+
+using CorePtr = std::shared_ptr<ServerCore>;
+
+/** One socket and the requests on it, one at a time. Everything runs on the socket's strand. */
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  enum class Phase { kIdle, kReading, kHandling, kClosing };
+
+  Connection(CorePtr server, tcp::socket accepted)
+      : core(std::move(server)),
+        socket(std::move(accepted)),
+        timer(this->socket.get_executor()),
+        buffer(this->core->options.max_header_bytes + kMaxPipelinedBytes) {}
+
+  ~Connection() {
+    const std::lock_guard lock(this->core->mutex);
+    this->core->connections.erase(this);
+  }
+
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  /** Adds the connection to the server's list unless the limit is reached. */
+  bool Register() {
+    const std::lock_guard lock(this->core->mutex);
+    if (this->core->connections.size() >= this->core->options.max_connections) return false;
+    this->core->connections.emplace(this, this->weak_from_this());
+    return true;
+  }
+
+  /** Sends the refusal as far as it goes without waiting. */
+  void Refuse() {
+    const HttpResponse refusal = ErrorResponse(
+        503, NotRun(ErrorCode::kResourceExhausted, "the server has no connection to spare"), "");
+    auto message = this->MakeMessage(refusal, false);
+    message.set(http::field::retry_after, "1");
+    error_code error;
+    this->socket.non_blocking(true, error);
+    if (!error) http::write(this->socket, message, error);
+    this->Close();
+  }
+
+  void Close() {
+    this->phase = Phase::kClosing;
+    error_code ignored;
+    this->socket.close(ignored);
+    this->timer.cancel();
+  }
+
+  /** Closes the connection unless a request is on it. */
+  void CloseIfIdle() {
+    if (this->phase == Phase::kIdle && !this->HasBytes()) this->Close();
+  }
+
+  [[nodiscard]] tcp::socket::executor_type executor() { return this->socket.get_executor(); }
+
+  static asio::awaitable<void> Run(std::shared_ptr<Connection> self) {
+    error_code ignored;
+    self->socket.set_option(tcp::no_delay(true), ignored);
+    while (co_await self->ServeNext()) {
+    }
+    self->Close();
+  }
+
+ private:
+  friend class Exchange;
+
+  template <typename Body>
+  using Message = http::response<Body>;
+
+  Message<http::string_body> MakeMessage(const HttpResponse& response, bool keep_alive) const {
+    Message<http::string_body> message(static_cast<http::status>(response.status), 11);
+    SetHeaders(message, response.headers);
+    message.keep_alive(keep_alive);
+    if (MayHaveBody(response.status)) {
+      message.body() = response.body;
+      message.prepare_payload();
+    }
+    return message;
+  }
+
+  /** Says whether a part of a further request has arrived. */
+  [[nodiscard]] bool HasBytes() const {
+    error_code ignored;
+    return this->buffer.size() > 0 || this->socket.available(ignored) > 0;
+  }
+
+  /** Sets when the current phase must be over. */
+  void SetDeadline(Deadline end) {
+    this->deadline = end;
+    if (end >= this->timer_expiry) return;
+    this->timer_expiry = end;
+    this->timer.expires_at(end);
+    this->timer.async_wait([weak = this->weak_from_this()](error_code error) {
+      if (error) return;
+      if (const auto self = weak.lock()) self->OnTimer();
+    });
+  }
+
+  void OnTimer() {
+    this->timer_expiry = Deadline::max();
+    if (Clock::now() < this->deadline) return this->SetDeadline(this->deadline);
+    this->timed_out = true;
+    error_code ignored;
+    // A read that is cancelled leaves the socket open for the answer that explains it.
+    if (this->phase == Phase::kReading) {
+      this->socket.cancel(ignored);
+    } else {
+      this->socket.close(ignored);
+    }
+  }
+
+  /** Reads one request, has it answered, and says whether the connection can take another. */
+  asio::awaitable<bool> ServeNext() {
+    if (this->core->stopping && !this->HasBytes()) co_return false;
+    if (!co_await this->AwaitBytes()) co_return false;
+    this->phase = Phase::kReading;
+    this->SetDeadline(Clock::now() + this->core->options.request_read_timeout);
+    Parser parser;
+    // Reads the rest of the error from the parser, which has the header when only the body failed.
+    const error_code error = co_await this->ReadRequest(parser);
+    this->SetDeadline(Deadline::max());
+    if (error) {
+      co_await this->AnswerReadError(parser, error);
+      co_return false;
+    }
+    this->phase = Phase::kHandling;
+    const bool reusable = co_await this->Handle(parser);
+    if (!reusable || !this->socket.is_open()) co_return false;
+    this->phase = Phase::kIdle;
+    co_return true;
+  }
+
+  /** Waits for the first bytes of a request; false when the connection is over. */
+  asio::awaitable<bool> AwaitBytes() {
+    if (this->buffer.size() > 0) co_return true;
+    this->SetDeadline(Clock::now() + this->core->options.idle_timeout);
+    constexpr std::size_t kFirstRead = 4096;
+    auto space = this->buffer.prepare(kFirstRead);
+    const auto [error, length] = co_await this->socket.async_read_some(space, kNoThrow);
+    if (error) co_return false;
+    this->buffer.commit(length);
+    co_return true;
+  }
+
+  asio::awaitable<error_code> ReadRequest(Parser& parser) {
+    parser.header_limit(static_cast<std::uint32_t>(this->core->options.max_header_bytes));
+    parser.body_limit(this->core->options.max_body_bytes);
+    const auto [header_error, header_length] =
+        co_await http::async_read_header(this->socket, this->buffer, parser, kNoThrow);
+    if (header_error) co_return header_error;
+    if (parser.get().version() != 11) co_return make_error_code(http::error::bad_version);
+    if (parser.is_done()) co_return error_code();
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+      const Message<http::empty_body> go_on(http::status::continue_, 11);
+      const auto [error, length] = co_await http::async_write(this->socket, go_on, kNoThrow);
+      if (error) co_return error;
+    }
+    const auto [body_error, body_length] =
+        co_await http::async_read(this->socket, this->buffer, parser, kNoThrow);
+    co_return body_error;
+  }
+
+  asio::awaitable<void> AnswerReadError(Parser& parser, error_code error) {
+    const bool cut = error == http::error::end_of_stream || error == asio::error::connection_reset;
+    if (cut || !this->socket.is_open()) co_return;
+    if (error == asio::error::operation_aborted && !this->timed_out) co_return;
+    const HttpServerOptions& options = this->core->options;
+    int status = 400;
+    std::string message = "the request is malformed: " + error.message();
+    if (this->timed_out) {
+      status = 408;
+      message = "the request was not sent within " +
+                std::to_string(options.request_read_timeout.count()) + " ms";
+    } else if (error == http::error::header_limit) {
+      status = 431;
+      message = "the header exceeds " + std::to_string(options.max_header_bytes) + " bytes";
+    } else if (error == http::error::body_limit) {
+      status = 413;
+      message = "the body exceeds " + std::to_string(options.max_body_bytes) + " bytes";
+    } else if (error == http::error::partial_message) {
+      message = "the request ends before its stated length";
+    }
+    std::string request_id;
+    if (parser.is_header_done()) request_id = std::string(parser.get()["X-Request-Id"]);
+    if (!IsRequestId(request_id)) request_id.clear();
+    this->timed_out = false;
+    const HttpResponse response =
+        ErrorResponse(status, NotRun(ErrorCode::kInvalidArgument, message), request_id);
+    const auto answer = this->MakeMessage(response, false);
+    if (co_await this->Write(answer)) co_await this->Linger();
+  }
+
+  /** Writes a message within the write timeout; says whether it was written whole. */
+  template <typename Body>
+  asio::awaitable<bool> Write(const Message<Body>& message) {
+    this->phase = Phase::kHandling;
+    this->SetDeadline(Clock::now() + this->core->options.write_timeout);
+    const auto [error, length] = co_await http::async_write(this->socket, message, kNoThrow);
+    this->SetDeadline(Deadline::max());
+    co_return !error;
+  }
+
+  /** Ends the sending side and discards what the client still sends. */
+  asio::awaitable<void> Linger() {
+    error_code error;
+    this->socket.shutdown(tcp::socket::shutdown_send, error);
+    if (error) co_return;
+    this->SetDeadline(Clock::now() + kLingerTime);
+    this->buffer.clear();
+    for (;;) {
+      const auto space = this->buffer.prepare(kMaxPipelinedBytes);
+      const auto [read_error, length] = co_await this->socket.async_read_some(space, kNoThrow);
+      if (read_error) co_return;
+    }
+  }
+
+  asio::awaitable<bool> Handle(Parser& parser);
+
+  /** Returns when the peer has closed the connection. Keeps what it reads for the next request. */
+  asio::awaitable<void> WatchPeer() {
+    constexpr std::size_t kReadSize = 4096;
+    while (this->buffer.size() < kMaxPipelinedBytes) {
+      const auto space = this->buffer.prepare(kReadSize);
+      const auto [error, length] = co_await this->socket.async_read_some(space, kNoThrow);
+      if (error) {
+        this->peer_closed = error != asio::error::operation_aborted;
+        co_return;
+      }
+      this->buffer.commit(length);
+    }
+    const auto wait = tcp::socket::wait_error;
+    const auto [error] = co_await this->socket.async_wait(wait, kNoThrow);
+    this->peer_closed = error != asio::error::operation_aborted;
+  }
+
+  const CorePtr core;
+  tcp::socket socket;
+  asio::steady_timer timer;
+  beast::flat_buffer buffer;
+  Phase phase = Phase::kIdle;
+  Deadline deadline = Deadline::max();
+  Deadline timer_expiry = Deadline::max();  ///< When the timer is set to fire; max when it is not.
+  bool timed_out = false;
+  bool peer_closed = false;
+};
+
+class Exchange final : public HttpExchange {
+ public:
+  Exchange(Connection& owner, HttpRequest http_request, bool keeps_alive)
+      : connection(owner), http_request(std::move(http_request)), keep_alive(keeps_alive) {}
+
+  [[nodiscard]] const HttpRequest& request() const override { return this->http_request; }
+
+  [[nodiscard]] bool answered() const { return this->state != State::kOpen; }
+
+  /** Says whether a whole answer was sent after which the client may send another request. */
+  [[nodiscard]] bool reusable() const { return this->state == State::kDone && this->keep_alive; }
+  [[nodiscard]] bool done() const { return this->state == State::kDone; }
+
+  asio::awaitable<Result<void>> Send(HttpResponse response) override {
+    if (this->state != State::kOpen) co_return OutOfOrder();
+    this->state = State::kBroken;
+    this->KeepAliveUnlessStopping();
+    const auto message = this->connection.MakeMessage(response, this->keep_alive);
+    const error_code error = co_await this->WriteMessage(message);
+    if (error) co_return Gone(error);
+    this->state = State::kDone;
+    co_return success();
+  }
+
+  asio::awaitable<Result<void>> StartStream(int status, Headers headers) override {
+    if (this->state != State::kOpen) co_return OutOfOrder();
+    this->state = State::kBroken;
+    this->KeepAliveUnlessStopping();
+    http::response<http::empty_body> message(static_cast<http::status>(status), 11);
+    SetHeaders(message, headers);
+    message.keep_alive(this->keep_alive);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    this->StartWrite();
+    const auto [error, length] =
+        co_await http::async_write_header(this->connection.socket, serializer, kNoThrow);
+    this->EndWrite();
+    if (error) co_return Gone(error);
+    this->state = State::kStreaming;
+    co_return success();
+  }
+
+  asio::awaitable<Result<void>> WriteChunk(std::string_view bytes) override {
+    if (this->state != State::kStreaming) co_return OutOfOrder();
+    // An empty chunk is the end mark of the body.
+    if (bytes.empty() || this->IsHead()) co_return success();
+    const auto chunk = http::make_chunk(asio::buffer(bytes));
+    co_return co_await this->WriteBytes(chunk, State::kStreaming);
+  }
+
+  asio::awaitable<Result<void>> FinishStream() override {
+    if (this->state != State::kStreaming) co_return OutOfOrder();
+    if (this->IsHead()) {
+      this->state = State::kDone;
+      co_return success();
+    }
+    const auto end = http::make_chunk_last();
+    co_return co_await this->WriteBytes(end, State::kDone);
+  }
+
+ private:
+  // In kBroken a write has begun and not ended; nothing more may be sent after it.
+  enum class State { kOpen, kStreaming, kDone, kBroken };
+
+  static Error OutOfOrder() {
+    return MayHaveRun(ErrorCode::kInternal, "the answer was already sent or never started");
+  }
+
+  static Error Gone(error_code error) {
+    return MayHaveRun(ErrorCode::kCancelled, "the caller went away: " + error.message());
+  }
+
+  [[nodiscard]] bool IsHead() const { return this->http_request.method == "HEAD"; }
+
+  void KeepAliveUnlessStopping() {
+    if (this->connection.core->stopping) this->keep_alive = false;
+  }
+
+  void StartWrite() {
+    this->connection.SetDeadline(Clock::now() + this->connection.core->options.write_timeout);
+  }
+  void EndWrite() { this->connection.SetDeadline(Deadline::max()); }
+
+  asio::awaitable<error_code> WriteMessage(const http::response<http::string_body>& message) {
+    http::response_serializer<http::string_body, http::fields> serializer(
+        const_cast<http::response<http::string_body>&>(message));
+    this->StartWrite();
+    error_code error;
+    if (this->IsHead()) {
+      const auto [head_error, length] =
+          co_await http::async_write_header(this->connection.socket, serializer, kNoThrow);
+      error = head_error;
+    } else {
+      const auto [write_error, length] =
+          co_await http::async_write(this->connection.socket, serializer, kNoThrow);
+      error = write_error;
+    }
+    this->EndWrite();
+    co_return error;
+  }
+
+  template <typename Buffers>
+  asio::awaitable<Result<void>> WriteBytes(const Buffers& buffers, State next) {
+    this->state = State::kBroken;
+    this->StartWrite();
+    const auto [error, length] =
+        co_await asio::async_write(this->connection.socket, buffers, kNoThrow);
+    this->EndWrite();
+    if (error) co_return Gone(error);
+    this->state = next;
+    co_return success();
+  }
+
+  Connection& connection;
+  const HttpRequest http_request;
+  bool keep_alive;
+  State state = State::kOpen;
+};
+
+HttpRequest TakeRequest(Parser& parser, std::string peer) {
+  auto& message = parser.get();
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.address = std::move(peer);
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    const std::string name(field.name_string());
+    auto [entry, added] = request.headers.emplace(name, std::string(field.value()));
+    // A repeated header must not pass for a single one with either value.
+    if (!added) entry->second.append(", ").append(field.value());
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+asio::awaitable<void> RunHandler(const HttpHandler& handler, Exchange& exchange) {
+  try {
+    co_await handler(exchange);
+  } catch (const std::exception&) {
+    // Cancellation ends a handler with an exception. After any other one the exchange is still
+    // open, and the connection answers 500.
+  }
+}
+
+asio::awaitable<bool> Connection::Handle(Parser& parser) {
+  using asio::experimental::awaitable_operators::operator||;
+  struct Count {
+    explicit Count(std::atomic<std::size_t>& number) : in_flight(number) { ++this->in_flight; }
+    ~Count() { --this->in_flight; }
+    std::atomic<std::size_t>& in_flight;
+  };
+  const Count count(this->core->in_flight);
+  error_code ignored;
+  const bool keep_alive = parser.get().keep_alive();
+  Exchange exchange(*this, TakeRequest(parser, AddressOf(this->socket.remote_endpoint(ignored))),
+                    keep_alive);
+  co_await (RunHandler(this->core->handler, exchange) || this->WatchPeer());
+  if (this->peer_closed) co_return false;
+  if (!exchange.answered()) {
+    const std::string id = exchange.request().headers.contains("X-Request-Id")
+                               ? exchange.request().headers.at("X-Request-Id")
+                               : "";
+    HttpResponse failure =
+        ErrorResponse(500, MayHaveRun(ErrorCode::kInternal, "the request was not answered"),
+                      IsRequestId(id) ? id : "");
+    co_await exchange.Send(std::move(failure));
+  }
+  if (exchange.reusable()) co_return true;
+  if (exchange.done()) co_await this->Linger();
+  co_return false;
+}
+
+asio::awaitable<void> Accept(CorePtr core, asio::io_context& io) {
+  while (!core->stopping) {
+    auto [error, socket] = co_await core->acceptor.async_accept(asio::make_strand(io), kNoThrow);
+    if (core->stopping || !core->acceptor.is_open()) co_return;
+    if (error) {
+      core->accept_timer.expires_after(kAcceptPause);
+      co_await core->accept_timer.async_wait(kNoThrow);
+      continue;
+    }
+    const auto connection = std::make_shared<Connection>(core, std::move(socket));
+    if (!connection->Register()) {
+      connection->Refuse();
+      continue;
+    }
+    asio::co_spawn(connection->executor(), Connection::Run(connection), asio::detached);
+  }
+}
+
+class BeastServer final : public HttpServer {
+ public:
+  BeastServer(CorePtr server_core, std::string bound)
+      : core(std::move(server_core)), bound_address(std::move(bound)) {}
+
+  ~BeastServer() override {
+    this->CloseListener();
+    for (const auto& connection : this->core->Connections()) {
+      asio::post(connection->executor(), [connection] { connection->Close(); });
+    }
+  }
+
+  [[nodiscard]] std::string address() const override { return this->bound_address; }
+
+  void StopAccepting() override {
+    this->CloseListener();
+    for (const auto& connection : this->core->Connections()) {
+      asio::post(connection->executor(), [connection] { connection->CloseIfIdle(); });
+    }
+  }
+
+  [[nodiscard]] std::size_t in_flight() const override { return this->core->in_flight; }
+
+ private:
+  void CloseListener() {
+    this->core->stopping = true;
+    asio::post(this->core->acceptor.get_executor(), [core = this->core] {
+      error_code ignored;
+      core->acceptor.close(ignored);
+      core->accept_timer.cancel();
+    });
+  }
+
+  CorePtr core;
+  std::string bound_address;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Create(asio::io_context& io,
+                                                       const std::string& address,
+                                                       HttpHandler handler,
+                                                       HttpServerOptions options) {
+  BOOST_OUTCOME_TRY(const auto endpoint, ParseEndpoint(address));
+  auto core = std::make_shared<ServerCore>(io, std::move(handler), options);
+  error_code error;
+  core->acceptor.open(endpoint.protocol(), error);
+  if (!error) core->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) core->acceptor.bind(endpoint, error);
+  if (!error) core->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return NotRun(ErrorCode::kUnavailable, "cannot listen on " + address + ": " + error.message());
+  }
+  const std::string bound = AddressOf(core->acceptor.local_endpoint());
+  asio::co_spawn(core->acceptor.get_executor(), Accept(core, io), asio::detached);
+  return std::make_unique<BeastServer>(std::move(core), bound);
+}
+
+}  // namespace limpetfall
