--- /dev/null
+++ b/src/core/config-document.cc
@@ -0,0 +1,801 @@
+#include "core/config-document.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <cmath>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace limpetfall {
+namespace {
+
+using Json = nlohmann::json;
+
+// Names appear in store keys, header values and metric labels, all of which stay short.
+constexpr std::size_t kMaxNameLength = 64;
+constexpr std::size_t kMaxPathLength = 1024;
+constexpr std::string_view kBranchPrefix = "branch/";
+constexpr std::array<std::string_view, 4> kFixedSections = {"models", "teams", "services",
+                                                            "policy"};
+constexpr std::array<std::string_view, 7> kMethods = {"DELETE", "GET",  "HEAD", "OPTIONS",
+                                                      "PATCH",  "POST", "PUT"};
+
+using Faults = std::vector<DocumentFault>;
+
+std::string Step(const std::string& pointer, std::string_view name) {
+  std::string result = pointer + "/";
+  for (const char c : name) {
+    if (c == '~') {
+      result += "~0";
+    } else if (c == '/') {
+      result += "~1";
+    } else {
+      result += c;
+    }
+  }
+  return result;
+}
+
+std::string Step(const std::string& pointer, std::size_t index) {
+  return pointer + "/" + std::to_string(index);
+}
+
+bool IsName(std::string_view text) {
+  const auto allowed = [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' ||
+           c == '_' || c == '-';
+  };
+  return !text.empty() && text.size() <= kMaxNameLength && std::ranges::all_of(text, allowed);
+}
+
+bool IsAddress(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return false;
+  std::string host(text.substr(0, colon));
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  } else if (host.find(':') != std::string::npos) {
+    return false;
+  }
+  boost::system::error_code error;
+  boost::asio::ip::make_address(host, error);
+  const std::string_view digits = text.substr(colon + 1);
+  unsigned port = 0;
+  const auto [end, parsed] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  return !error && parsed == std::errc() && end == digits.data() + digits.size() && port >= 1 &&
+         port <= 65535;
+}
+
+bool IsPath(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxPathLength && text.front() == '/' &&
+         std::ranges::all_of(text, [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
+std::string Number(double value) { return Json(value).dump(); }
+
+enum class Need { kRequired, kOptional };
+
+template <typename T>
+struct Range {
+  T low;
+  T high;
+};
+
+/** Reads the members of one JSON object and reports the ones that are wrong or unknown. */
+class ObjectReader {
+ public:
+  ObjectReader(const Json& value, std::string where, Faults& list)
+      : json(value), pointer(std::move(where)), faults(list), faults_before(list.size()) {
+    if (!this->json.is_object()) this->faults.push_back({this->pointer, "must be an object"});
+  }
+
+  [[nodiscard]] bool AnyFaults() const { return this->faults.size() > this->faults_before; }
+
+  const Json* Take(std::string_view name, Need need) {
+    this->taken.emplace(name);
+    if (!this->json.is_object()) return nullptr;
+    if (const auto found = this->json.find(name); found != this->json.end()) return &*found;
+    if (need == Need::kRequired) Report(name, "is missing");
+    return nullptr;
+  }
+
+  void Report(std::string_view name, std::string problem) {
+    this->faults.push_back({Step(this->pointer, name), std::move(problem)});
+  }
+
+  std::optional<std::string> Text(std::string_view name, Need need) {
+    const Json* member = Take(name, need);
+    if (member == nullptr) return std::nullopt;
+    if (member->is_string()) return member->get<std::string>();
+    Report(name, "must be a string");
+    return std::nullopt;
+  }
+
+  template <typename Tag>
+  void Name(std::string_view name, Id<Tag>& out, Need need = Need::kRequired) {
+    auto text = Text(name, need);
+    if (!text) return;
+    if (!IsName(*text)) Report(name, "must be 1 to 64 of A-Z a-z 0-9 . _ -");
+    out.value = std::move(*text);
+  }
+
+  template <typename Tag>
+  void Names(std::string_view name, std::vector<Id<Tag>>& out, Need need = Need::kOptional) {
+    const Json* member = Array(name, need);
+    if (member == nullptr) return;
+    const std::string at = Step(this->pointer, name);
+    for (std::size_t i = 0; i < member->size(); ++i) {
+      const Json& entry = (*member)[i];
+      if (!entry.is_string() || !IsName(entry.get_ref<const std::string&>())) {
+        this->faults.push_back({Step(at, i), "must be a string of 1 to 64 of A-Z a-z 0-9 . _ -"});
+        continue;
+      }
+      Id<Tag> id(entry.get<std::string>());
+      if (std::ranges::find(out, id) != out.end()) {
+        this->faults.push_back({Step(at, i), id.value + " is listed twice"});
+        continue;
+      }
+      out.push_back(std::move(id));
+    }
+  }
+
+  template <typename T>
+  void Integer(std::string_view name, T& out, Range<std::int64_t> range) {
+    const Json* member = Take(name, Need::kOptional);
+    if (member == nullptr) return;
+    if (!member->is_number_integer()) return Report(name, "must be an integer");
+    const bool huge = member->is_number_unsigned() &&
+                      member->get<std::uint64_t>() >
+                          static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+    const std::int64_t value = huge ? range.high : member->get<std::int64_t>();
+    if (huge || value < range.low || value > range.high) {
+      return Report(name, "must be between " + std::to_string(range.low) + " and " +
+                              std::to_string(range.high));
+    }
+    out = static_cast<T>(value);
+  }
+
+  void Real(std::string_view name, double& out, Range<double> range) {
+    const Json* member = Take(name, Need::kOptional);
+    if (member == nullptr) return;
+    if (!member->is_number()) return Report(name, "must be a number");
+    const auto value = member->get<double>();
+    if (!(value >= range.low && value <= range.high)) {
+      return Report(name, "must be between " + Number(range.low) + " and " + Number(range.high));
+    }
+    out = value;
+  }
+
+  void Flag(std::string_view name, bool& out, Need need) {
+    const Json* member = Take(name, need);
+    if (member == nullptr) return;
+    if (!member->is_boolean()) return Report(name, "must be true or false");
+    out = member->get<bool>();
+  }
+
+  void Rank(std::string_view name, Priority& out) {
+    const auto text = Text(name, Need::kOptional);
+    if (!text) return;
+    if (*text == "high") {
+      out = Priority::kHigh;
+    } else if (*text == "normal") {
+      out = Priority::kNormal;
+    } else if (*text == "low") {
+      out = Priority::kLow;
+    } else {
+      Report(name, "must be high, normal or low");
+    }
+  }
+
+  template <typename T>
+  void List(std::string_view name, std::vector<T>& out, T (*read)(ObjectReader&), Need need) {
+    const Json* member = Array(name, need);
+    if (member == nullptr) return;
+    for (std::size_t i = 0; i < member->size(); ++i) {
+      ObjectReader entry((*member)[i], Step(Step(this->pointer, name), i), this->faults);
+      out.push_back(read(entry));
+      entry.RejectOthers();
+    }
+  }
+
+  void RejectOthers() {
+    if (!this->json.is_object()) return;
+    for (const auto& item : this->json.items()) {
+      if (!this->taken.contains(item.key())) Report(item.key(), "is not a known member");
+    }
+  }
+
+ private:
+  const Json* Array(std::string_view name, Need need) {
+    const Json* member = Take(name, need);
+    if (member == nullptr || member->is_array()) return member;
+    Report(name, "must be a list");
+    return nullptr;
+  }
+
+  const Json& json;
+  std::string pointer;
+  Faults& faults;
+  std::size_t faults_before;
+  std::set<std::string, std::less<>> taken;
+};
+
+ModelSpec ReadModel(ObjectReader& reader) {
+  ModelSpec model;
+  reader.Name("name", model.name);
+  reader.Names("versions", model.versions, Need::kRequired);
+  reader.Integer("vms_per_group", model.vms_per_group, {1, 256});
+  reader.Integer("groups", model.groups, {0, 10000});
+  reader.Integer("min_groups", model.min_groups, {0, 10000});
+  reader.Rank("priority", model.priority);
+  reader.Integer("max_in_flight_per_group", model.max_in_flight_per_group, {1, 10000});
+  reader.Names("zones", model.zones);
+  // With a fault in `groups`, the comparison would be made against its default.
+  if (!reader.AnyFaults() && model.min_groups > model.groups) {
+    reader.Report("min_groups", "must not exceed groups (" + std::to_string(model.groups) + ")");
+  }
+  return model;
+}
+
+TeamSpec ReadTeam(ObjectReader& reader) {
+  TeamSpec team;
+  reader.Name("name", team.name);
+  reader.Real("weight", team.weight, {0.001, 1000});
+  reader.Rank("priority", team.priority);
+  reader.Real("requests_per_second", team.requests_per_second, {0, 1e6});
+  reader.Integer("max_queued_per_node", team.max_queued_per_node, {1, 100000});
+  return team;
+}
+
+BranchModel ReadBranchModel(ObjectReader& reader) {
+  BranchModel entry;
+  reader.Name("model", entry.model);
+  reader.Name("version", entry.version);
+  return entry;
+}
+
+BranchException ReadException(ObjectReader& reader) {
+  BranchException entry;
+  reader.Name("team", entry.team);
+  reader.Name("model", entry.model);
+  reader.Name("version", entry.version);
+  return entry;
+}
+
+BranchSpec ReadBranch(ObjectReader& reader) {
+  BranchSpec branch;
+  reader.Name("name", branch.name);
+  reader.Names("teams", branch.teams);
+  reader.List("models", branch.models, &ReadBranchModel, Need::kRequired);
+  reader.Names("zones", branch.zones);
+  reader.List("exceptions", branch.exceptions, &ReadException, Need::kOptional);
+  return branch;
+}
+
+ServiceUpstream ReadUpstream(ObjectReader& reader) {
+  ServiceUpstream upstream;
+  upstream.address = reader.Text("address", Need::kRequired).value_or("");
+  if (!upstream.address.empty() && !IsAddress(upstream.address)) {
+    reader.Report("address", "must be IP:port");
+  }
+  reader.Name("zone", upstream.zone, Need::kOptional);
+  return upstream;
+}
+
+ServiceRoute ReadRoute(ObjectReader& reader) {
+  ServiceRoute route;
+  if (auto method = reader.Text("method", Need::kRequired)) {
+    if (std::ranges::find(kMethods, *method) == kMethods.end()) {
+      reader.Report("method", "must be one of DELETE GET HEAD OPTIONS PATCH POST PUT");
+    }
+    route.method = std::move(*method);
+  }
+  if (auto path = reader.Text("path_prefix", Need::kRequired)) {
+    if (!IsPath(*path)) reader.Report("path_prefix", "must start with / and hold no spaces");
+    route.path_prefix = std::move(*path);
+  }
+  reader.Flag("idempotent", route.idempotent, Need::kRequired);
+  return route;
+}
+
+ServiceSpec ReadService(ObjectReader& reader) {
+  ServiceSpec service;
+  reader.Name("name", service.name);
+  reader.List("upstreams", service.upstreams, &ReadUpstream, Need::kRequired);
+  reader.List("routes", service.routes, &ReadRoute, Need::kOptional);
+  reader.Integer("max_in_flight_per_upstream", service.max_in_flight_per_upstream, {1, 10000});
+  return service;
+}
+
+PolicySpec ReadPolicy(ObjectReader& reader) {
+  PolicySpec policy;
+  reader.Real("group_downtime_weight", policy.group_downtime_weight, {0, 1});
+  reader.Integer("member_restart_wait_ms", policy.member_restart_wait_ms, {0, 3600000});
+  reader.Integer("spare_vms_per_domain", policy.spare_vms_per_domain, {0, 1000});
+  reader.Integer("weight_store_slots", policy.weight_store_slots, {1, 1000});
+  reader.Real("retry_budget", policy.retry_budget, {0, 1});
+  reader.Flag("engines_check_generation", policy.engines_check_generation, Need::kOptional);
+  reader.Names("zones", policy.zones);
+  return policy;
+}
+
+/** Checks that the parts of a document that is well-formed fit together. */
+class ReferenceCheck {
+ public:
+  ReferenceCheck(const Document& subject, Faults& list)
+      : document(subject), faults(list), zones_known(!HasFaultIn(list, "/policy")) {}
+
+  void Run() {
+    CheckNames(this->document.models, "/models");
+    CheckNames(this->document.teams, "/teams");
+    CheckNames(this->document.branches, "/branches");
+    CheckNames(this->document.services, "/services");
+    CheckEach(this->document.models, "/models", &ReferenceCheck::CheckModel);
+    CheckEach(this->document.branches, "/branches", &ReferenceCheck::CheckBranch);
+    CheckEach(this->document.services, "/services", &ReferenceCheck::CheckService);
+  }
+
+ private:
+  void Report(std::string pointer, std::string problem) {
+    this->faults.push_back({std::move(pointer), std::move(problem)});
+  }
+
+  template <typename T>
+  void CheckNames(const std::vector<T>& list, const std::string& pointer) {
+    std::set<std::string_view> seen;
+    for (std::size_t i = 0; i < list.size(); ++i) {
+      const std::string& name = list[i].name.value;
+      if (!name.empty() && !seen.insert(name).second) {
+        Report(Step(Step(pointer, i), "name"), name + " is defined twice");
+      }
+    }
+  }
+
+  template <typename T>
+  void CheckEach(const std::vector<T>& list, const std::string& pointer,
+                 void (ReferenceCheck::*check)(const T&, const std::string&)) {
+    for (std::size_t i = 0; i < list.size(); ++i) (this->*check)(list[i], Step(pointer, i));
+  }
+
+  void CheckZone(const ZoneId& zone, const std::string& pointer) {
+    if (zone.value.empty() || !this->zones_known) return;
+    const auto& known = this->document.policy.zones;
+    if (std::ranges::find(known, zone) != known.end()) return;
+    Report(pointer, "unknown zone " + zone.value + "; /policy/zones lists the zones");
+  }
+
+  void CheckZones(const std::vector<ZoneId>& zones, const std::string& pointer) {
+    for (std::size_t i = 0; i < zones.size(); ++i) CheckZone(zones[i], Step(pointer, i));
+  }
+
+  void CheckTeam(const TeamName& team, const std::string& pointer) {
+    const auto same = [&](const TeamSpec& spec) { return spec.name == team; };
+    if (team.value.empty() || std::ranges::any_of(this->document.teams, same)) return;
+    Report(pointer, "unknown team " + team.value);
+  }
+
+  void CheckModel(const ModelSpec& model, const std::string& pointer) {
+    if (model.versions.empty()) Report(Step(pointer, "versions"), "must name at least one version");
+    CheckZones(model.zones, Step(pointer, "zones"));
+  }
+
+  // A use of a model by a branch: the model and version exist and may run where the branch may.
+  void CheckUse(const BranchSpec& branch, const ModelName& name, const ModelVersion& version,
+                const std::string& pointer) {
+    if (name.value.empty()) return;
+    const auto& models = this->document.models;
+    const auto model = std::ranges::find(models, name, &ModelSpec::name);
+    if (model == models.end()) return Report(Step(pointer, "model"), "unknown model " + name.value);
+    if (!version.value.empty() &&
+        std::ranges::find(model->versions, version) == model->versions.end()) {
+      Report(Step(pointer, "version"), "model " + name.value + " has no version " + version.value);
+    }
+    const auto in_model = [&](const ZoneId& zone) {
+      return std::ranges::find(model->zones, zone) != model->zones.end();
+    };
+    if (!model->zones.empty() && !branch.zones.empty() &&
+        std::ranges::none_of(branch.zones, in_model)) {
+      Report(Step(pointer, "model"),
+             "model " + name.value + " runs in none of the zones of branch " + branch.name.value);
+    }
+  }
+
+  void CheckBranch(const BranchSpec& branch, const std::string& pointer) {
+    for (std::size_t i = 0; i < branch.teams.size(); ++i) {
+      CheckTeam(branch.teams[i], Step(Step(pointer, "teams"), i));
+    }
+    CheckZones(branch.zones, Step(pointer, "zones"));
+    std::set<std::string_view> models;
+    for (std::size_t i = 0; i < branch.models.size(); ++i) {
+      const std::string at = Step(Step(pointer, "models"), i);
+      const BranchModel& entry = branch.models[i];
+      CheckUse(branch, entry.model, entry.version, at);
+      if (!entry.model.value.empty() && !models.insert(entry.model.value).second) {
+        Report(Step(at, "model"), entry.model.value + " is listed twice");
+      }
+    }
+    CheckExceptions(branch, Step(pointer, "exceptions"));
+  }
+
+  void CheckExceptions(const BranchSpec& branch, const std::string& pointer) {
+    std::set<std::pair<TeamName, ModelName>> seen;
+    for (std::size_t i = 0; i < branch.exceptions.size(); ++i) {
+      const BranchException& entry = branch.exceptions[i];
+      const std::string at = Step(pointer, i);
+      CheckTeam(entry.team, Step(at, "team"));
+      CheckUse(branch, entry.model, entry.version, at);
+      if (!branch.teams.empty() &&
+          std::ranges::find(branch.teams, entry.team) == branch.teams.end()) {
+        Report(Step(at, "team"), "team " + entry.team.value + " may not use this branch");
+      }
+      if (!seen.emplace(entry.team, entry.model).second) {
+        Report(at, "a second exception for team " + entry.team.value + " and model " +
+                       entry.model.value);
+      }
+    }
+  }
+
+  void CheckService(const ServiceSpec& service, const std::string& pointer) {
+    const std::string upstreams = Step(pointer, "upstreams");
+    if (service.upstreams.empty()) Report(upstreams, "must name at least one upstream");
+    std::set<std::string_view> addresses;
+    for (std::size_t i = 0; i < service.upstreams.size(); ++i) {
+      const ServiceUpstream& upstream = service.upstreams[i];
+      CheckZone(upstream.zone, Step(Step(upstreams, i), "zone"));
+      if (!upstream.address.empty() && !addresses.insert(upstream.address).second) {
+        Report(Step(Step(upstreams, i), "address"), upstream.address + " is listed twice");
+      }
+    }
+    for (std::size_t i = 0; i < service.routes.size(); ++i) {
+      CheckRoute(service, i, Step(Step(pointer, "routes"), i));
+    }
+  }
+
+  // The first route that matches applies, so a route behind a wider one is never used. An operator
+  // who marks such a route would believe that its calls may be repeated, or may not.
+  void CheckRoute(const ServiceSpec& service, std::size_t index, const std::string& pointer) {
+    const ServiceRoute& route = service.routes[index];
+    if (route.path_prefix.empty()) return;
+    for (std::size_t i = 0; i < index; ++i) {
+      const ServiceRoute& earlier = service.routes[i];
+      if (earlier.method == route.method && !earlier.path_prefix.empty() &&
+          route.path_prefix.starts_with(earlier.path_prefix)) {
+        return Report(pointer, "is never used: route " + std::to_string(i) + " matches first");
+      }
+    }
+  }
+
+  // Without a readable list of zones, every use of a zone would be reported.
+  static bool HasFaultIn(const Faults& list, std::string_view pointer) {
+    return std::ranges::any_of(list, [&](const auto& fault) {
+      return fault.pointer == pointer || fault.pointer.starts_with(std::string(pointer) + "/zones");
+    });
+  }
+
+  const Document& document;
+  Faults& faults;
+  bool zones_known;
+};
+
+/** Finds members that occur twice in one object; the JSON library itself keeps only the last. */
+class DuplicateMembers {
+ public:
+  explicit DuplicateMembers(Faults& list) : faults(list) {}
+
+  bool operator()(int /*depth*/, Json::parse_event_t event, Json& parsed) {
+    switch (event) {
+      case Json::parse_event_t::object_start:
+      case Json::parse_event_t::array_start:
+        Enter();
+        this->frames.push_back({event == Json::parse_event_t::array_start, 0, "", {}});
+        break;
+      case Json::parse_event_t::key:
+        AddKey(parsed.get<std::string>());
+        break;
+      case Json::parse_event_t::value:
+        Enter();
+        break;
+      case Json::parse_event_t::object_end:
+      case Json::parse_event_t::array_end:
+        this->frames.pop_back();
+        break;
+    }
+    return true;
+  }
+
+ private:
+  struct Frame {
+    bool is_array = false;
+    std::size_t next = 0;
+    std::string key;
+    std::set<std::string> keys;
+  };
+
+  void Enter() {
+    if (!this->frames.empty() && this->frames.back().is_array) ++this->frames.back().next;
+  }
+
+  void AddKey(std::string key) {
+    Frame& frame = this->frames.back();
+    frame.key = key;
+    if (frame.keys.insert(std::move(key)).second) return;
+    std::string pointer;
+    for (const Frame& step : this->frames) {
+      pointer = step.is_array ? Step(pointer, step.next - 1) : Step(pointer, step.key);
+    }
+    this->faults.push_back({pointer, "occurs twice"});
+  }
+
+  Faults& faults;
+  std::vector<Frame> frames;
+};
+
+std::string_view ToText(Priority priority) {
+  switch (priority) {
+    case Priority::kHigh:
+      return "high";
+    case Priority::kNormal:
+      return "normal";
+    case Priority::kLow:
+      return "low";
+  }
+  return "normal";
+}
+
+template <typename Tag>
+Json ToJson(const std::vector<Id<Tag>>& ids) {
+  Json list = Json::array();
+  for (const auto& id : ids) list.push_back(id.value);
+  return list;
+}
+
+Json ToJson(const ModelSpec& model) {
+  return {{"name", model.name.value},
+          {"versions", ToJson(model.versions)},
+          {"vms_per_group", model.vms_per_group},
+          {"groups", model.groups},
+          {"min_groups", model.min_groups},
+          {"priority", ToText(model.priority)},
+          {"max_in_flight_per_group", model.max_in_flight_per_group},
+          {"zones", ToJson(model.zones)}};
+}
+
+Json ToJson(const TeamSpec& team) {
+  return {{"name", team.name.value},
+          {"weight", team.weight},
+          {"priority", ToText(team.priority)},
+          {"requests_per_second", team.requests_per_second},
+          {"max_queued_per_node", team.max_queued_per_node}};
+}
+
+Json ToJson(const BranchModel& entry) {
+  return {{"model", entry.model.value}, {"version", entry.version.value}};
+}
+
+Json ToJson(const BranchException& entry) {
+  return {
+      {"team", entry.team.value}, {"model", entry.model.value}, {"version", entry.version.value}};
+}
+
+Json ToJson(const ServiceUpstream& upstream) {
+  Json json = {{"address", upstream.address}};
+  if (!upstream.zone.value.empty()) json["zone"] = upstream.zone.value;
+  return json;
+}
+
+Json ToJson(const ServiceRoute& route) {
+  return {{"method", route.method},
+          {"path_prefix", route.path_prefix},
+          {"idempotent", route.idempotent}};
+}
+
+Json ToJson(const BranchSpec& branch);
+Json ToJson(const ServiceSpec& service);
+
+template <typename T>
+Json ListToJson(const std::vector<T>& list) {
+  Json json = Json::array();
+  for (const T& entry : list) json.push_back(ToJson(entry));
+  return json;
+}
+
+Json ToJson(const BranchSpec& branch) {
+  return {{"name", branch.name.value},
+          {"teams", ToJson(branch.teams)},
+          {"models", ListToJson(branch.models)},
+          {"zones", ToJson(branch.zones)},
+          {"exceptions", ListToJson(branch.exceptions)}};
+}
+
+Json ToJson(const ServiceSpec& service) {
+  return {{"name", service.name.value},
+          {"upstreams", ListToJson(service.upstreams)},
+          {"routes", ListToJson(service.routes)},
+          {"max_in_flight_per_upstream", service.max_in_flight_per_upstream}};
+}
+
+Json ToJson(const PolicySpec& policy) {
+  return {{"group_downtime_weight", policy.group_downtime_weight},
+          {"member_restart_wait_ms", policy.member_restart_wait_ms},
+          {"spare_vms_per_domain", policy.spare_vms_per_domain},
+          {"weight_store_slots", policy.weight_store_slots},
+          {"retry_budget", policy.retry_budget},
+          {"engines_check_generation", policy.engines_check_generation},
+          {"zones", ToJson(policy.zones)}};
+}
+
+Json ToJson(const Document& document) {
+  return {{"models", ListToJson(document.models)},
+          {"teams", ListToJson(document.teams)},
+          {"branches", ListToJson(document.branches)},
+          {"services", ListToJson(document.services)},
+          {"policy", ToJson(document.policy)}};
+}
+
+Document ReadDocument(const Json& json, Faults& faults) {
+  Document document;
+  ObjectReader reader(json, "", faults);
+  reader.List("models", document.models, &ReadModel, Need::kRequired);
+  reader.List("teams", document.teams, &ReadTeam, Need::kRequired);
+  reader.List("branches", document.branches, &ReadBranch, Need::kRequired);
+  reader.List("services", document.services, &ReadService, Need::kRequired);
+  if (const Json* policy = reader.Take("policy", Need::kRequired); policy != nullptr) {
+    ObjectReader policy_reader(*policy, "/policy", faults);
+    document.policy = ReadPolicy(policy_reader);
+    policy_reader.RejectOthers();
+  }
+  reader.RejectOthers();
+  return document;
+}
+
+std::optional<Json> ParseJson(std::string_view text) {
+  Json json = Json::parse(text, nullptr, false);
+  if (json.is_discarded()) return std::nullopt;
+  return json;
+}
+
+Error BadManifest(const std::string& problem) {
+  return NotRun(ErrorCode::kInvalidArgument, "configuration manifest: " + problem);
+}
+
+Result<std::vector<std::string>> ReadStrings(const Json& json) {
+  if (!json.is_array()) return BadManifest("earlier_writers must be a list");
+  std::vector<std::string> strings;
+  for (const Json& entry : json) {
+    if (!entry.is_string()) return BadManifest("a writer must be a string");
+    strings.push_back(entry.get<std::string>());
+  }
+  return strings;
+}
+
+Result<std::vector<SectionRef>> ReadSections(const Json& json) {
+  if (!json.is_array()) return BadManifest("sections must be a list");
+  std::vector<SectionRef> sections;
+  for (const Json& entry : json) {
+    if (!entry.is_object() || !entry.contains("name") || !entry["name"].is_string() ||
+        !entry.contains("digest") || !entry["digest"].is_string()) {
+      return BadManifest("a section must have a name and a digest");
+    }
+    sections.push_back({entry["name"].get<std::string>(), entry["digest"].get<std::string>()});
+  }
+  return sections;
+}
+
+void AddSection(SplitDocument& split, std::string name, const Json& json) {
+  std::string body = json.dump();
+  std::string digest = SectionDigest(body);
+  split.sections.push_back({std::move(name), digest});
+  split.bodies.emplace(std::move(digest), std::move(body));
+}
+
+}  // namespace
+
+DocumentCheck CheckDocument(std::string_view json) {
+  DocumentCheck check;
+  Json parsed;
+  try {
+    parsed = Json::parse(json, DuplicateMembers(check.faults));
+  } catch (const Json::exception& error) {
+    check.faults.push_back({"", std::string("is not JSON: ") + error.what()});
+    return check;
+  }
+  check.document = ReadDocument(parsed, check.faults);
+  ReferenceCheck(check.document, check.faults).Run();
+  return check;
+}
+
+Result<Document> ParseDocument(std::string_view json) {
+  DocumentCheck check = CheckDocument(json);
+  if (check.faults.empty()) return std::move(check.document);
+  std::string message;
+  for (const DocumentFault& fault : check.faults) {
+    if (!message.empty()) message += '\n';
+    message += (fault.pointer.empty() ? "/" : fault.pointer) + ": " + fault.problem;
+  }
+  return NotRun(ErrorCode::kInvalidArgument, std::move(message));
+}
+
+std::string SerializeDocument(const Document& document) { return ToJson(document).dump(); }
+
+std::string SectionDigest(std::string_view body) {
+  const XXH128_hash_t hash = XXH3_128bits(body.data(), body.size());
+  XXH128_canonical_t canonical;
+  XXH128_canonicalFromHash(&canonical, hash);
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (const unsigned char byte : canonical.digest) {
+    text += kDigits[byte >> 4U];
+    text += kDigits[byte & 15U];
+  }
+  return text;
+}
+
+std::string SerializeManifest(const Manifest& manifest) {
+  Json sections = Json::array();
+  for (const SectionRef& section : manifest.sections) {
+    sections.push_back({{"name", section.name}, {"digest", section.digest}});
+  }
+  const Json json = {{"version", manifest.version},
+                     {"sections", std::move(sections)},
+                     {"writer", manifest.writer},
+                     {"earlier_writers", manifest.earlier_writers}};
+  return json.dump();
+}
+
+Result<Manifest> ParseManifest(std::string_view json) {
+  const auto parsed = ParseJson(json);
+  if (!parsed || !parsed->is_object()) return BadManifest("is not a JSON object");
+  for (const char* name : {"version", "sections", "writer", "earlier_writers"}) {
+    if (!parsed->contains(name)) return BadManifest(std::string(name) + " is missing");
+  }
+  Manifest manifest;
+  if (!parsed->at("version").is_number_unsigned()) return BadManifest("version must be a number");
+  manifest.version = parsed->at("version").get<ConfigVersion>();
+  if (!parsed->at("writer").is_string()) return BadManifest("writer must be a string");
+  manifest.writer = parsed->at("writer").get<std::string>();
+  BOOST_OUTCOME_TRY(manifest.sections, ReadSections(parsed->at("sections")));
+  BOOST_OUTCOME_TRY(manifest.earlier_writers, ReadStrings(parsed->at("earlier_writers")));
+  return manifest;
+}
+
+SplitDocument SplitIntoSections(const Document& document) {
+  SplitDocument split;
+  AddSection(split, "models", ListToJson(document.models));
+  AddSection(split, "teams", ListToJson(document.teams));
+  AddSection(split, "services", ListToJson(document.services));
+  AddSection(split, "policy", ToJson(document.policy));
+  for (const BranchSpec& branch : document.branches) {
+    AddSection(split, std::string(kBranchPrefix) + branch.name.value, ToJson(branch));
+  }
+  return split;
+}
+
+Result<Document> JoinSections(const Manifest& manifest, const SectionBodies& bodies) {
+  Json joined = {{"branches", Json::array()}};
+  for (const SectionRef& section : manifest.sections) {
+    const auto body = bodies.find(section.digest);
+    if (body == bodies.end()) return BadManifest("section " + section.name + " is absent");
+    if (SectionDigest(body->second) != section.digest) {
+      return BadManifest("section " + section.name + " does not match its digest");
+    }
+    auto json = ParseJson(body->second);
+    if (!json) return BadManifest("section " + section.name + " is not JSON");
+    if (section.name.starts_with(kBranchPrefix)) {
+      joined["branches"].push_back(std::move(*json));
+    } else if (std::ranges::find(kFixedSections, section.name) != kFixedSections.end()) {
+      joined[section.name] = std::move(*json);
+    } else {
+      return BadManifest("unknown section " + section.name);
+    }
+  }
+  return ParseDocument(joined.dump());
+}
+
+}  // namespace limpetfall
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -95,6 +95,7 @@
   int weight_store_slots = 4;  ///< Model loads at a time over the deployment.
   double retry_budget = 0.1;   ///< Extra attempts as a share of requests.
   bool engines_check_generation = false;
+  std::vector<ZoneId> zones;  ///< Zones of the deployment; other sections may name only these.
 
   friend bool operator==(const PolicySpec&, const PolicySpec&) = default;
 };
