--- /dev/null
+++ b/src/core/config-state.cc
@@ -0,0 +1,56 @@
+#include "core/config-state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetfall {
+
+bool ConfigState::Adopt(VersionedDocument document) {
+  auto shared = std::make_shared<const VersionedDocument>(std::move(document));
+  const std::lock_guard lock(this->mutex);
+  const ConfigVersion present = this->current ? this->current->version : 0;
+  if (shared->version <= present) return false;
+  this->newest = std::max(this->newest, shared->version);
+  this->current = std::move(shared);
+  return true;
+}
+
+std::shared_ptr<const VersionedDocument> ConfigState::Current() const {
+  const std::lock_guard lock(this->mutex);
+  return this->current;
+}
+
+ConfigVersion ConfigState::version() const {
+  const std::lock_guard lock(this->mutex);
+  return this->current ? this->current->version : 0;
+}
+
+void ConfigState::Announce(ConfigVersion version) {
+  const std::lock_guard lock(this->mutex);
+  this->newest = std::max(this->newest, version);
+}
+
+ConfigVersion ConfigState::newest_known() const {
+  const std::lock_guard lock(this->mutex);
+  return this->newest;
+}
+
+void ConfigState::Confirm(ConfigVersion version, Deadline until) {
+  const std::lock_guard lock(this->mutex);
+  if (!this->current || this->current->version != version || this->newest > version) return;
+  this->confirmation = std::max(this->confirmation, until);
+}
+
+Deadline ConfigState::confirmed_until() const {
+  const std::lock_guard lock(this->mutex);
+  return this->confirmation;
+}
+
+bool ConfigState::MayServeNow(const NodeContact& contact, TimePoint now) const {
+  const std::lock_guard lock(this->mutex);
+  if (!this->current) return false;
+  if (now >= this->confirmation && this->newest > this->current->version) return false;
+  return MayServe(this->confirmation, contact, now);
+}
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/core/order-claims.cc
@@ -0,0 +1,202 @@
+#include "core/order-claims.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/base64.h"
+#include "core/config-document.h"
+
+namespace limpetfall {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::array<std::pair<ClaimState, std::string_view>, 5> kStates = {{
+    {ClaimState::kClaimed, "claimed"},
+    {ClaimState::kReleased, "released"},
+    {ClaimState::kAnswered, "answered"},
+    {ClaimState::kRan, "ran"},
+    {ClaimState::kUnknown, "unknown"},
+}};
+
+std::string_view ToText(ClaimState state) {
+  for (const auto& [value, text] : kStates) {
+    if (value == state) return text;
+  }
+  return "unknown";
+}
+
+std::optional<ClaimState> ParseState(std::string_view text) {
+  for (const auto& [state, name] : kStates) {
+    if (name == text) return state;
+  }
+  return std::nullopt;
+}
+
+// A claim that cannot be read may be of an order that ran.
+Error Malformed() {
+  return MayHaveRun(ErrorCode::kInternal, "the claim of this order is malformed");
+}
+
+void Append(std::string& text, std::string_view part) {
+  text += std::to_string(part.size());
+  text += ':';
+  text += part;
+}
+
+bool IsPlain(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+         c == '_' || c == '.';
+}
+
+std::string Escape(std::string_view text) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string escaped;
+  for (const char c : text) {
+    if (IsPlain(c)) {
+      escaped += c;
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(c);
+    escaped += '%';
+    escaped += kDigits[byte >> 4U];
+    escaped += kDigits[byte & 15U];
+  }
+  return escaped;
+}
+
+ClaimDecision Reply(Result<ServiceAnswer> reply) { return {ClaimStep::kReply, std::move(reply)}; }
+
+ClaimDecision DecideHeld(HolderState holder) {
+  switch (holder) {
+    case HolderState::kRunning:
+      return {ClaimStep::kWait, std::nullopt};
+    case HolderState::kGaveUp:
+      return {ClaimStep::kTakeOver, std::nullopt};
+    case HolderState::kGone:
+      break;
+  }
+  return Reply(MayHaveRun(ErrorCode::kUpstreamLost,
+                          "the node that ran this order is gone; the order may have run"));
+}
+
+Error AnswerNotRecorded(std::size_t body_bytes) {
+  std::string message = "the order ran, and its answer is not available";
+  if (body_bytes > 0) {
+    message += ": its body of " + std::to_string(body_bytes) + " bytes is too large to record";
+  }
+  return Error{ErrorCode::kInternal, std::move(message), Verdict::kRan};
+}
+
+}  // namespace
+
+std::string SerializeClaim(const OrderClaim& claim) {
+  Json json = {{"digest", claim.digest},
+               {"node", claim.node.value},
+               {"attempt", claim.attempt},
+               {"state", ToText(claim.state)}};
+  if (claim.state == ClaimState::kAnswered) {
+    json["status"] = claim.answer.status;
+    json["content_type"] = EncodeBase64(claim.answer.content_type);
+    json["body"] = EncodeBase64(claim.answer.body);
+    json["version"] = claim.answer.version;
+  }
+  if (claim.body_bytes > 0) json["body_bytes"] = claim.body_bytes;
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<OrderClaim> ParseClaim(std::string_view json) {
+  const Json parsed = Json::parse(json, nullptr, false);
+  if (!parsed.is_object()) return Malformed();
+  try {
+    OrderClaim claim{parsed.at("digest").get<std::string>(),
+                     NodeId(parsed.at("node").get<std::string>()),
+                     parsed.at("attempt").get<std::string>(),
+                     ClaimState::kUnknown,
+                     {},
+                     parsed.value("body_bytes", std::size_t{0})};
+    const auto state = ParseState(parsed.at("state").get<std::string>());
+    if (!state) return Malformed();
+    claim.state = *state;
+    if (claim.state == ClaimState::kAnswered) {
+      auto content_type = DecodeBase64(parsed.at("content_type").get<std::string>());
+      auto body = DecodeBase64(parsed.at("body").get<std::string>());
+      if (!content_type || !body) return Malformed();
+      claim.answer = {parsed.at("status").get<int>(), std::move(*content_type), std::move(*body),
+                      parsed.at("version").get<ConfigVersion>()};
+    }
+    return claim;
+  } catch (const Json::exception&) {
+    return Malformed();
+  }
+}
+
+std::string OrderDigest(const ServiceCall& call) {
+  // Lengths keep two calls apart whose parts join to the same text.
+  std::string text;
+  Append(text, call.branch.value);
+  Append(text, call.team.value);
+  Append(text, call.method);
+  Append(text, call.path);
+  Append(text, call.content_type);
+  Append(text, call.body);
+  return SectionDigest(text);
+}
+
+Result<std::string> ClaimKey(const ServiceName& service, std::string_view idempotency_key) {
+  if (idempotency_key.empty() || idempotency_key.size() > kMaxOrderKeyBytes) {
+    return NotRun(ErrorCode::kInvalidArgument, "an idempotency key has 1 to 256 bytes");
+  }
+  return "/limpetfall/orders/" + Escape(service.value) + "/" + Escape(idempotency_key);
+}
+
+OrderClaim NewClaim(const ServiceCall& call, NodeId node, std::string attempt) {
+  return {OrderDigest(call), std::move(node), std::move(attempt), ClaimState::kClaimed, {}, 0};
+}
+
+OrderClaim ReleasedClaim(OrderClaim claim) {
+  claim.state = ClaimState::kReleased;
+  return claim;
+}
+
+OrderClaim SettledClaim(OrderClaim claim, const Result<ServiceAnswer>& result) {
+  if (!result) {
+    const Verdict verdict = result.error().verdict;
+    if (verdict == Verdict::kNotRun) return ReleasedClaim(std::move(claim));
+    claim.state = verdict == Verdict::kRan ? ClaimState::kRan : ClaimState::kUnknown;
+    return claim;
+  }
+  const ServiceAnswer& answer = result.value();
+  if (answer.body.size() > kMaxRecordedBodyBytes) {
+    claim.state = ClaimState::kRan;
+    claim.body_bytes = answer.body.size();
+    return claim;
+  }
+  claim.state = ClaimState::kAnswered;
+  claim.answer = answer;
+  return claim;
+}
+
+ClaimDecision DecideClaim(const OrderClaim& own, const OrderClaim& found, HolderState holder) {
+  if (found.digest != own.digest) {
+    return Reply(NotRun(ErrorCode::kConflict,
+                        "the idempotency key was used before with a different request"));
+  }
+  switch (found.state) {
+    case ClaimState::kClaimed:
+      if (found.attempt == own.attempt) return {ClaimStep::kDispatch, std::nullopt};
+      return DecideHeld(holder);
+    case ClaimState::kReleased:
+      return {ClaimStep::kTakeOver, std::nullopt};
+    case ClaimState::kAnswered:
+      return Reply(found.answer);
+    case ClaimState::kRan:
+      return Reply(AnswerNotRecorded(found.body_bytes));
+    case ClaimState::kUnknown:
+      break;
+  }
+  return Reply(MayHaveRun(ErrorCode::kUpstreamLost, "the order may have run"));
+}
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/daemon/pause.h
@@ -0,0 +1,15 @@
+#ifndef LIMPETFALL_DAEMON_PAUSE_H_
+#define LIMPETFALL_DAEMON_PAUSE_H_
+
+#include <boost/asio/awaitable.hpp>
+
+#include "limpetfall/time.h"
+
+namespace limpetfall::detail {
+
+/** Waits until `time`, or until the coroutine is cancelled. */
+boost::asio::awaitable<void> PauseUntil(TimePoint time);
+
+}  // namespace limpetfall::detail
+
+#endif  // LIMPETFALL_DAEMON_PAUSE_H_
