--- /dev/null
+++ b/src/daemon/config-sync.cc
@@ -0,0 +1,167 @@
+#include "daemon/config-sync.h"
+
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "base/log.h"
+
+namespace limpetfall {
+namespace {
+
+constexpr std::string_view kAnnouncementKey = "config/version";
+
+// An announcement is kept until a newer one replaces it.
+constexpr std::chrono::hours kAnnouncementLifetime{24};
+
+// A version whose sections other nodes have just written is fetched again after this time.
+constexpr Milliseconds kFetchTimeout{2000};
+
+// The operator's answer waits this long for the other nodes to say that the version is in force.
+constexpr Milliseconds kInForceWait{3000};
+constexpr Milliseconds kInForcePause{20};
+
+// A restarted node starts above every entry version of its former run.
+std::uint64_t FirstEntryVersion() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
+}
+
+}  // namespace
+
+ConfigSync::ConfigSync(Settings node_settings, std::shared_ptr<EtcdStore> store,
+                       std::shared_ptr<NodeContext> node_context,
+                       std::shared_ptr<SharedState> shared)
+    : settings(std::move(node_settings)),
+      context(std::move(node_context)),
+      state(std::move(shared)),
+      service(
+          std::move(store),
+          std::shared_ptr<ConfigState>(this->context, &this->context->config_state()),
+          this->settings.node, Milliseconds(this->settings.config_fresh_ms)),
+      confirmations(FirstEntryVersion()) {}
+
+boost::asio::awaitable<void> ConfigSync::Run() {
+  while (!this->stopped) {
+    const TimePoint next = Clock::now() + Milliseconds(this->settings.config_poll_ms);
+    co_await this->Poll();
+    this->TakeConfirmations();
+    this->ApplyIfNew();
+    this->Publish();
+    co_await detail::PauseUntil(next);
+  }
+}
+
+boost::asio::awaitable<void> ConfigSync::Poll() {
+  const Deadline deadline = Clock::now() + Milliseconds(this->settings.platform_timeout_ms);
+  auto loaded = co_await this->service.Load(deadline);
+  if (!loaded && loaded.error().code != ErrorCode::kNotFound) {
+    Log(LogLevel::kDebug, "config_poll_failed", {{"error", loaded.error().message}});
+  }
+}
+
+// A confirmation that comes from another node keeps that node's deadline, so that nodes cannot
+// extend each other's confirmations without the platform.
+void ConfigSync::TakeConfirmations() {
+  const TimePoint now = Clock::now();
+  for (const SharedEntry& entry : this->state->List(kFreshnessPrefix, now)) {
+    const auto* fresh = std::get_if<ConfigFreshness>(&entry.value);
+    if (fresh == nullptr || fresh->node == this->settings.node) continue;
+    this->context->config_state().Confirm(fresh->version, entry.expires);
+  }
+}
+
+SharedEntry ConfigSync::Announcement() {
+  const ConfigVersion version = this->context->config_state().version();
+  const std::string manifest = const_cast<ConfigSync*>(this)->service.sections().newest_manifest();
+  return {std::string(kAnnouncementKey), version, Clock::now() + kAnnouncementLifetime,
+          ConfigAnnouncement{version, manifest}};
+}
+
+void ConfigSync::Publish() {
+  const TimePoint now = Clock::now();
+  ConfigState& config = this->context->config_state();
+  if (config.version() == 0) return;
+  const auto known = this->state->Find(kAnnouncementKey, now);
+  if (!known || known->version < config.version()) {
+    this->state->Put(this->Announcement(), Urgency::kUrgent, now);
+  }
+  const Deadline until = config.confirmed_until();
+  if (until <= now) return;
+  const std::string key = std::string(kFreshnessPrefix) + this->settings.node.value;
+  const ConfigFreshness fresh{this->settings.node, config.version()};
+  const bool new_version = this->published.exchange(config.version()) != config.version();
+  const Urgency urgency = new_version ? Urgency::kUrgent : Urgency::kNormal;
+  this->state->Put({key, ++this->confirmations, until, fresh}, urgency, now);
+}
+
+void ConfigSync::ApplyIfNew() {
+  const auto document = this->context->config_state().Current();
+  const std::lock_guard lock(this->mutex);
+  if (!document || document->version <= this->applied) return;
+  this->applied = document->version;
+  Log(LogLevel::kInfo, "config_in_force", {{"version", document->version}});
+  if (this->on_change) this->on_change(*document);
+}
+
+boost::asio::awaitable<void> ConfigSync::Learn(ConfigAnnouncement announcement) {
+  ConfigState& config = this->context->config_state();
+  if (announcement.version <= config.version()) co_return;
+  config.Announce(announcement.version);
+  auto manifest = ParseManifest(announcement.manifest);
+  if (!manifest) co_return;
+  const std::vector<std::string> missing = this->service.sections().Missing(manifest.value());
+  const Deadline deadline = Clock::now() + kFetchTimeout;
+  if (!missing.empty() && this->nodes != nullptr) {
+    auto bodies = co_await this->nodes->FetchSections(missing, deadline);
+    for (auto& [digest, body] : bodies) this->service.sections().Add(digest, std::move(body));
+  }
+  auto adopted = this->service.AdoptFromCache(manifest.value());
+  // Without a peer that has the sections, the platform is the other source.
+  if (!adopted) co_await this->Poll();
+  this->TakeConfirmations();
+  this->ApplyIfNew();
+  this->Publish();
+}
+
+boost::asio::awaitable<Result<ConfigChange>> ConfigSync::Change(std::string document,
+                                                                ConfigVersion expected,
+                                                                Deadline deadline) {
+  if (!HasMajority(this->context->Contact(Clock::now()))) {
+    co_return NotRun(ErrorCode::kUnavailable,
+                     "this node does not reach a majority of the nodes, so it accepts no change");
+  }
+  auto outcome = co_await this->service.Accept(std::move(document), expected, deadline);
+  if (!outcome) co_return std::move(outcome).error();
+  ConfigChange change{outcome.value().accepted, outcome.value().version, {}};
+  if (!change.accepted) co_return change;
+  Log(LogLevel::kInfo, "config_accepted", {{"version", change.version}});
+  this->ApplyIfNew();
+  this->Publish();
+  SharedEntry announcement = this->Announcement();
+  co_await this->nodes->PushAndWait(std::move(announcement), deadline);
+  change.confirmed_by = co_await this->WaitInForce(change.version, deadline);
+  co_return change;
+}
+
+boost::asio::awaitable<std::vector<NodeId>> ConfigSync::WaitInForce(ConfigVersion version,
+                                                                    Deadline deadline) {
+  const Deadline until = std::min<Deadline>(deadline, Clock::now() + kInForceWait);
+  for (;;) {
+    const TimePoint now = Clock::now();
+    std::vector<NodeId> nodes{this->settings.node};
+    bool all = true;
+    for (const NodeInfo& member : this->nodes->ReachableMembers()) {
+      const auto entry = this->state->Find(std::string(kFreshnessPrefix) + member.node.value, now);
+      const auto* fresh = entry ? std::get_if<ConfigFreshness>(&entry->value) : nullptr;
+      const bool in_force = fresh != nullptr && fresh->version >= version;
+      if (in_force) nodes.push_back(member.node);
+      all = all && in_force;
+    }
+    if (all || now >= until) co_return nodes;
+    co_await detail::PauseUntil(now + kInForcePause);
+  }
+}
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/daemon/config-sync.h
@@ -0,0 +1,72 @@
+#ifndef LIMPETFALL_DAEMON_CONFIG_SYNC_H_
+#define LIMPETFALL_DAEMON_CONFIG_SYNC_H_
+
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/settings.h"
+#include "core/shared-state.h"
+#include "daemon/config-service.h"
+#include "daemon/node-context.h"
+#include "node/node-service.h"
+#include "operators/admin-api.h"
+#include "platform/etcd-store.h"
+
+namespace limpetfall {
+
+/**
+ * Keeps this node's document the newest one: polls the platform, takes newer versions from other
+ * nodes, passes confirmations on and brings operators' changes into force everywhere.
+ */
+class ConfigSync : public std::enable_shared_from_this<ConfigSync> {
+ public:
+  ConfigSync(Settings settings, std::shared_ptr<EtcdStore> store,
+             std::shared_ptr<NodeContext> context, std::shared_ptr<SharedState> state);
+
+  void SetNodeService(NodeService* node_service) { this->nodes = node_service; }
+
+  /** Called on the strand of `Run` whenever a newer document is in force. */
+  std::function<void(const VersionedDocument&)> on_change;
+
+  /** Polls until `Stop`. */
+  boost::asio::awaitable<void> Run();
+  void Stop() { this->stopped = true; }
+
+  /** Takes an announcement of a version from another node. */
+  boost::asio::awaitable<void> Learn(ConfigAnnouncement announcement);
+
+  boost::asio::awaitable<Result<ConfigChange>> Change(std::string document, ConfigVersion expected,
+                                                      Deadline deadline);
+
+  /** Sections that this node can give to others. */
+  [[nodiscard]] SectionBodies FindSections(const std::vector<std::string>& digests) {
+    return this->service.sections().Find(digests);
+  }
+
+ private:
+  boost::asio::awaitable<void> Poll();
+  void TakeConfirmations();
+  void Publish();
+  [[nodiscard]] SharedEntry Announcement();
+  boost::asio::awaitable<std::vector<NodeId>> WaitInForce(ConfigVersion version, Deadline deadline);
+  void ApplyIfNew();
+
+  Settings settings;
+  std::shared_ptr<NodeContext> context;
+  std::shared_ptr<SharedState> state;
+  ConfigService<EtcdStore> service;
+  NodeService* nodes = nullptr;
+  std::atomic<bool> stopped = false;
+  std::mutex mutex;
+  ConfigVersion applied = 0;
+  std::atomic<std::uint64_t> confirmations;
+  std::atomic<ConfigVersion> published = 0;
+};
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_DAEMON_CONFIG_SYNC_H_
--- /dev/null
+++ b/src/daemon/node-context.cc
@@ -0,0 +1,70 @@
+#include "daemon/node-context.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace limpetfall {
+
+void NodeContext::SetVms(std::vector<Vm> list) {
+  auto next = std::make_shared<const std::vector<Vm>>(std::move(list));
+  const std::lock_guard lock(this->mutex);
+  // Users compare the pointer to see whether the list has changed.
+  if (this->vms && *this->vms == *next) return;
+  this->vms = std::move(next);
+}
+
+std::shared_ptr<const std::vector<Vm>> NodeContext::Vms() const {
+  const std::lock_guard lock(this->mutex);
+  return this->vms;
+}
+
+bool NodeContext::OwnsDomain(const DomainId& domain) const {
+  return this->nodes->OwnerOf(domain) == this->settings.node;
+}
+
+NodeContact NodeContext::Contact(TimePoint now) const {
+  NodeContact contact;
+  contact.known = static_cast<int>(this->nodes->Members().size());
+  const std::vector<NodeInfo> reachable = this->nodes->ReachableMembers();
+  contact.reachable = 1 + static_cast<int>(reachable.size());
+  for (const NodeInfo& peer : reachable) {
+    const auto entry = this->state->Find(std::string(kFreshnessPrefix) + peer.node.value, now);
+    if (entry) contact.reachable_confirmed = true;
+  }
+  return contact;
+}
+
+bool NodeContext::IsAlive(const NodeId& node) const {
+  const std::vector<NodeInfo> members = this->nodes->Members();
+  return std::any_of(members.begin(), members.end(), [&](const NodeInfo& member) {
+    return member.node == node && member.state != MemberState::kDead;
+  });
+}
+
+AddressList NodeContext::AddressesFor(const ZoneId& zone) const {
+  std::vector<NodeInfo> members = this->nodes->Members();
+  std::erase_if(members, [](const NodeInfo& member) {
+    return member.state == MemberState::kDead || member.state == MemberState::kLeaving;
+  });
+  // A suspect node comes last: it may answer, but another is the better first choice.
+  auto rank = [&](const NodeInfo& member) {
+    return std::pair(member.state != MemberState::kAlive, member.zone != zone);
+  };
+  std::stable_sort(members.begin(), members.end(),
+                   [&](const NodeInfo& a, const NodeInfo& b) { return rank(a) < rank(b); });
+  AddressList list;
+  list.ttl_ms = this->settings.address_ttl_ms;
+  for (const NodeInfo& member : members) list.addresses.push_back(member.caller_address);
+  return list;
+}
+
+std::shared_ptr<const VersionedDocument> NodeContext::Current() const {
+  const TimePoint now = Clock::now();
+  // The contact with other nodes matters only after the confirmation has expired.
+  if (now >= this->config.confirmed_until() && !this->config.MayServeNow(this->Contact(now), now)) {
+    return nullptr;
+  }
+  return this->config.Current();
+}
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/daemon/node-context.h
@@ -0,0 +1,66 @@
+#ifndef LIMPETFALL_DAEMON_NODE_CONTEXT_H_
+#define LIMPETFALL_DAEMON_NODE_CONTEXT_H_
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/settings.h"
+#include "core/config-state.h"
+#include "core/shared-state.h"
+#include "core/types.h"
+#include "node/node-service.h"
+
+namespace limpetfall {
+
+/** Key prefix of the entries in which nodes say that their configuration is confirmed. */
+inline constexpr std::string_view kFreshnessPrefix = "fresh/";
+
+/**
+ * What this node knows of its surroundings: VM list, other nodes, configuration. Thread-safe.
+ * Models `OwnerContext` and `ConfigSource`.
+ */
+class NodeContext {
+ public:
+  NodeContext(Settings settings, std::shared_ptr<SharedState> state)
+      : settings(std::move(settings)), state(std::move(state)) {}
+
+  /** Called once, before any other use; the service lives as long as the node. */
+  void SetNodeService(const NodeService* service) { this->nodes = service; }
+
+  void SetVms(std::vector<Vm> list);
+  [[nodiscard]] std::shared_ptr<const std::vector<Vm>> Vms() const;
+
+  [[nodiscard]] bool OwnsDomain(const DomainId& domain) const;
+  [[nodiscard]] NodeContact Contact(TimePoint now) const;
+  [[nodiscard]] bool IsAlive(const NodeId& node) const;
+
+  /** Entry addresses for a caller: its own zone first, then the others. */
+  [[nodiscard]] AddressList AddressesFor(const ZoneId& zone) const;
+
+  /** The document in force, whether or not this node may serve. */
+  [[nodiscard]] std::shared_ptr<const VersionedDocument> ActiveDocument() const {
+    return this->config.Current();
+  }
+
+  /** The document in force, or null while this node must not serve. */
+  [[nodiscard]] std::shared_ptr<const VersionedDocument> Current() const;
+
+  [[nodiscard]] static TimePoint Now() { return Clock::now(); }
+
+  [[nodiscard]] ConfigState& config_state() { return this->config; }
+
+ private:
+  Settings settings;
+  std::shared_ptr<SharedState> state;
+  const NodeService* nodes = nullptr;
+  ConfigState config;
+  mutable std::mutex mutex;
+  std::shared_ptr<const std::vector<Vm>> vms;
+};
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_DAEMON_NODE_CONTEXT_H_
