Add the blocking client

Callers need the address list kept until its deadline, failover and the verdict rules in one place. The client streams completions, checks ids, indices and the end mark, and passes each token on once also when another node repeats the completion.

--- /dev/null
+++ b/include/limpetfall/client.h
@@ -0,0 +1,95 @@
+#ifndef LIMPETFALL_CLIENT_H_
+#define LIMPETFALL_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "limpetfall/result.h"
+#include "limpetfall/time.h"
+
+namespace limpetfall {
+
+struct ClientOptions {
+  std::vector<std::string> addresses;  ///< Entry nodes to ask first, "IP:port".
+  std::string zone;                    ///< The caller's availability zone; may be empty.
+  std::string branch;
+  std::string team;
+  bool ask_for_addresses = true;  ///< False sends only to `addresses`.
+  int max_attempts = 3;
+  Milliseconds connect_timeout{1000};
+  Milliseconds silence_timeout{15000};  ///< A stream that is silent for this long is given up.
+};
+
+struct CompletionCall {
+  std::string model;
+  std::string prompt;
+  int max_tokens = 64;
+  std::uint64_t seed = 0;
+  std::string priority;  ///< "high", "normal", "low" or empty.
+  Deadline deadline;
+};
+
+struct Completion {
+  std::string request_id;
+  std::string text;
+  int tokens = 0;
+  std::uint64_t config_version = 0;
+
+  friend bool operator==(const Completion&, const Completion&) = default;
+};
+
+struct ServiceReply {
+  int status = 0;
+  std::string content_type;
+  std::string body;
+  std::uint64_t config_version = 0;
+
+  friend bool operator==(const ServiceReply&, const ServiceReply&) = default;
+};
+
+/** Receives each token of a completion once, in order. */
+using TokenCallback = std::function<void(std::string_view token)>;
+
+/**
+ * Blocking client of limpetfall. Asks the system for its addresses, keeps the answer until its
+ * deadline, connects to the best address and fails over to others. A request is sent again only if
+ * it certainly did not run or may be repeated. Use one client for each thread.
+ *
+ *     auto client = Client::Create({{"10.0.0.1:8080"}, "ennis", "maps", "councils"});
+ *     auto answer = client.value()->Complete(call, [](auto token) { std::cout << token; });
+ */
+class Client {
+ public:
+  static Result<std::unique_ptr<Client>> Create(ClientOptions options);
+
+  virtual ~Client() = default;
+
+  /**
+   * Runs a completion and passes its tokens on as they arrive. The result is a success only if the
+   * completion arrived whole; tokens that were passed on before an error do not count.
+   */
+  virtual Result<Completion> Complete(const CompletionCall& call,
+                                      const TokenCallback& on_token) = 0;
+
+  /** Calls a plain service. `idempotent` says that the call may be repeated. */
+  virtual Result<ServiceReply> CallService(const std::string& service, const std::string& method,
+                                           const std::string& path, const std::string& body,
+                                           bool idempotent, Deadline deadline) = 0;
+
+  /**
+   * Places an order that must run at most once. The key identifies it: when the connection is lost,
+   * the client asks again under the same key and gets the outcome of the first attempt.
+   */
+  virtual Result<ServiceReply> PlaceOrder(const std::string& service, const std::string& path,
+                                          const std::string& body,
+                                          const std::string& idempotency_key,
+                                          Deadline deadline) = 0;
+};
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_CLIENT_H_
--- /dev/null
+++ b/src/client/blocking-http.cc
@@ -0,0 +1,161 @@
+#include "client/blocking-http.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+
+namespace limpetfall {
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = 8 << 20;
+
+struct Transfer {
+  CURL* handle = nullptr;
+  const BlockingHttp::BodyCallback* on_body = nullptr;
+  HttpResponse response;
+};
+
+int StatusOf(CURL* handle) {
+  long status = 0;
+  curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+  return static_cast<int>(status);
+}
+
+std::size_t OnBody(char* data, std::size_t, std::size_t size, void* user) {
+  auto& transfer = *static_cast<Transfer*>(user);
+  const std::string_view bytes(data, size);
+  if (*transfer.on_body) {
+    return (*transfer.on_body)(StatusOf(transfer.handle), bytes) ? size : 0;
+  }
+  if (transfer.response.body.size() + size > kMaxBodyBytes) return 0;
+  transfer.response.body.append(bytes);
+  return size;
+}
+
+std::string_view Trim(std::string_view text) {
+  const auto first = text.find_first_not_of(" \t\r\n");
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+std::size_t OnHeader(char* data, std::size_t, std::size_t size, void* user) {
+  auto& headers = static_cast<Transfer*>(user)->response.headers;
+  const std::string_view line(data, size);
+  if (line.starts_with("HTTP/")) headers.clear();
+  if (auto colon = line.find(':'); colon != std::string_view::npos) {
+    headers[std::string(Trim(line.substr(0, colon)))] = Trim(line.substr(colon + 1));
+  }
+  return size;
+}
+
+struct HeaderList {
+  curl_slist* list = nullptr;
+
+  HeaderList() = default;
+  HeaderList(const HeaderList&) = delete;
+  HeaderList& operator=(const HeaderList&) = delete;
+  ~HeaderList() { curl_slist_free_all(this->list); }
+  void Add(const std::string& line) { this->list = curl_slist_append(this->list, line.c_str()); }
+};
+
+class BlockingHttpImpl final : public BlockingHttp {
+ public:
+  explicit BlockingHttpImpl(CURL* curl) : handle(curl) {}
+  ~BlockingHttpImpl() override { curl_easy_cleanup(this->handle); }
+  BlockingHttpImpl(const BlockingHttpImpl&) = delete;
+  BlockingHttpImpl& operator=(const BlockingHttpImpl&) = delete;
+
+  Result<HttpResponse> Send(const HttpRequest& request, const BlockingHttpOptions& options,
+                            Deadline deadline, const BodyCallback& on_body) override;
+
+ private:
+  void SetRequest(const HttpRequest& request, const HeaderList& headers);
+  void SetLimits(const BlockingHttpOptions& options, Milliseconds left);
+  [[nodiscard]] Error ErrorOf(CURLcode code, const std::string& address) const;
+
+  CURL* handle;
+};
+
+void BlockingHttpImpl::SetRequest(const HttpRequest& request, const HeaderList& headers) {
+  curl_easy_setopt(this->handle, CURLOPT_URL,
+                   ("http://" + request.address + request.target).c_str());
+  curl_easy_setopt(this->handle, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(this->handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(this->handle, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(this->handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(this->handle, CURLOPT_HTTPHEADER, headers.list);
+  if (request.method == "HEAD") {
+    curl_easy_setopt(this->handle, CURLOPT_NOBODY, 1L);
+  } else if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+    curl_easy_setopt(this->handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(this->handle, CURLOPT_POSTFIELDS, request.body.data());
+    curl_easy_setopt(this->handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+    curl_easy_setopt(this->handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  } else {
+    curl_easy_setopt(this->handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  }
+}
+
+void BlockingHttpImpl::SetLimits(const BlockingHttpOptions& options, Milliseconds left) {
+  curl_easy_setopt(this->handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(this->handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(this->handle, CURLOPT_TIMEOUT_MS, static_cast<long>(left.count()));
+  curl_easy_setopt(this->handle, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(std::min(left, options.connect_timeout).count()));
+  if (options.silence_timeout.count() > 0) {
+    const long seconds = std::max<long>(1, options.silence_timeout.count() / 1000);
+    curl_easy_setopt(this->handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
+    curl_easy_setopt(this->handle, CURLOPT_LOW_SPEED_TIME, seconds);
+  }
+  if (options.new_connection) {
+    // libcurl sends a request again when a reused connection turns out to be closed.
+    curl_easy_setopt(this->handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(this->handle, CURLOPT_FORBID_REUSE, 1L);
+  }
+}
+
+Error BlockingHttpImpl::ErrorOf(CURLcode code, const std::string& address) const {
+  const std::string message = address + ": " + curl_easy_strerror(code);
+  long sent = 0;
+  curl_easy_getinfo(this->handle, CURLINFO_REQUEST_SIZE, &sent);
+  const Verdict verdict = sent == 0 ? Verdict::kNotRun : Verdict::kMayHaveRun;
+  const bool timed_out = code == CURLE_OPERATION_TIMEDOUT && verdict != Verdict::kNotRun;
+  return {timed_out ? ErrorCode::kDeadlineExceeded : ErrorCode::kUnavailable, message, verdict};
+}
+
+Result<HttpResponse> BlockingHttpImpl::Send(const HttpRequest& request,
+                                            const BlockingHttpOptions& options, Deadline deadline,
+                                            const BodyCallback& on_body) {
+  const Milliseconds left = TimeLeft(deadline, Clock::now());
+  if (left.count() == 0) return NotRun(ErrorCode::kDeadlineExceeded, "the deadline has passed");
+  HeaderList headers;
+  headers.Add("Expect:");  // Bodies are small; waiting for "100 Continue" costs a round trip.
+  for (const auto& [name, value] : request.headers) headers.Add(name + ": " + value);
+  Transfer transfer{this->handle, &on_body, {}};
+  curl_easy_reset(this->handle);
+  this->SetRequest(request, headers);
+  this->SetLimits(options, left);
+  curl_easy_setopt(this->handle, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(this->handle, CURLOPT_WRITEDATA, &transfer);
+  curl_easy_setopt(this->handle, CURLOPT_HEADERFUNCTION, OnHeader);
+  curl_easy_setopt(this->handle, CURLOPT_HEADERDATA, &transfer);
+  const CURLcode code = curl_easy_perform(this->handle);
+  if (code != CURLE_OK) return this->ErrorOf(code, request.address);
+  transfer.response.status = StatusOf(this->handle);
+  return std::move(transfer.response);
+}
+
+}  // namespace
+
+Result<std::unique_ptr<BlockingHttp>> BlockingHttp::Create() {
+  static std::once_flag once;
+  std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+  CURL* handle = curl_easy_init();
+  if (handle == nullptr) return NotRun(ErrorCode::kInternal, "libcurl cannot be initialized");
+  return std::unique_ptr<BlockingHttp>(std::make_unique<BlockingHttpImpl>(handle));
+}
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/client/completion-reader.cc
@@ -0,0 +1,117 @@
+#include "client/completion-reader.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace limpetfall {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kMaxLineBytes = 1 << 20;
+
+std::optional<ErrorCode> ParseErrorCode(std::string_view text) {
+  for (int value = 0; value <= static_cast<int>(ErrorCode::kInternal); ++value) {
+    const auto code = static_cast<ErrorCode>(value);
+    if (ToString(code) == text) return code;
+  }
+  return std::nullopt;
+}
+
+std::string StringMember(const Json& object, const char* name) {
+  auto found = object.find(name);
+  return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+}  // namespace
+
+Error ParseErrorBody(std::string_view body, Error fallback) {
+  const Json json = Json::parse(body, nullptr, false);
+  if (!json.is_object() || !json.contains("error") || !json["error"].is_object()) return fallback;
+  const Json& error = json["error"];
+  if (auto code = ParseErrorCode(StringMember(error, "code"))) fallback.code = *code;
+  if (auto verdict = ParseVerdict(StringMember(error, "verdict"))) fallback.verdict = *verdict;
+  if (auto message = StringMember(error, "message"); !message.empty()) fallback.message = message;
+  return fallback;
+}
+
+bool CompletionReader::Fail(std::string message) {
+  this->failure = MayHaveRun(ErrorCode::kUpstreamProtocol, std::move(message));
+  return false;
+}
+
+bool CompletionReader::Add(std::string_view bytes) {
+  this->buffer.append(bytes);
+  std::size_t start = 0;
+  for (auto end = this->buffer.find('\n'); end != std::string::npos;
+       end = this->buffer.find('\n', start)) {
+    std::string_view line = std::string_view(this->buffer).substr(start, end - start);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (!this->OnLine(line)) return false;
+    start = end + 1;
+  }
+  this->buffer.erase(0, start);
+  return this->buffer.size() <= kMaxLineBytes || this->Fail("an event is too long");
+}
+
+bool CompletionReader::OnLine(std::string_view line) {
+  if (line.empty()) return this->OnEvent();
+  if (line.starts_with("event: ")) this->event = line.substr(7);
+  if (line.starts_with("data: ")) this->data += line.substr(6);
+  return true;
+}
+
+bool CompletionReader::OnEvent() {
+  const std::string name = std::exchange(this->event, {});
+  const std::string body = std::exchange(this->data, {});
+  if (body.empty() && name.empty()) return true;
+  if (name == "error") {
+    this->failure = ParseErrorBody(body, MayHaveRun(ErrorCode::kInternal, "unreadable error"));
+    return false;
+  }
+  if (this->done) return this->Fail("data after the end mark");
+  if (body == "[DONE]") {
+    if (this->next_index < this->passed_on->size()) {
+      this->tokens_differ = true;
+      return this->Fail("the repeated completion is shorter than before");
+    }
+    this->done = true;
+    return true;
+  }
+  const Json json = Json::parse(body, nullptr, false);
+  if (!json.is_object()) return this->Fail("an event is not a JSON object");
+  if (StringMember(json, "id") != this->request_id) {
+    return this->Fail("an event belongs to another request");
+  }
+  const auto index = json.find("token_index");
+  if (index == json.end() || !index->is_number_unsigned() || *index != this->next_index) {
+    return this->Fail("a token is missing or repeated");
+  }
+  const auto choices = json.find("choices");
+  if (choices == json.end() || !choices->is_array() || choices->size() != 1 ||
+      !choices->front().is_object() || !choices->front().contains("text") ||
+      !choices->front()["text"].is_string()) {
+    return this->Fail("an event has no text");
+  }
+  return this->OnToken(choices->front()["text"].get<std::string>());
+}
+
+bool CompletionReader::OnToken(std::string text) {
+  const std::size_t index = this->next_index++;
+  if (index < this->passed_on->size()) {
+    if ((*this->passed_on)[index] == text) return true;
+    this->tokens_differ = true;
+    return this->Fail("the repeated completion differs from the tokens passed on before");
+  }
+  this->passed_on->push_back(std::move(text));
+  if (this->on_token) this->on_token(this->passed_on->back());
+  return true;
+}
+
+Result<void> CompletionReader::Finish() const {
+  if (this->failure) return *this->failure;
+  if (this->done) return success();
+  return MayHaveRun(ErrorCode::kUpstreamProtocol, "the stream ended without an end mark");
+}
+
+}  // namespace limpetfall
--- a/src/daemon/dispatcher-impl.h
+++ b/src/daemon/dispatcher-impl.h
@@ -192,7 +192,7 @@
   if (failure.cause == Cause::kRefused) {
     run->trial = audit.Settle();
     if (failure.error.code == ErrorCode::kUnavailable) {
-      this->parts.groups->Suspend(group, this->time.Now() + this->options.suspend_time);
+      this->parts.groups->Suspend(group, this->time.Now() + this->options.refusal_pause);
     }
     co_return failure;
   }
