--- /dev/null
+++ b/src/tool/admin-commands.cc
@@ -0,0 +1,184 @@
+#include "tool/admin-commands.h"
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "base/settings.h"
+#include "client/blocking-http.h"
+#include "client/completion-reader.h"
+#include "core/config-document.h"
+#include "tool/arguments.h"
+
+namespace limpetfall {
+namespace {
+
+using Json = nlohmann::json;
+
+// Accepting a document waits for the store and for the other nodes.
+constexpr Milliseconds kAdminTimeout{15000};
+
+/** The option that names the administration address of a node. */
+class AdminArgument {
+ public:
+  explicit AdminArgument(TCLAP::CmdLine& line)
+      : argument("a", "admin", "administration address of a node", true, "", "IP:port", line) {}
+
+  Result<HttpResponse> Send(const std::string& method, const std::string& target, std::string body,
+                            Headers headers) {
+    BOOST_OUTCOME_TRY(auto http, BlockingHttp::Create());
+    HttpRequest request;
+    request.method = method;
+    request.address = this->argument.getValue();
+    request.target = target;
+    request.headers = std::move(headers);
+    request.body = std::move(body);
+    if (!request.body.empty()) request.headers["Content-Type"] = "application/json";
+    return http->Send(request, {}, Clock::now() + kAdminTimeout, {});
+  }
+
+ private:
+  TCLAP::ValueArg<std::string> argument;
+};
+
+std::string Pretty(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  return json.is_discarded() ? text : json.dump(2, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string HeaderValue(const HttpResponse& response, const std::string& name) {
+  auto found = response.headers.find(name);
+  return found == response.headers.end() ? std::string() : found->second;
+}
+
+// A node's answer to a change carries faults and versions that the operator needs to see.
+ExitCode FailWith(const HttpResponse& response) {
+  Error fallback =
+      MayHaveRun(ErrorCode::kInternal, "the node answered " + std::to_string(response.status));
+  if (response.status >= 400 && response.status < 500) fallback.verdict = Verdict::kNotRun;
+  if (response.status == 409) fallback.code = ErrorCode::kConflict;
+  if (auto verdict = ParseVerdict(HeaderValue(response, "X-Verdict"))) fallback.verdict = *verdict;
+  const Json json = Json::parse(response.body, nullptr, false);
+  if (json.is_object() && json.contains("faults")) {
+    for (const Json& fault : json["faults"]) {
+      std::cerr << fault.value("pointer", "") << ": " << fault.value("problem", "") << "\n";
+    }
+  }
+  return Fail(ParseErrorBody(response.body, fallback));
+}
+
+ExitCode Print(const Result<HttpResponse>& response) {
+  if (!response) return Fail(response.error());
+  if (response.value().status / 100 != 2) return FailWith(response.value());
+  std::cout << Pretty(response.value().body) << "\n";
+  return ExitCode::kSuccess;
+}
+
+/** Reads a document and prints every fault; an error means that it cannot be used. */
+Result<Document> LoadDocument(const std::string& path) {
+  BOOST_OUTCOME_TRY(auto text, ReadFile(path));
+  DocumentCheck check = CheckDocument(text);
+  for (const DocumentFault& fault : check.faults) {
+    std::cerr << path << ": " << (fault.pointer.empty() ? "/" : fault.pointer) << ": "
+              << fault.problem << "\n";
+  }
+  if (check.faults.empty()) return std::move(check.document);
+  return NotRun(ErrorCode::kInvalidArgument,
+                path + " has " + std::to_string(check.faults.size()) + " faults");
+}
+
+}  // namespace
+
+ExitCode SettingsCheck(const Arguments& arguments) {
+  TCLAP::CmdLine line("Checks a settings file of a node.", ' ', std::string(kVersion));
+  TCLAP::UnlabeledValueArg<std::string> file("file", "TOML file", true, "", "FILE", line);
+  if (auto done = Parse(line, "settings check", arguments)) return *done;
+  if (auto settings = LoadSettings(file.getValue()); !settings) {
+    std::cerr << settings.error().message << "\n";
+    return ExitCode::kFailure;
+  }
+  std::cout << file.getValue() << ": valid\n";
+  return ExitCode::kSuccess;
+}
+
+ExitCode ConfigCheck(const Arguments& arguments) {
+  TCLAP::CmdLine line("Checks a configuration document and lists every fault.", ' ',
+                      std::string(kVersion));
+  TCLAP::UnlabeledValueArg<std::string> file("file", "JSON document", true, "", "FILE", line);
+  if (auto done = Parse(line, "config check", arguments)) return *done;
+  if (!LoadDocument(file.getValue())) return ExitCode::kFailure;
+  std::cout << file.getValue() << ": valid\n";
+  return ExitCode::kSuccess;
+}
+
+ExitCode ConfigApply(const Arguments& arguments) {
+  TCLAP::CmdLine line(
+      "Puts a document in force. Refused with exit code 5 if another version than the one named "
+      "by --if-version is in force.",
+      ' ', std::string(kVersion));
+  AdminArgument admin(line);
+  TCLAP::ValueArg<std::uint64_t> version("i", "if-version",
+                                         "version that the change was made from; 0 for the first",
+                                         true, 0, "VERSION", line);
+  TCLAP::UnlabeledValueArg<std::string> file("file", "JSON document", true, "", "FILE", line);
+  if (auto done = Parse(line, "config apply", arguments)) return *done;
+  auto document = LoadDocument(file.getValue());
+  if (!document) return Fail(document.error());
+  return Print(admin.Send("PUT", "/admin/config", SerializeDocument(document.value()),
+                          {{"If-Match", "\"" + std::to_string(version.getValue()) + "\""}}));
+}
+
+ExitCode ConfigShow(const Arguments& arguments) {
+  TCLAP::CmdLine line("Prints the document in force; its version goes to standard error.", ' ',
+                      std::string(kVersion));
+  AdminArgument admin(line);
+  if (auto done = Parse(line, "config show", arguments)) return *done;
+  const auto response = admin.Send("GET", "/admin/config", "", {});
+  if (response && response.value().status == 200) {
+    std::cerr << "version " << HeaderValue(response.value(), "X-Config-Version") << "\n";
+  }
+  return Print(response);
+}
+
+ExitCode ConfigDiff(const Arguments& arguments) {
+  TCLAP::CmdLine line(
+      "Lists what applying a document would change, one operation of a JSON patch a line.", ' ',
+      std::string(kVersion));
+  AdminArgument admin(line);
+  TCLAP::UnlabeledValueArg<std::string> file("file", "JSON document", true, "", "FILE", line);
+  if (auto done = Parse(line, "config diff", arguments)) return *done;
+  const auto document = LoadDocument(file.getValue());
+  if (!document) return ExitCode::kFailure;
+  const auto response = admin.Send("GET", "/admin/config", "", {});
+  if (!response) return Fail(response.error());
+  if (response.value().status != 200) return FailWith(response.value());
+  const Json current = Json::parse(response.value().body, nullptr, false);
+  const Json wanted = Json::parse(SerializeDocument(document.value()));
+  std::cerr << "version " << HeaderValue(response.value(), "X-Config-Version") << "\n";
+  for (const Json& change : Json::diff(current, wanted)) std::cout << change.dump() << "\n";
+  return ExitCode::kSuccess;
+}
+
+ExitCode Status(const Arguments& arguments) {
+  TCLAP::CmdLine line("Prints the state of a node as JSON.", ' ', std::string(kVersion));
+  AdminArgument admin(line);
+  if (auto done = Parse(line, "status", arguments)) return *done;
+  return Print(admin.Send("GET", "/admin/status", "", {}));
+}
+
+ExitCode DrainNode(const Arguments& arguments) {
+  TCLAP::CmdLine line("Starts the planned stop of a node.", ' ', std::string(kVersion));
+  AdminArgument admin(line);
+  if (auto done = Parse(line, "drain node", arguments)) return *done;
+  return Print(admin.Send("POST", "/admin/drain", "", {}));
+}
+
+ExitCode DrainVm(const Arguments& arguments) {
+  TCLAP::CmdLine line("Moves the work of a VM elsewhere before it is stopped.", ' ',
+                      std::string(kVersion));
+  AdminArgument admin(line);
+  TCLAP::UnlabeledValueArg<std::string> vm("vm", "id in the VM list", true, "", "VM", line);
+  if (auto done = Parse(line, "drain vm", arguments)) return *done;
+  return Print(admin.Send("POST", "/admin/vms/" + vm.getValue() + "/drain", "", {}));
+}
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/tool/load-command.cc
@@ -0,0 +1,323 @@
+#include "tool/load-command.h"
+
+#include <algorithm>
+#include <atomic>
+#include <charconv>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <thread>
+
+#include "limpetfall/client.h"
+#include "tool/arguments.h"
+
+namespace limpetfall {
+namespace {
+
+using Json = nlohmann::json;
+
+// Bounds that keep a mistyped plan from running for hours or using up the machine's threads.
+constexpr double kMaxSeconds = 600;
+constexpr double kMaxRequests = 1e6;
+constexpr int kMaxThreads = 1024;
+
+// A request that starts this late has waited for a free thread, so the load was not open-loop.
+constexpr Milliseconds kLateStart{20};
+
+// The beginnings of prompts are longer than what routing compares.
+constexpr std::size_t kPrefixBytes = 320;
+
+double Seconds(Clock::duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+/** How one request went. Times are in seconds from its planned arrival. */
+struct Outcome {
+  std::size_t team = 0;
+  bool late_start = false;
+  bool useful = false;
+  int tokens = 0;
+  double first_token = -1;
+  double total = 0;
+  double longest_gap = 0;
+  ErrorCode code = ErrorCode::kInternal;
+  Verdict verdict = Verdict::kRan;
+};
+
+std::string PromptOf(const Arrival& arrival, std::size_t number) {
+  std::string prompt = "Style sheet " + std::to_string(arrival.prefix) + ". ";
+  while (prompt.size() < kPrefixBytes) prompt += "Fold along the marked line. ";
+  return prompt + "Request " + std::to_string(number);
+}
+
+/** One thread of the load; all threads take arrivals from one list. */
+class Worker {
+ public:
+  Worker(const LoadPlan& plan, const std::vector<Arrival>& arrivals, std::atomic<std::size_t>& next,
+         TimePoint start)
+      : plan(plan), arrivals(arrivals), next(next), start(start) {}
+
+  std::vector<Outcome> Run() {
+    for (std::size_t i = this->next++; i < this->arrivals.size(); i = this->next++) {
+      const auto offset = std::chrono::duration<double>(this->arrivals[i].at_seconds);
+      const TimePoint due = this->start + std::chrono::duration_cast<Clock::duration>(offset);
+      std::this_thread::sleep_until(due);
+      this->outcomes.push_back(this->Send(i, due));
+    }
+    return std::move(this->outcomes);
+  }
+
+ private:
+  Client& ClientOf(std::size_t team) {
+    auto& client = this->clients[team];
+    if (!client) {
+      ClientOptions options;
+      options.addresses = this->plan.addresses;
+      options.branch = this->plan.branch;
+      options.team = this->plan.teams[team].first;
+      options.ask_for_addresses = false;
+      options.max_attempts = this->plan.attempts;
+      client = std::move(Client::Create(std::move(options))).value();
+    }
+    return *client;
+  }
+
+  Outcome Send(std::size_t number, TimePoint due) {
+    const Arrival& arrival = this->arrivals[number];
+    CompletionCall call;
+    call.model = this->plan.model;
+    call.prompt = PromptOf(arrival, number);
+    call.max_tokens = this->plan.max_tokens;
+    call.seed = number;
+    call.deadline = due + this->plan.request_time;
+
+    Outcome outcome;
+    outcome.team = arrival.team;
+    outcome.late_start = Clock::now() > due + kLateStart;
+    TimePoint last = due;
+    const auto completion = this->ClientOf(arrival.team).Complete(call, [&](std::string_view) {
+      const TimePoint now = Clock::now();
+      if (outcome.first_token < 0) {
+        outcome.first_token = Seconds(now - due);
+      } else {
+        outcome.longest_gap = std::max(outcome.longest_gap, Seconds(now - last));
+      }
+      last = now;
+      ++outcome.tokens;
+    });
+    outcome.total = Seconds(Clock::now() - due);
+    outcome.useful = completion.has_value();
+    if (!completion) {
+      outcome.code = completion.error().code;
+      outcome.verdict = completion.error().verdict;
+    }
+    return outcome;
+  }
+
+  const LoadPlan& plan;
+  const std::vector<Arrival>& arrivals;
+  std::atomic<std::size_t>& next;
+  TimePoint start;
+  std::map<std::size_t, std::unique_ptr<Client>> clients;
+  std::vector<Outcome> outcomes;
+};
+
+Json Percentiles(std::vector<double> values) {
+  if (values.empty()) return nullptr;
+  std::sort(values.begin(), values.end());
+  const auto at = [&](double share) {
+    const auto last = static_cast<double>(values.size() - 1);
+    return values[static_cast<std::size_t>(share * last + 0.5)];
+  };
+  return {{"p50", at(0.5)}, {"p95", at(0.95)}, {"p99", at(0.99)}, {"max", values.back()}};
+}
+
+Json TeamReport(const LoadPlan& plan, const std::vector<Outcome>& outcomes, double useful_total) {
+  Json teams = Json::object();
+  for (std::size_t team = 0; team < plan.teams.size(); ++team) {
+    double sent = 0;
+    double useful = 0;
+    for (const Outcome& outcome : outcomes) {
+      if (outcome.team != team) continue;
+      ++sent;
+      if (outcome.useful) ++useful;
+    }
+    teams[plan.teams[team].first] = {{"sent", sent},
+                                     {"useful", useful},
+                                     {"share", useful_total > 0 ? useful / useful_total : 0}};
+  }
+  return teams;
+}
+
+Json Report(const LoadPlan& plan, const std::vector<Outcome>& outcomes, double elapsed) {
+  std::vector<double> first_tokens;
+  std::vector<double> totals;
+  std::vector<double> gaps;
+  std::map<std::string, int> by_verdict;
+  std::map<std::string, int> by_code;
+  double useful = 0;
+  double tokens = 0;
+  int late = 0;
+  for (const Outcome& outcome : outcomes) {
+    late += outcome.late_start ? 1 : 0;
+    if (!outcome.useful) {
+      ++by_verdict[std::string(ToString(outcome.verdict))];
+      ++by_code[std::string(ToString(outcome.code))];
+      continue;
+    }
+    ++useful;
+    tokens += outcome.tokens;
+    totals.push_back(outcome.total);
+    if (outcome.first_token >= 0) first_tokens.push_back(outcome.first_token);
+    if (outcome.tokens > 1) gaps.push_back(outcome.longest_gap);
+  }
+  return {{"seed", plan.seed},
+          {"planned_requests_per_second", plan.requests_per_second},
+          {"elapsed_seconds", elapsed},
+          {"sent", outcomes.size()},
+          {"late_starts", late},
+          {"useful", useful},
+          {"useful_per_second", useful / elapsed},
+          {"tokens_per_second", tokens / elapsed},
+          {"first_token_seconds", Percentiles(std::move(first_tokens))},
+          {"longest_gap_seconds", Percentiles(std::move(gaps))},
+          {"total_seconds", Percentiles(std::move(totals))},
+          {"teams", TeamReport(plan, outcomes, useful)},
+          {"errors_by_verdict", by_verdict},
+          {"errors_by_code", by_code}};
+}
+
+Result<void> CheckPlan(const LoadPlan& plan) {
+  const auto wrong = [](const std::string& text) {
+    return NotRun(ErrorCode::kInvalidArgument, text);
+  };
+  if (plan.seconds <= 0 || plan.seconds > kMaxSeconds) {
+    return wrong("the duration must be above 0 and at most 600 s");
+  }
+  if (plan.requests_per_second <= 0 || plan.requests_per_second * plan.seconds > kMaxRequests) {
+    return wrong("the rate must be above 0, and a run sends at most 1000000 requests");
+  }
+  if (plan.threads < 1 || plan.threads > kMaxThreads) {
+    return wrong("the number of threads must be between 1 and 1024");
+  }
+  if (plan.prefixes < 1 || plan.max_tokens < 1 || plan.attempts < 1) {
+    return wrong("prefixes, tokens and attempts must be at least 1");
+  }
+  if (plan.teams.empty()) return wrong("the mix names no team");
+  return success();
+}
+
+}  // namespace
+
+Result<std::vector<std::pair<std::string, double>>> ParseTeamMix(const std::string& text) {
+  std::vector<std::pair<std::string, double>> teams;
+  std::size_t start = 0;
+  while (start <= text.size()) {
+    const std::size_t end = std::min(text.find(',', start), text.size());
+    const std::string part = text.substr(start, end - start);
+    const std::size_t equals = std::min(part.find('='), part.size());
+    double share = 1;
+    if (equals < part.size()) {
+      const char* last = part.data() + part.size();
+      const auto [stop, error] = std::from_chars(part.data() + equals + 1, last, share);
+      if (error != std::errc() || stop != last || !(share > 0)) {
+        return NotRun(ErrorCode::kInvalidArgument, "\"" + part + "\" has no share above 0");
+      }
+    }
+    if (equals == 0) {
+      return NotRun(ErrorCode::kInvalidArgument, "\"" + part + "\" names no team");
+    }
+    teams.emplace_back(part.substr(0, equals), share);
+    start = end + 1;
+  }
+  return teams;
+}
+
+std::vector<Arrival> PlanArrivals(const LoadPlan& plan) {
+  std::mt19937_64 random(plan.seed);
+  std::exponential_distribution<double> gap(plan.requests_per_second);
+  std::vector<double> shares;
+  for (const auto& [name, share] : plan.teams) shares.push_back(share);
+  std::discrete_distribution<std::size_t> team(shares.begin(), shares.end());
+  std::uniform_int_distribution<int> prefix(0, plan.prefixes - 1);
+  std::vector<Arrival> arrivals;
+  for (double at = gap(random); at < plan.seconds; at += gap(random)) {
+    arrivals.push_back({at, team(random), prefix(random)});
+  }
+  return arrivals;
+}
+
+Result<std::string> RunLoad(const LoadPlan& plan) {
+  BOOST_OUTCOME_TRY(CheckPlan(plan));
+  const std::vector<Arrival> arrivals = PlanArrivals(plan);
+  std::atomic<std::size_t> next{0};
+  const TimePoint start = Clock::now() + Milliseconds(50);
+  std::vector<std::vector<Outcome>> parts(static_cast<std::size_t>(plan.threads));
+  {
+    std::vector<std::jthread> threads;
+    for (auto& part : parts) {
+      threads.emplace_back([&] { part = Worker(plan, arrivals, next, start).Run(); });
+    }
+  }
+  const double elapsed = std::max(plan.seconds, Seconds(Clock::now() - start));
+  std::vector<Outcome> outcomes;
+  for (const auto& part : parts) outcomes.insert(outcomes.end(), part.begin(), part.end());
+  return Report(plan, outcomes, elapsed).dump(2);
+}
+
+ExitCode Load(const Arguments& arguments) {
+  TCLAP::CmdLine line(
+      "Sends completions at a fixed rate, whether or not earlier ones have ended, and prints a "
+      "report as JSON.",
+      ' ', std::string(kVersion));
+  TCLAP::MultiArg<std::string> addresses("a", "address", "entry address; may be repeated", true,
+                                         "IP:port", line);
+  TCLAP::ValueArg<std::string> branch("b", "branch", "branch", true, "", "BRANCH", line);
+  TCLAP::ValueArg<std::string> model("m", "model", "model", true, "", "MODEL", line);
+  TCLAP::ValueArg<std::string> teams("t", "teams", "teams and their shares of the requests", true,
+                                     "", "NAME=SHARE,...", line);
+  LoadPlan plan;
+  TCLAP::ValueArg<double> rate("r", "rate", "requests per second", false, plan.requests_per_second,
+                               "N", line);
+  TCLAP::ValueArg<double> seconds("s", "seconds", "duration, at most 600", false, plan.seconds, "N",
+                                  line);
+  TCLAP::ValueArg<int> threads("j", "threads", "most requests at a time", false, plan.threads, "N",
+                               line);
+  TCLAP::ValueArg<int> tokens("n", "max-tokens", "longest completion", false, plan.max_tokens, "N",
+                              line);
+  TCLAP::ValueArg<int> prefixes("p", "prefixes", "distinct beginnings of prompts", false,
+                                plan.prefixes, "N", line);
+  TCLAP::ValueArg<std::int64_t> deadline("d", "deadline-ms", "time for each request", false,
+                                         plan.request_time.count(), "MS", line);
+  TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of the arrivals", false, plan.seed, "N",
+                                      line);
+  TCLAP::ValueArg<int> attempts("", "attempts", "attempts of the client for each request", false,
+                                plan.attempts, "N", line);
+  if (auto done = Parse(line, "load", arguments)) return *done;
+
+  const auto mix = ParseTeamMix(teams.getValue());
+  if (!mix) {
+    std::cerr << "limpetctl load: " << mix.error().message << "\n";
+    return ExitCode::kUsage;
+  }
+  plan.addresses = addresses.getValue();
+  plan.branch = branch.getValue();
+  plan.model = model.getValue();
+  plan.teams = mix.value();
+  plan.requests_per_second = rate.getValue();
+  plan.seconds = seconds.getValue();
+  plan.threads = threads.getValue();
+  plan.max_tokens = tokens.getValue();
+  plan.prefixes = prefixes.getValue();
+  plan.request_time = Milliseconds(deadline.getValue());
+  plan.seed = seed.getValue();
+  plan.attempts = attempts.getValue();
+  const auto report = RunLoad(plan);
+  if (!report) {
+    std::cerr << "limpetctl load: " << report.error().message << "\n";
+    return ExitCode::kUsage;
+  }
+  std::cout << report.value() << "\n";
+  return ExitCode::kSuccess;
+}
+
+}  // namespace limpetfall
