Wire the entry node; add integration tests of groups

Cause: parts exist but no process serves a request; P1 and P2 need proof with real processes. Change: EntryNode joins configuration, membership, owners, dispatcher and servers; tests kill, freeze and return members and check that only whole groups answer.

--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -240,15 +240,19 @@
   }
 
   void ReadNode() {
-    this->CheckKeys("node", std::array<std::string_view, 8>{"id", "zone", "caller_address",
-                                                            "admin_address", "metrics_address",
-                                                            "node_address", "seeds", "threads"});
+    this->CheckKeys("node", std::array<std::string_view, 9>{
+                                "id", "zone", "caller_address", "admin_address", "metrics_address",
+                                "node_address", "advertised_address", "seeds", "threads"});
     this->settings.node = NodeId(this->ReadName("node", "id"));
     this->settings.zone = ZoneId(this->ReadName("node", "zone"));
     this->settings.caller_address = this->ReadAddress("node", "caller_address");
     this->settings.admin_address = this->ReadAddress("node", "admin_address");
     this->settings.metrics_address = this->ReadAddress("node", "metrics_address");
     this->settings.node_address = this->ReadAddress("node", "node_address");
+    this->settings.advertised_address = this->settings.node_address;
+    if (this->Find("node", "advertised_address") != nullptr) {
+      this->settings.advertised_address = this->ReadAddress("node", "advertised_address");
+    }
     this->settings.seeds = this->ReadAddresses("node", "seeds", false);
     this->ReadInteger("node", "threads", 1, kMaxThreads,
                       [this](std::int64_t n) { this->settings.threads = static_cast<int>(n); });
@@ -321,7 +325,9 @@
                        "same address as node." + std::string(own[j].first));
       }
       // Callers and nodes are told these two addresses and connect to them.
-      const bool advertised = key == "caller_address" || key == "node_address";
+      const bool advertised =
+          key == "caller_address" ||
+          (key == "node_address" && this->settings.advertised_address == *address);
       if (advertised && address->starts_with("0.0.0.0:")) {
         this->AddFault(this->LineOf("node", key), Path("node", key),
                        "must be an address that others can connect to");
--- a/src/daemon/config-sync.cc
+++ b/src/daemon/config-sync.cc
@@ -36,10 +36,9 @@
     : settings(std::move(node_settings)),
       context(std::move(node_context)),
       state(std::move(shared)),
-      service(
-          std::move(store),
-          std::shared_ptr<ConfigState>(this->context, &this->context->config_state()),
-          this->settings.node, Milliseconds(this->settings.config_fresh_ms)),
+      service(std::move(store),
+              std::shared_ptr<ConfigState>(this->context, &this->context->config_state()),
+              this->settings.node, Milliseconds(this->settings.config_fresh_ms)),
       confirmations(FirstEntryVersion()) {}
 
 boost::asio::awaitable<void> ConfigSync::Run() {
--- /dev/null
+++ b/src/daemon/entry-node.h
@@ -0,0 +1,30 @@
+#ifndef LIMPETFALL_DAEMON_ENTRY_NODE_H_
+#define LIMPETFALL_DAEMON_ENTRY_NODE_H_
+
+#include <memory>
+
+#include "base/settings.h"
+#include "limpetfall/result.h"
+
+namespace limpetfall {
+
+/**
+ * One entry node with all its parts.
+ *
+ *     BOOST_OUTCOME_TRY(auto node, EntryNode::Create(settings));
+ *     node->Run();  // until a planned stop has ended
+ */
+class EntryNode {
+ public:
+  /** Opens all ports; an error names the one that is taken. */
+  static Result<std::unique_ptr<EntryNode>> Create(Settings settings);
+
+  virtual ~EntryNode() = default;
+
+  /** Serves until a planned stop, begun by SIGTERM, SIGINT or an operator, has ended. */
+  virtual void Run() = 0;
+};
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_DAEMON_ENTRY_NODE_H_
--- /dev/null
+++ b/test/groups-integration-test.cc
@@ -0,0 +1,248 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <set>
+
+#include "harness/cluster.h"
+
+// P1 (no partial group answers) and P2 (no VM in two groups), with real processes.
+namespace limpetfall::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRebuildLimit{20000};
+constexpr int kLongAnswer = 60;
+
+class GroupsIntegrationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GroupsIntegrationTest);
+  CPPUNIT_TEST(AnswerOfWholeGroupArrives);
+  CPPUNIT_TEST(KilledMemberEndsNoAnswerAsWhole);
+  CPPUNIT_TEST(FrozenMemberEndsNoAnswerAsWhole);
+  CPPUNIT_TEST(IdempotentStreamResumesWithoutRepeatOrGap);
+  CPPUNIT_TEST(ReturningMemberOfRebuiltGroupStaysOut);
+  CPPUNIT_TEST(DarkDomainStopsServingAndOtherDomainGoesOn);
+  CPPUNIT_TEST(RecordsNeverBookVmTwiceWhileOwnersFreeze);
+  CPPUNIT_TEST(EnginesThatIgnoreGenerationsAnswerForNoOldGroup);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a path that does not serve at all, which would make every other test pass.
+  void AnswerOfWholeGroupArrives() {
+    auto cluster = Cluster::Start({});
+    const Reply reply = cluster->Complete(0, "whole");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(reply.body + reply.error, 200, reply.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("ran"), reply.headers.at("x-verdict"));
+    CPPUNIT_ASSERT(!Cluster::TextOf(reply).empty());
+    auto stream = cluster->Stream(1, "whole", 8);
+    CPPUNIT_ASSERT(stream->WaitForEnd(milliseconds(10000)));
+    CPPUNIT_ASSERT_EQUAL(Cluster::TextOf(reply), stream->WholeText());
+  }
+
+  // Guards against a leader that goes on answering after a member of its group has died.
+  void KilledMemberEndsNoAnswerAsWhole() {
+    CheckMemberLoss([](Cluster& cluster, int vm) { cluster.engine(vm).Kill(); });
+  }
+
+  // Guards against the same with a member that is silent but keeps its connections open.
+  void FrozenMemberEndsNoAnswerAsWhole() {
+    CheckMemberLoss([](Cluster& cluster, int vm) { cluster.engine(vm).Freeze(); });
+  }
+
+  // Guards against a resumed stream that repeats or skips a token.
+  void IdempotentStreamResumesWithoutRepeatOrGap() {
+    auto cluster = Cluster::Start({.token_ms = 20});
+    const std::string expected = Cluster::TextOf(cluster->Complete(0, "resume", kLongAnswer));
+    CPPUNIT_ASSERT(!expected.empty());
+    auto stream = cluster->Stream(0, "resume", kLongAnswer);
+    CPPUNIT_ASSERT(WaitFor([&] { return stream->tokens() >= 5; }, milliseconds(10000)));
+    cluster->engine(LeaderOf(*cluster, "resume")).Kill();
+    CPPUNIT_ASSERT(stream->WaitForEnd(milliseconds(30000)));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(stream->raw(), expected, stream->WholeText());
+    CPPUNIT_ASSERT_EQUAL(kLongAnswer, stream->tokens());
+  }
+
+  // Guards against a member that comes back with its old assignment and is taken for present.
+  void ReturningMemberOfRebuiltGroupStaysOut() {
+    // One spare VM in each domain takes the place of the lost member.
+    auto cluster = Cluster::Start({.vms_per_domain = 5});
+    const std::vector<int> group = cluster->ServingMembers(0).front();
+    cluster->engine(group.back()).Freeze();
+    CPPUNIT_ASSERT(WaitFor([&] { return !Serves(*cluster, group.back()); }, kRebuildLimit));
+    CPPUNIT_ASSERT(cluster->WaitForServingGroups(0, 4, kRebuildLimit));
+    cluster->engine(group.back()).Thaw();
+    for (int i = 0; i < 20; ++i) {
+      const Reply reply = cluster->Complete(0, "returned " + std::to_string(i));
+      CPPUNIT_ASSERT_EQUAL(200, reply.status);
+      CPPUNIT_ASSERT(!Serves(*cluster, group.back()) || VmsAreDistinct(*cluster));
+    }
+  }
+
+  // Guards against groups that look alive after their whole fabric domain went dark.
+  void DarkDomainStopsServingAndOtherDomainGoesOn() {
+    auto cluster = Cluster::Start({});
+    for (int vm = 0; vm < 4; ++vm) cluster->engine(vm).Freeze();
+    CPPUNIT_ASSERT(cluster->WaitForServingGroups(0, 2, kRebuildLimit));
+    for (int i = 0; i < 10; ++i) {
+      const Reply reply = cluster->Complete(0, "dark " + std::to_string(i));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(reply.body, 200, reply.status);
+    }
+    for (int vm = 0; vm < 4; ++vm) cluster->engine(vm).Thaw();
+    CPPUNIT_ASSERT(cluster->WaitForServingGroups(0, 4, kRebuildLimit));
+  }
+
+  // Guards against two owners that assemble over the same VMs: one wakes with an old record.
+  void RecordsNeverBookVmTwiceWhileOwnersFreeze() {
+    auto cluster = Cluster::Start({.vms_per_domain = 5});
+    for (int round = 0; round < 3; ++round) {
+      const int frozen = round % 3;
+      cluster->node(frozen).Freeze();
+      const std::vector<int> group = cluster->ServingMembers((frozen + 1) % 3).front();
+      cluster->RestartEngine(group.back());
+      CPPUNIT_ASSERT(cluster->WaitForServingGroups((frozen + 1) % 3, 4, milliseconds(30000)));
+      cluster->node(frozen).Thaw();
+      CPPUNIT_ASSERT(WaitFor([&] { return cluster->ServingGroups(frozen) == 4; }, kRebuildLimit));
+      for (int node = 0; node < 3; ++node) CPPUNIT_ASSERT(VmsAreDistinct(*cluster, node));
+      CPPUNIT_ASSERT(ReportsAgree(*cluster));
+    }
+  }
+
+  // Guards against trusting engines to refuse an old fencing number.
+  void EnginesThatIgnoreGenerationsAnswerForNoOldGroup() {
+    ClusterOptions options{.vms_per_domain = 5};
+    options.engines_check_generation = false;
+    options.extra_timing = "order_delay_bound_ms = 500\n";
+    auto cluster = Cluster::Start(options);
+    const std::vector<int> group = cluster->ServingMembers(0).front();
+    cluster->engine(group.back()).Kill();
+    CPPUNIT_ASSERT(WaitFor([&] { return !Serves(*cluster, group.back()); }, kRebuildLimit));
+    CPPUNIT_ASSERT(cluster->WaitForServingGroups(0, 4, kRebuildLimit));
+    // A late command of an old generation reaches a member of the rebuilt group.
+    const std::vector<int> rebuilt = GroupWith(*cluster, group.front());
+    CPPUNIT_ASSERT(!rebuilt.empty());
+    const json late = {{"group", "late"},
+                       {"generation", 1},
+                       {"model", "fold-plan"},
+                       {"version", "1"},
+                       {"members", json::array({"vm-" + std::to_string(rebuilt.back())})},
+                       {"rank", 0}};
+    const Reply accepted =
+        Fetch("POST", cluster->engine_url(rebuilt.back()) + "/v1/assignment", late.dump());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(accepted.body, 200, accepted.status);
+    for (int i = 0; i < 10; ++i) {
+      const Reply reply = cluster->Complete(0, "fenced " + std::to_string(i));
+      if (reply.status == 200) CPPUNIT_ASSERT(!AnsweredBy(*cluster, rebuilt, reply));
+    }
+    CPPUNIT_ASSERT(cluster->WaitForServingGroups(0, 4, kRebuildLimit));
+  }
+
+ private:
+  // Takes a member other than the leader away while its group answers. An answer may then come from
+  // another group; it must never come from the group that lost a member.
+  template <typename Loss>
+  static void CheckMemberLoss(Loss lose) {
+    ClusterOptions options{.token_ms = 20};
+    // Nothing is left to rebuild the group from, so the loss stays.
+    auto cluster = Cluster::Start(options);
+    const std::string expected = Cluster::TextOf(cluster->Complete(0, "loss", kLongAnswer));
+    CPPUNIT_ASSERT(!expected.empty());
+    auto stream = cluster->Stream(0, "loss", kLongAnswer);
+    CPPUNIT_ASSERT(WaitFor([&] { return stream->tokens() >= 5; }, milliseconds(10000)));
+    const int leader = LeaderOf(*cluster, "loss");
+    const std::vector<int> group = GroupWith(*cluster, leader);
+    lose(*cluster, group.back());
+    CPPUNIT_ASSERT(stream->WaitForEnd(milliseconds(40000)));
+    const bool whole = stream->whole();
+    if (whole) CPPUNIT_ASSERT_EQUAL(expected, stream->WholeText());
+    // The broken group may have generated all tokens; a whole answer needs another group too.
+    CPPUNIT_ASSERT_MESSAGE(stream->raw(), !whole || RunsOf(*cluster, "loss", leader) >= 1);
+    CPPUNIT_ASSERT(WaitFor([&] { return !Serves(*cluster, group.back()); }, kRebuildLimit));
+    for (int i = 0; i < 10; ++i) {
+      const Reply reply = cluster->Complete(0, "after loss " + std::to_string(i));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(reply.body, 200, reply.status);
+      CPPUNIT_ASSERT(!AnsweredBy(*cluster, group, reply));
+    }
+  }
+
+  static bool Serves(const Cluster& cluster, int vm, int node = 0) {
+    return !GroupWith(cluster, vm, node).empty();
+  }
+
+  static std::vector<int> GroupWith(const Cluster& cluster, int vm, int node = 0) {
+    for (const std::vector<int>& group : cluster.ServingMembers(node)) {
+      if (std::find(group.begin(), group.end(), vm) != group.end()) return group;
+    }
+    return {};
+  }
+
+  // The engine that runs a prompt now, or ran it last.
+  static int LeaderOf(const Cluster& cluster, const std::string& prompt) {
+    int leader = -1;
+    std::int64_t latest = -1;
+    for (int vm = 0; vm < 8; ++vm) {
+      for (const json& run : cluster.EngineJournal(vm)) {
+        const std::int64_t started = run.value("started_ms", std::int64_t{0});
+        if (run.value("prompt", "") != prompt || started <= latest) continue;
+        leader = vm;
+        latest = started;
+      }
+    }
+    CPPUNIT_ASSERT(leader >= 0);
+    return leader;
+  }
+
+  // Runs of a prompt to its end on engines other than `except`.
+  static int RunsOf(const Cluster& cluster, const std::string& prompt, int except) {
+    int runs = 0;
+    for (int vm = 0; vm < 8; ++vm) {
+      if (vm == except) continue;
+      for (const json& run : cluster.EngineJournal(vm)) runs += run.value("prompt", "") == prompt;
+    }
+    return runs;
+  }
+
+  // Says whether the request of this reply ran to its end on a member of `group` only.
+  static bool AnsweredBy(const Cluster& cluster, const std::vector<int>& group,
+                         const Reply& reply) {
+    const std::string id = reply.headers.at("x-request-id");
+    std::set<int> ran;
+    for (int vm = 0; vm < 8; ++vm) {
+      for (const json& run : cluster.EngineJournal(vm)) {
+        if (run.value("id", "") == id) ran.insert(vm);
+      }
+    }
+    return !ran.empty() && std::all_of(ran.begin(), ran.end(), [&](int vm) {
+      return std::find(group.begin(), group.end(), vm) != group.end();
+    });
+  }
+
+  static bool VmsAreDistinct(const Cluster& cluster, int node = 0) {
+    std::set<int> seen;
+    for (const std::vector<int>& group : cluster.ServingMembers(node)) {
+      for (int vm : group) {
+        if (!seen.insert(vm).second) return false;
+      }
+    }
+    return true;
+  }
+
+  // Engines of one serving group report one group and one generation.
+  static bool ReportsAgree(const Cluster& cluster) {
+    for (const std::vector<int>& group : cluster.ServingMembers(0)) {
+      std::set<std::string> reported;
+      for (int vm : group) {
+        const json report = cluster.EngineReport(vm);
+        reported.insert(report.value("group", "") + "/" +
+                        std::to_string(report.value("generation", 0)));
+      }
+      if (reported.size() != 1) return false;
+    }
+    return true;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupsIntegrationTest);
+
+}  // namespace
+}  // namespace limpetfall::testing
--- a/test/harness/cluster.cc
+++ b/test/harness/cluster.cc
@@ -238,6 +238,41 @@
                milliseconds(30000));
 }
 
+std::unique_ptr<StreamReader> Cluster::Stream(int node, const std::string& prompt,
+                                              int max_tokens) const {
+  const json body = {
+      {"model", "fold-plan"}, {"prompt", prompt}, {"max_tokens", max_tokens}, {"stream", true}};
+  const std::map<std::string, std::string> headers = {{"X-Branch", "ennis"},
+                                                      {"X-Team", "councils"}};
+  return std::make_unique<StreamReader>(this->caller_url(node) + "/v1/completions", body.dump(),
+                                        headers);
+}
+
+std::string Cluster::TextOf(const Reply& reply) {
+  if (reply.status != 200) return "";
+  const json body = json::parse(reply.body, nullptr, false);
+  return body.is_object() ? body["choices"][0].value("text", "") : "";
+}
+
+std::vector<std::vector<int>> Cluster::ServingMembers(int node) const {
+  std::vector<std::vector<int>> groups;
+  const json status = this->Status(node);
+  if (!status.is_object()) return groups;
+  for (const json& group : status["groups"]) {
+    if (group.value("state", "") != "serving") continue;
+    std::vector<int> members;
+    for (const std::string id : group["members"]) members.push_back(std::stoi(id.substr(3)));
+    groups.push_back(members);
+  }
+  return groups;
+}
+
+json Cluster::EngineJournal(int vm) const {
+  const Reply reply = Fetch("GET", this->engine_url(vm) + "/journal");
+  const json journal = json::parse(reply.body, nullptr, false);
+  return journal.is_object() ? journal["completions"] : json::array();
+}
+
 Reply Cluster::Order(int node, const std::string& key, const std::string& body) const {
   std::map<std::string, std::string> headers = {{"X-Branch", "ennis"}, {"X-Team", "councils"}};
   if (!key.empty()) headers["Idempotency-Key"] = key;
--- a/test/harness/cluster.h
+++ b/test/harness/cluster.h
@@ -59,8 +59,18 @@
   [[nodiscard]] Reply Complete(int node, const std::string& prompt, int max_tokens = 8,
                                const std::map<std::string, std::string>& headers = {}) const;
 
-  /** The text that a whole group generates for a prompt. */
-  [[nodiscard]] static std::string ExpectedText(const std::string& prompt, int max_tokens);
+  /** Starts a streamed completion. */
+  [[nodiscard]] std::unique_ptr<StreamReader> Stream(int node, const std::string& prompt,
+                                                     int max_tokens) const;
+
+  /** The text of a completion's body; empty when the reply is no whole completion. */
+  [[nodiscard]] static std::string TextOf(const Reply& reply);
+
+  /** The VMs of the groups that a node's gate would dispatch to, by group. */
+  [[nodiscard]] std::vector<std::vector<int>> ServingMembers(int node) const;
+
+  /** Entries of an engine's journal of completions. */
+  [[nodiscard]] nlohmann::json EngineJournal(int vm) const;
 
   /** Places an order at the order book through a node. */
   [[nodiscard]] Reply Order(int node, const std::string& key, const std::string& body) const;
--- a/test/harness/process.cc
+++ b/test/harness/process.cc
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <nlohmann/json.hpp>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -121,33 +122,49 @@
   return true;
 }
 
-Reply Fetch(const std::string& method, const std::string& url, const std::string& body,
-            const std::map<std::string, std::string>& headers, std::chrono::milliseconds longest) {
+namespace {
+
+using Easy = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
+using HeaderLines = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
+
+Easy MakeRequest(const std::string& method, const std::string& url, const std::string& body,
+                 const HeaderLines& lines, std::chrono::milliseconds longest) {
   static const CURLcode kGlobal = curl_global_init(CURL_GLOBAL_DEFAULT);
-  Reply reply;
-  std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(curl_easy_init(), &curl_easy_cleanup);
+  Easy easy(curl_easy_init(), &curl_easy_cleanup);
   if (kGlobal != CURLE_OK || easy == nullptr) throw std::runtime_error("libcurl does not start");
-  curl_slist* lines = curl_slist_append(nullptr, "Expect:");
-  for (const auto& [name, value] : headers) {
-    std::string line = name + ": " + value;
-    lines = curl_slist_append(lines, line.c_str());
-  }
-  std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> owner(lines, &curl_slist_free_all);
   curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
   curl_easy_setopt(easy.get(), CURLOPT_CUSTOMREQUEST, method.c_str());
-  curl_easy_setopt(easy.get(), CURLOPT_HTTPHEADER, lines);
+  curl_easy_setopt(easy.get(), CURLOPT_HTTPHEADER, lines.get());
   curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(longest.count()));
+  if (!body.empty()) {
+    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
+    curl_easy_setopt(easy.get(), CURLOPT_COPYPOSTFIELDS, body.c_str());
+  }
+  return easy;
+}
+
+HeaderLines MakeHeaders(const std::map<std::string, std::string>& headers) {
+  curl_slist* lines = curl_slist_append(nullptr, "Expect:");
+  for (const auto& [name, value] : headers) {
+    const std::string line = name + ": " + value;
+    lines = curl_slist_append(lines, line.c_str());
+  }
+  return {lines, &curl_slist_free_all};
+}
+
+}  // namespace
+
+Reply Fetch(const std::string& method, const std::string& url, const std::string& body,
+            const std::map<std::string, std::string>& headers, std::chrono::milliseconds longest) {
+  Reply reply;
+  const HeaderLines lines = MakeHeaders(headers);
+  const Easy easy = MakeRequest(method, url, body, lines, longest);
   curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, &AppendBody);
   curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &reply.body);
   curl_easy_setopt(easy.get(), CURLOPT_HEADERFUNCTION, &AddHeader);
   curl_easy_setopt(easy.get(), CURLOPT_HEADERDATA, &reply.headers);
-  if (!body.empty()) {
-    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, body.c_str());
-    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
-  }
-  CURLcode code = curl_easy_perform(easy.get());
-  if (code != CURLE_OK) {
+  if (const CURLcode code = curl_easy_perform(easy.get()); code != CURLE_OK) {
     reply.error = curl_easy_strerror(code);
     return reply;
   }
@@ -157,4 +174,67 @@
   return reply;
 }
 
+StreamReader::StreamReader(const std::string& url, const std::string& body,
+                           const std::map<std::string, std::string>& headers) {
+  this->thread = std::thread([this, url, body, headers] {
+    const HeaderLines lines = MakeHeaders(headers);
+    const Easy easy = MakeRequest("POST", url, body, lines, std::chrono::seconds(60));
+    curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, &StreamReader::Append);
+    curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, this);
+    curl_easy_perform(easy.get());
+    const std::lock_guard lock(this->mutex);
+    this->ended = true;
+  });
+}
+
+StreamReader::~StreamReader() { this->thread.join(); }
+
+std::size_t StreamReader::Append(char* data, std::size_t size, std::size_t count, void* target) {
+  auto* reader = static_cast<StreamReader*>(target);
+  const std::lock_guard lock(reader->mutex);
+  reader->received.append(data, size * count);
+  return size * count;
+}
+
+std::string StreamReader::raw() const {
+  const std::lock_guard lock(this->mutex);
+  return this->received;
+}
+
+int StreamReader::tokens() const {
+  const std::string text = this->raw();
+  int count = 0;
+  for (std::size_t at = text.find("token_index"); at != std::string::npos;
+       at = text.find("token_index", at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+bool StreamReader::WaitForEnd(std::chrono::milliseconds longest) {
+  return WaitFor(
+      [this] {
+        const std::lock_guard lock(this->mutex);
+        return this->ended;
+      },
+      longest);
+}
+
+bool StreamReader::whole() const {
+  const std::string text = this->raw();
+  return text.ends_with("data: [DONE]\n\n") && text.find("event: error") == std::string::npos;
+}
+
+std::string StreamReader::WholeText() const {
+  if (!this->whole()) return "";
+  std::istringstream lines(this->raw());
+  std::string text;
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.starts_with("data: {")) continue;
+    const auto event = nlohmann::json::parse(line.substr(6), nullptr, false);
+    text += event["choices"][0].value("text", "");
+  }
+  return text;
+}
+
 }  // namespace limpetfall::testing
--- a/test/harness/process.h
+++ b/test/harness/process.h
@@ -7,7 +7,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace limpetfall::testing {
@@ -60,6 +62,40 @@
             const std::map<std::string, std::string>& headers = {},
             std::chrono::milliseconds longest = std::chrono::milliseconds(10000));
 
+/** A streamed completion that is read on a thread of its own. */
+class StreamReader {
+ public:
+  StreamReader(const std::string& url, const std::string& body,
+               const std::map<std::string, std::string>& headers);
+  ~StreamReader();
+
+  StreamReader(const StreamReader&) = delete;
+  StreamReader& operator=(const StreamReader&) = delete;
+
+  /** Number of token events so far. */
+  [[nodiscard]] int tokens() const;
+
+  /** Waits for the end of the answer; returns false when it has not come within `longest`. */
+  bool WaitForEnd(std::chrono::milliseconds longest);
+
+  /** Everything received so far. */
+  [[nodiscard]] std::string raw() const;
+
+  /** The text of all tokens, only if the stream ended with its end mark and without an error. */
+  [[nodiscard]] std::string WholeText() const;
+
+  /** Says whether the stream ended with `data: [DONE]`. */
+  [[nodiscard]] bool whole() const;
+
+ private:
+  static std::size_t Append(char* data, std::size_t size, std::size_t count, void* target);
+
+  mutable std::mutex mutex;
+  std::string received;
+  bool ended = false;
+  std::thread thread;
+};
+
 }  // namespace limpetfall::testing
 
 #endif  // LIMPETFALL_TEST_HARNESS_PROCESS_H_
