Add the order runner, the administration API and tests of the configuration

The order runner claims an order before its first byte is sent and settles the claim afterwards, in the background if the store does not answer. The order is not cancelled with its caller. The administration API lists document faults with their pointers.

--- a/src/daemon/config-service.h
+++ b/src/daemon/config-service.h
@@ -110,31 +110,11 @@
                                                        Deadline deadline) {
     auto document = ParseDocument(document_json);
     if (!document) co_return std::move(document).error();
-    const SplitDocument split = SplitIntoSections(document.value());
+    SplitDocument split = SplitIntoSections(document.value());
     if (auto sizes = detail::CheckSizes(split); !sizes) co_return sizes.error();
 
-    auto read = co_await ReadForAccept(expected_version, deadline);
-    if (!read) co_return std::move(read).error();
-    const StoredManifest before = std::move(read).value();
-    if (before.manifest.version != expected_version) {
-      co_return AcceptOutcome{false, before.manifest.version};
-    }
-    const Manifest next = detail::NextManifest(before.manifest, split.sections, this->node);
-    if (SerializeManifest(next).size() > kMaxStoredValueBytes) {
-      co_return NotRun(ErrorCode::kInvalidArgument,
-                       "/branches: the manifest exceeds the store's 1000000 bytes");
-    }
-    auto written = co_await WriteSections(before.manifest, split, deadline);
-    if (!written) co_return std::move(written).error();
-    const std::vector<StoredValue> removed = co_await ReadRemoved(before.manifest, next, deadline);
-
-    const TimePoint start = Clock::now();
-    auto outcome = co_await WriteManifest(next, before.revision, deadline);
-    if (!outcome || !outcome.value().accepted) co_return outcome;
-    for (const auto& [digest, body] : split.bodies) this->cache.Add(digest, body);
-    PutInForce(next, std::move(document).value(), start);
-    co_await RetireSections(removed, deadline);
-    co_return outcome;
+    co_return co_await Replace(std::move(document).value(), std::move(split), expected_version,
+                               deadline);
   }
 
   /**
@@ -185,6 +165,33 @@
   // Other nodes may still be about to read a section of the version before.
   static constexpr std::int64_t kRetiredSectionSeconds = 3600;
 
+  boost::asio::awaitable<Result<AcceptOutcome>> Replace(Document document, SplitDocument split,
+                                                        ConfigVersion expected_version,
+                                                        Deadline deadline) {
+    auto read = co_await ReadForAccept(expected_version, deadline);
+    if (!read) co_return std::move(read).error();
+    const StoredManifest before = std::move(read).value();
+    if (before.manifest.version != expected_version) {
+      co_return AcceptOutcome{false, before.manifest.version};
+    }
+    const Manifest next = detail::NextManifest(before.manifest, split.sections, this->node);
+    if (SerializeManifest(next).size() > kMaxStoredValueBytes) {
+      co_return NotRun(ErrorCode::kInvalidArgument,
+                       "/branches: the manifest exceeds the store's 1000000 bytes");
+    }
+    auto written = co_await WriteSections(before.manifest, split, deadline);
+    if (!written) co_return std::move(written).error();
+    const std::vector<StoredValue> removed = co_await ReadRemoved(before.manifest, next, deadline);
+
+    const TimePoint start = Clock::now();
+    auto outcome = co_await WriteManifest(next, before.revision, deadline);
+    if (!outcome || !outcome.value().accepted) co_return outcome;
+    for (const auto& [digest, body] : split.bodies) this->cache.Add(digest, body);
+    PutInForce(next, std::move(document), start);
+    co_await RetireSections(removed, deadline);
+    co_return outcome;
+  }
+
   boost::asio::awaitable<Result<StoredManifest>> ReadManifest(Deadline deadline) {
     std::string key(kManifestKey);
     auto stored = co_await this->store->Get(std::move(key), deadline);
--- /dev/null
+++ b/src/daemon/order-runner.cc
@@ -0,0 +1,39 @@
+#include "daemon/order-runner.h"
+
+#include <random>
+
+namespace limpetfall::detail {
+
+std::string AttemptTable::Start(const NodeId& node) {
+  std::random_device random;
+  std::string attempt = node.value;
+  for (int i = 0; i < 4; ++i) attempt += "-" + std::to_string(random());
+  const std::lock_guard lock(this->mutex);
+  this->running.insert(attempt);
+  return attempt;
+}
+
+void AttemptTable::GiveUp(const std::string& attempt) {
+  const std::lock_guard lock(this->mutex);
+  this->running.erase(attempt);
+  this->given_up.insert(attempt);
+}
+
+void AttemptTable::Finish(const std::string& attempt) {
+  const std::lock_guard lock(this->mutex);
+  this->running.erase(attempt);
+  this->given_up.erase(attempt);
+}
+
+HolderState AttemptTable::StateOf(const std::string& attempt) const {
+  const std::lock_guard lock(this->mutex);
+  if (this->running.contains(attempt)) return HolderState::kRunning;
+  return this->given_up.contains(attempt) ? HolderState::kGaveUp : HolderState::kGone;
+}
+
+std::size_t AttemptTable::size() const {
+  const std::lock_guard lock(this->mutex);
+  return this->running.size() + this->given_up.size();
+}
+
+}  // namespace limpetfall::detail
--- /dev/null
+++ b/src/daemon/order-runner.h
@@ -0,0 +1,353 @@
+#ifndef LIMPETFALL_DAEMON_ORDER_RUNNER_H_
+#define LIMPETFALL_DAEMON_ORDER_RUNNER_H_
+
+#include <algorithm>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <concepts>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "base/ids.h"
+#include "core/order-claims.h"
+#include "core/request.h"
+#include "daemon/pause.h"
+#include "limpetfall/result.h"
+#include "platform/store.h"
+
+namespace limpetfall {
+
+struct OrderRunnerOptions {
+  NodeId node;
+  /// Says whether another node is believed alive; without it, all are.
+  std::function<bool(const NodeId&)> node_alive;
+  Milliseconds claim_timeout{3000};   ///< An order that cannot be claimed by then is refused.
+  Milliseconds record_timeout{1000};  ///< The caller waits this long for its outcome's record.
+  Milliseconds first_pause{50};       ///< Between reads of another attempt's claim; doubles.
+  Milliseconds longest_pause{500};
+  Milliseconds longest_retry_pause{30000};  ///< Between writes that settle a claim afterwards.
+};
+
+template <typename T>
+concept OrderDispatch = requires(T& dispatch, ServiceCall call) {
+  { dispatch(call) } -> std::same_as<boost::asio::awaitable<Result<ServiceAnswer>>>;
+};
+
+namespace detail {
+
+/** Attempts of this node whose claim is not settled in the store yet. Thread-safe. */
+class AttemptTable {
+ public:
+  /** Adds an attempt under a new name. */
+  std::string Start(const NodeId& node);
+
+  /** Notes that the attempt will certainly not be dispatched. */
+  void GiveUp(const std::string& attempt);
+
+  void Finish(const std::string& attempt);
+  [[nodiscard]] HolderState StateOf(const std::string& attempt) const;
+  [[nodiscard]] std::size_t size() const;
+
+ private:
+  mutable std::mutex mutex;
+  std::set<std::string> running;
+  std::set<std::string> given_up;
+};
+
+/** Takes an attempt off the table unless it is handed on to be settled later. */
+class AttemptGuard {
+ public:
+  AttemptGuard(AttemptTable& attempts, std::string attempt)
+      : table(attempts), name(std::move(attempt)) {}
+  ~AttemptGuard() {
+    if (!this->handed_on) this->table.Finish(this->name);
+  }
+  AttemptGuard(const AttemptGuard&) = delete;
+  AttemptGuard& operator=(const AttemptGuard&) = delete;
+
+  void HandOn() { this->handed_on = true; }
+  [[nodiscard]] const std::string& attempt() const { return this->name; }
+
+ private:
+  AttemptTable& table;
+  std::string name;
+  bool handed_on = false;
+};
+
+}  // namespace detail
+
+/**
+ * Runs calls that must not run twice. An order is claimed in the store before its first byte is
+ * sent, dispatched by the attempt that holds the claim, and its outcome is recorded in the claim.
+ * Thread-safe.
+ *
+ * An order goes on when its caller leaves: the caller's cancellation does not reach the dispatch.
+ *
+ *     auto runner = OrderRunner<EtcdStore, Dispatch>::Create(store, dispatch, {node});
+ *     auto answer = co_await runner->Run(call);
+ */
+template <Store S, OrderDispatch D>
+class OrderRunner : public std::enable_shared_from_this<OrderRunner<S, D>> {
+ public:
+  static std::shared_ptr<OrderRunner> Create(std::shared_ptr<S> store, D dispatch,
+                                             OrderRunnerOptions options) {
+    return std::shared_ptr<OrderRunner>(
+        new OrderRunner(std::move(store), std::move(dispatch), std::move(options)));
+  }
+
+  /**
+   * Runs the order, or answers with what became of it before. A call without a key is dispatched
+   * once without a claim. `kConflict` means that the key was used with another request (422).
+   */
+  boost::asio::awaitable<Result<ServiceAnswer>> Run(ServiceCall call) {
+    if (call.idempotency_key.empty()) co_return co_await this->dispatch(std::move(call));
+    auto key = ClaimKey(call.service, call.idempotency_key);
+    if (!key) co_return std::move(key).error();
+    const auto executor = co_await boost::asio::this_coro::executor;
+    auto answer = std::make_shared<std::optional<Result<ServiceAnswer>>>();
+    auto order = RunInto(answer, this->shared_from_this(), std::move(call), std::move(key).value());
+    // An empty slot: the order is not cancelled with its caller.
+    auto token = boost::asio::bind_cancellation_slot(boost::asio::cancellation_slot(),
+                                                     boost::asio::use_awaitable);
+    co_await boost::asio::co_spawn(executor, std::move(order), token);
+    co_return std::move(*answer).value();
+  }
+
+  /** Returns how many attempts run or have a claim that is still to be settled in the store. */
+  [[nodiscard]] std::size_t unsettled() const { return this->attempts.size(); }
+
+ private:
+  using Self = std::shared_ptr<OrderRunner>;
+
+  /** The claim that an attempt holds, or the reply that it found instead. */
+  struct Claimed {
+    std::int64_t revision = 0;
+    std::optional<Result<ServiceAnswer>> reply;
+  };
+
+  /** What the claiming of one order knows so far. */
+  struct Claiming {
+    std::string key;
+    OrderClaim own;
+    std::string value;
+    Deadline claim_by;
+    Deadline answer_by;
+    std::int64_t expected = 0;  ///< Revision that the claim replaces; 0 when there is none.
+    bool may_be_written = false;
+  };
+
+  // A call cannot outlive its claim, however late its caller's deadline is.
+  static constexpr std::chrono::hours kLongestOrder{1};
+
+  OrderRunner(std::shared_ptr<S> platform, D dispatch_function, OrderRunnerOptions settings)
+      : store(std::move(platform)),
+        dispatch(std::move(dispatch_function)),
+        options(std::move(settings)) {}
+
+  // The result of a spawned coroutine must have a default value, which a `Result` does not have.
+  static boost::asio::awaitable<void> RunInto(
+      std::shared_ptr<std::optional<Result<ServiceAnswer>>> answer, Self self, ServiceCall call,
+      std::string key) {
+    *answer = co_await RunOrder(std::move(self), std::move(call), std::move(key));
+  }
+
+  static boost::asio::awaitable<Result<ServiceAnswer>> RunOrder(Self self, ServiceCall call,
+                                                                std::string key) {
+    const boost::asio::any_io_executor executor = co_await boost::asio::this_coro::executor;
+    const TimePoint start = Clock::now();
+    call.deadline = std::min<Deadline>(call.deadline, start + kLongestOrder);
+    detail::AttemptGuard guard(self->attempts, self->attempts.Start(self->options.node));
+    Claiming claiming;
+    claiming.key = std::move(key);
+    claiming.own = NewClaim(call, self->options.node, guard.attempt());
+    claiming.value = SerializeClaim(claiming.own);
+    claiming.claim_by = std::min(call.deadline, start + self->options.claim_timeout);
+    claiming.answer_by = call.deadline;
+
+    const Claimed claimed = co_await self->Claim(claiming);
+    if (claimed.reply) {
+      if (claiming.may_be_written) {
+        self->attempts.GiveUp(guard.attempt());
+        SettleLater(self, claiming.key, ReleasedClaim(claiming.own), claiming.expected, guard,
+                    executor);
+      }
+      co_return *claimed.reply;
+    }
+    if (Clock::now() >= call.deadline) {
+      self->attempts.GiveUp(guard.attempt());
+      SettleLater(self, claiming.key, ReleasedClaim(claiming.own), claimed.revision, guard,
+                  executor);
+      co_return NotRun(ErrorCode::kDeadlineExceeded, "the order was claimed too late to run");
+    }
+    auto result = co_await self->Dispatch(std::move(call));
+    OrderClaim settled = SettledClaim(claiming.own, result);
+    if (settled.state == ClaimState::kReleased) self->attempts.GiveUp(guard.attempt());
+    const Deadline record_by = Clock::now() + self->options.record_timeout;
+    const bool recorded = co_await self->Settle(claiming.key, settled, claimed.revision, record_by);
+    if (!recorded) {
+      SettleLater(self, claiming.key, std::move(settled), claimed.revision, guard, executor);
+    }
+    co_return result;
+  }
+
+  // Writes the claim until the store says that it is this attempt's own, or what else it holds.
+  // After a lost reply the same write is sent again: its outcome shows the claim as it is.
+  boost::asio::awaitable<Claimed> Claim(Claiming& claiming) {
+    for (;;) {
+      const Deadline write_by = claiming.claim_by;
+      if (Clock::now() >= write_by) {
+        co_return Refusal(NotRun(ErrorCode::kDeadlineExceeded, "the deadline has passed"));
+      }
+      auto outcome = co_await this->store->Swap(claiming.key, claiming.value, claiming.expected,
+                                                kClaimLeaseSeconds, write_by);
+      if (!outcome) {
+        if (outcome.error().verdict != Verdict::kNotRun) claiming.may_be_written = true;
+        const TimePoint next = Clock::now() + this->options.first_pause;
+        // Without a write that may be under way there is nothing to wait for.
+        if (!claiming.may_be_written || next >= claiming.claim_by) {
+          co_return Refusal(outcome.error());
+        }
+        co_await detail::PauseUntil(next);
+        continue;
+      }
+      // The store has answered, so every write of this attempt so far has run or never will.
+      claiming.may_be_written = false;
+      if (outcome.value().written) co_return Claimed{outcome.value().revision, std::nullopt};
+      auto claimed = co_await this->Examine(claiming, std::move(outcome).value().current);
+      if (claimed) co_return std::move(*claimed);
+    }
+  }
+
+  static Claimed Refusal(const Error& error) {
+    const ErrorCode code =
+        error.code == ErrorCode::kDeadlineExceeded ? error.code : ErrorCode::kUnavailable;
+    return {0, NotRun(code, "the order could not be claimed: " + error.message)};
+  }
+
+  // Deals with a claim that is in the store already. Returns nothing when the claim is to be
+  // written again, with `claiming.expected` set to the revision that it replaces.
+  boost::asio::awaitable<std::optional<Claimed>> Examine(Claiming& claiming,
+                                                         std::optional<StoredValue> found) {
+    Milliseconds pause = this->options.first_pause;
+    std::int64_t read_after_loss = 0;  // Revision that was read again after its holder was gone.
+    for (;;) {
+      if (!found) {
+        ClaimAnew(claiming, 0);
+        co_return std::nullopt;
+      }
+      auto claim = ParseClaim(found->value);
+      if (!claim) co_return Claimed{0, std::move(claim).error()};
+      const HolderState holder = this->HolderOf(claim.value());
+      ClaimDecision decision = DecideClaim(claiming.own, claim.value(), holder);
+      if (decision.step == ClaimStep::kDispatch) co_return Claimed{found->revision, std::nullopt};
+      if (decision.step == ClaimStep::kTakeOver) {
+        ClaimAnew(claiming, found->revision);
+        co_return std::nullopt;
+      }
+      // The holder may have recorded its outcome between the read and the check of its state.
+      const bool settled = claim.value().state != ClaimState::kClaimed;
+      const bool read_again = decision.step == ClaimStep::kReply && !settled &&
+                              claim.value().digest == claiming.own.digest &&
+                              read_after_loss != found->revision;
+      if (decision.step == ClaimStep::kReply && !read_again) {
+        co_return Claimed{0, std::move(decision.reply)};
+      }
+      if (read_again) {
+        read_after_loss = found->revision;
+      } else {
+        const TimePoint next = Clock::now() + pause;
+        pause = std::min(pause * 2, this->options.longest_pause);
+        if (next >= claiming.answer_by) co_return Claimed{0, StillRunning()};
+        co_await detail::PauseUntil(next);
+      }
+      auto read = co_await this->store->Get(claiming.key, claiming.answer_by);
+      if (read) found = std::move(read).value();
+    }
+  }
+
+  void ClaimAnew(Claiming& claiming, std::int64_t expected) const {
+    claiming.expected = expected;
+    claiming.claim_by = std::min(claiming.answer_by, Clock::now() + this->options.claim_timeout);
+  }
+
+  static Result<ServiceAnswer> StillRunning() {
+    return MayHaveRun(ErrorCode::kDeadlineExceeded,
+                      "another attempt of this order has not ended yet");
+  }
+
+  HolderState HolderOf(const OrderClaim& claim) const {
+    if (claim.node == this->options.node) return this->attempts.StateOf(claim.attempt);
+    const bool alive = !this->options.node_alive || this->options.node_alive(claim.node);
+    return alive ? HolderState::kRunning : HolderState::kGone;
+  }
+
+  boost::asio::awaitable<Result<ServiceAnswer>> Dispatch(ServiceCall call) {
+    Result<ServiceAnswer> result = MayHaveRun(ErrorCode::kInternal, "the dispatch failed");
+    try {
+      result = co_await this->dispatch(std::move(call));
+    } catch (const std::exception& error) {
+      result = MayHaveRun(ErrorCode::kInternal, error.what());
+    }
+    co_return result;
+  }
+
+  // Replaces this attempt's claim by `claim`; returns whether that is done or no longer needed.
+  // The claim is at `expected`, or was to be written there, in which case this comes first.
+  boost::asio::awaitable<bool> Settle(std::string key, OrderClaim claim, std::int64_t expected,
+                                      Deadline deadline) {
+    const std::string value = SerializeClaim(claim);
+    Milliseconds pause = this->options.first_pause;
+    while (Clock::now() < deadline) {
+      auto outcome = co_await this->store->Swap(key, value, expected, kClaimLeaseSeconds, deadline);
+      if (outcome && outcome.value().written) co_return true;
+      if (outcome) {
+        const auto& current = outcome.value().current;
+        if (!current) co_return true;
+        const auto stored = ParseClaim(current->value);
+        if (!stored || stored.value().attempt != claim.attempt) co_return true;
+        if (stored.value().state != ClaimState::kClaimed) co_return true;
+        expected = current->revision;
+        continue;
+      }
+      const TimePoint next = Clock::now() + pause;
+      pause = std::min(pause * 2, this->options.longest_retry_pause);
+      co_await detail::PauseUntil(std::min<TimePoint>(next, deadline));
+    }
+    co_return false;
+  }
+
+  // Goes on settling without the caller. Until then the attempt stays on the table.
+  static void SettleLater(Self self, std::string key, OrderClaim claim, std::int64_t expected,
+                          detail::AttemptGuard& guard, boost::asio::any_io_executor executor) {
+    guard.HandOn();
+    boost::asio::co_spawn(executor,
+                          SettleInBackground(self, std::move(key), std::move(claim), expected),
+                          boost::asio::detached);
+  }
+
+  static boost::asio::awaitable<void> SettleInBackground(Self self, std::string key,
+                                                         OrderClaim claim, std::int64_t expected) {
+    const detail::AttemptGuard guard(self->attempts, claim.attempt);
+    const Deadline claim_ends = Clock::now() + std::chrono::seconds(kClaimLeaseSeconds);
+    co_await self->Settle(std::move(key), std::move(claim), expected, claim_ends);
+  }
+
+  std::shared_ptr<S> store;
+  D dispatch;
+  OrderRunnerOptions options;
+  detail::AttemptTable attempts;
+};
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_DAEMON_ORDER_RUNNER_H_
--- /dev/null
+++ b/src/operators/admin-api.cc
@@ -0,0 +1,181 @@
+#include "operators/admin-api.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "http/error-response.h"
+
+namespace limpetfall::detail {
+namespace {
+
+using Json = nlohmann::json;
+
+struct Route {
+  std::string_view method;
+  std::string_view path;
+  AdminCall call;
+};
+
+constexpr std::array<Route, 5> kRoutes = {{
+    {"GET", "/admin/config", AdminCall::kGetConfig},
+    {"PUT", "/admin/config", AdminCall::kPutConfig},
+    {"POST", "/admin/config/check", AdminCall::kCheckConfig},
+    {"GET", "/admin/status", AdminCall::kStatus},
+    {"POST", "/admin/drain", AdminCall::kDrain},
+}};
+
+HttpResponse JsonResponse(int status, std::string body) {
+  return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+std::string Dump(const Json& json) {
+  // Messages may quote input that is not valid UTF-8.
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string Tag(ConfigVersion version) { return "\"" + std::to_string(version) + "\""; }
+
+int StatusOf(const Error& error) {
+  switch (error.code) {
+    case ErrorCode::kInvalidArgument:
+      return 422;
+    case ErrorCode::kConflict:
+      return 409;
+    case ErrorCode::kPermissionDenied:
+      return 403;
+    case ErrorCode::kDeadlineExceeded:
+      return 504;
+    case ErrorCode::kUnavailable:
+    case ErrorCode::kResourceExhausted:
+      return 503;
+    default:
+      return 500;
+  }
+}
+
+// Takes apart a message of one `pointer: problem` line for each fault.
+std::vector<DocumentFault> FaultsOf(std::string_view message) {
+  std::vector<DocumentFault> faults;
+  while (!message.empty()) {
+    const std::string_view line = message.substr(0, message.find('\n'));
+    message.remove_prefix(std::min(message.size(), line.size() + 1));
+    const std::size_t colon = line.find(": ");
+    if (colon == std::string_view::npos || !line.starts_with('/')) {
+      faults.push_back({"", std::string(line)});
+    } else {
+      faults.push_back({std::string(line.substr(0, colon)), std::string(line.substr(colon + 2))});
+    }
+  }
+  return faults;
+}
+
+HttpResponse ConflictResponse(ConfigVersion version) {
+  const Error error = NotRun(ErrorCode::kConflict, "version " + std::to_string(version) +
+                                                       " is in force; read it and apply again");
+  HttpResponse response = ErrorResponse(409, error, "");
+  Json body = Json::parse(response.body);
+  body["version"] = version;
+  response.headers["ETag"] = Tag(version);
+  response.body = Dump(body);
+  return response;
+}
+
+}  // namespace
+
+AdminCall ParseAdminCall(const HttpRequest& request) {
+  const std::string_view path =
+      std::string_view(request.target).substr(0, request.target.find('?'));
+  AdminCall call = AdminCall::kUnknown;
+  for (const Route& route : kRoutes) {
+    if (route.path != path) continue;
+    if (route.method == request.method) return route.call;
+    call = AdminCall::kMethod;
+  }
+  return call;
+}
+
+Result<ConfigVersion> ParseIfMatch(const HttpRequest& request) {
+  const auto header = request.headers.find("If-Match");
+  if (header == request.headers.end()) {
+    return NotRun(ErrorCode::kInvalidArgument,
+                  "If-Match must name the version that the change was made from; 0 for the first");
+  }
+  std::string_view text = header->second;
+  if (text.size() >= 2 && text.front() == '"' && text.back() == '"') {
+    text = text.substr(1, text.size() - 2);
+  }
+  ConfigVersion version = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return NotRun(ErrorCode::kInvalidArgument, "If-Match must be one version number");
+  }
+  return version;
+}
+
+HttpResponse IfMatchResponse(const HttpRequest& request, const Error& error) {
+  return ErrorResponse(request.headers.contains("If-Match") ? 400 : 428, error, "");
+}
+
+HttpResponse ConfigResponse(const VersionedDocument* active) {
+  if (active == nullptr) {
+    HttpResponse response =
+        ErrorResponse(404, NotRun(ErrorCode::kNotFound, "no document is in force yet"), "");
+    response.headers["ETag"] = Tag(0);
+    return response;
+  }
+  HttpResponse response = JsonResponse(200, SerializeDocument(active->document));
+  response.headers["ETag"] = Tag(active->version);
+  response.headers["X-Config-Version"] = std::to_string(active->version);
+  return response;
+}
+
+HttpResponse ChangeResponse(const Result<ConfigChange>& change) {
+  if (!change) {
+    if (change.error().code == ErrorCode::kInvalidArgument) {
+      return FaultsResponse(FaultsOf(change.error().message));
+    }
+    HttpResponse response = ErrorResponse(StatusOf(change.error()), change.error(), "");
+    if (response.status == 503) response.headers["Retry-After"] = "1";
+    return response;
+  }
+  const ConfigChange& outcome = change.value();
+  if (!outcome.accepted) return ConflictResponse(outcome.version);
+  Json nodes = Json::array();
+  for (const NodeId& node : outcome.confirmed_by) nodes.push_back(node.value);
+  HttpResponse response =
+      JsonResponse(200, Dump({{"version", outcome.version}, {"confirmed_by", std::move(nodes)}}));
+  response.headers["ETag"] = Tag(outcome.version);
+  response.headers["X-Config-Version"] = std::to_string(outcome.version);
+  return response;
+}
+
+HttpResponse FaultsResponse(const std::vector<DocumentFault>& faults) {
+  const Error error = NotRun(ErrorCode::kInvalidArgument,
+                             "the document has " + std::to_string(faults.size()) + " faults");
+  HttpResponse response = ErrorResponse(422, error, "");
+  Json body = Json::parse(response.body);
+  Json list = Json::array();
+  for (const DocumentFault& fault : faults) {
+    list.push_back({{"pointer", fault.pointer}, {"problem", fault.problem}});
+  }
+  body["faults"] = std::move(list);
+  response.body = Dump(body);
+  return response;
+}
+
+HttpResponse ValidResponse() { return JsonResponse(200, R"({"valid":true})"); }
+
+HttpResponse StatusResponse(std::string json) { return JsonResponse(200, std::move(json)); }
+
+HttpResponse DrainResponse() { return JsonResponse(202, R"({"draining":true})"); }
+
+HttpResponse UnroutedResponse(AdminCall call) {
+  if (call == AdminCall::kMethod) {
+    return ErrorResponse(405, NotRun(ErrorCode::kInvalidArgument, "method not allowed here"), "");
+  }
+  return ErrorResponse(404, NotRun(ErrorCode::kNotFound, "no such call"), "");
+}
+
+}  // namespace limpetfall::detail
--- /dev/null
+++ b/src/operators/admin-api.h
@@ -0,0 +1,123 @@
+#ifndef LIMPETFALL_OPERATORS_ADMIN_API_H_
+#define LIMPETFALL_OPERATORS_ADMIN_API_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <concepts>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "core/config-document.h"
+#include "core/document.h"
+#include "http/server.h"
+#include "limpetfall/result.h"
+#include "limpetfall/time.h"
+
+namespace limpetfall {
+
+/** What became of a document that an operator submitted. */
+struct ConfigChange {
+  bool accepted = false;
+  ConfigVersion version = 0;         ///< The new version, or the one that is in force instead.
+  std::vector<NodeId> confirmed_by;  ///< Nodes that have the new version in force.
+
+  friend bool operator==(const ConfigChange&, const ConfigChange&) = default;
+};
+
+/** What the administration API asks of the rest of the node. */
+template <typename T>
+concept AdminNode = requires(T& node, std::string document, ConfigVersion expected,
+                             Deadline deadline) {
+  { node.ActiveDocument() } -> std::same_as<std::shared_ptr<const VersionedDocument>>;
+  {
+    node.ChangeConfig(document, expected, deadline)
+    } -> std::same_as<boost::asio::awaitable<Result<ConfigChange>>>;
+  { node.StatusJson() } -> std::same_as<std::string>;
+  { node.Drain() } -> std::same_as<void>;
+};
+
+namespace detail {
+
+enum class AdminCall { kGetConfig, kPutConfig, kCheckConfig, kStatus, kDrain, kUnknown, kMethod };
+
+AdminCall ParseAdminCall(const HttpRequest& request);
+
+/** Reads the version in `If-Match`: a number, in quotes or not. */
+Result<ConfigVersion> ParseIfMatch(const HttpRequest& request);
+
+/** The statuses of `If-Match` errors: 428 when it is absent, 400 when it is malformed. */
+HttpResponse IfMatchResponse(const HttpRequest& request, const Error& error);
+
+HttpResponse ConfigResponse(const VersionedDocument* active);
+HttpResponse ChangeResponse(const Result<ConfigChange>& change);
+HttpResponse FaultsResponse(const std::vector<DocumentFault>& faults);
+HttpResponse ValidResponse();
+HttpResponse StatusResponse(std::string json);
+HttpResponse DrainResponse();
+HttpResponse UnroutedResponse(AdminCall call);
+
+template <AdminNode N>
+boost::asio::awaitable<HttpResponse> ChangeConfig(std::shared_ptr<N> node, HttpRequest request,
+                                                  Deadline deadline) {
+  const auto expected = ParseIfMatch(request);
+  if (!expected) co_return IfMatchResponse(request, expected.error());
+  const DocumentCheck check = CheckDocument(request.body);
+  if (!check.faults.empty()) co_return FaultsResponse(check.faults);
+  auto change = co_await node->ChangeConfig(std::move(request.body), expected.value(), deadline);
+  co_return ChangeResponse(change);
+}
+
+template <AdminNode N>
+boost::asio::awaitable<HttpResponse> AnswerAdmin(std::shared_ptr<N> node, HttpRequest request,
+                                                 Deadline deadline) {
+  const AdminCall call = ParseAdminCall(request);
+  switch (call) {
+    case AdminCall::kGetConfig:
+      co_return ConfigResponse(node->ActiveDocument().get());
+    case AdminCall::kPutConfig:
+      co_return co_await ChangeConfig(std::move(node), std::move(request), deadline);
+    case AdminCall::kCheckConfig: {
+      const DocumentCheck check = CheckDocument(request.body);
+      co_return check.faults.empty() ? ValidResponse() : FaultsResponse(check.faults);
+    }
+    case AdminCall::kStatus:
+      co_return StatusResponse(node->StatusJson());
+    case AdminCall::kDrain:
+      node->Drain();
+      co_return DrainResponse();
+    case AdminCall::kUnknown:
+    case AdminCall::kMethod:
+      break;
+  }
+  co_return UnroutedResponse(call);
+}
+
+template <AdminNode N>
+boost::asio::awaitable<void> HandleAdmin(std::shared_ptr<N> node, HttpExchange& exchange,
+                                         Deadline deadline) {
+  HttpRequest request = exchange.request();
+  auto response = co_await AnswerAdmin(std::move(node), std::move(request), deadline);
+  co_await exchange.Send(std::move(response));
+}
+
+}  // namespace detail
+
+/**
+ * Makes the handler of the administration API. Each call ends within `timeout`.
+ *
+ *     auto server = HttpServer::Create(io, address, MakeAdminHandler(node, 10s), {});
+ */
+template <AdminNode N>
+HttpHandler MakeAdminHandler(std::shared_ptr<N> node, Milliseconds timeout) {
+  return [node = std::move(node), timeout](HttpExchange& exchange) {
+    return detail::HandleAdmin(node, exchange, Clock::now() + timeout);
+  };
+}
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_OPERATORS_ADMIN_API_H_
--- /dev/null
+++ b/test/config-state-test.cc
@@ -0,0 +1,88 @@
+#include "core/config-state.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace limpetfall {
+namespace {
+
+using std::chrono::seconds;
+
+class ConfigStateTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConfigStateTest);
+  CPPUNIT_TEST(VersionOnlyRises);
+  CPPUNIT_TEST(ConfirmedNodeServesInAnyPartition);
+  CPPUNIT_TEST(UnconfirmedNodeNeedsAMajority);
+  CPPUNIT_TEST(UnconfirmedNodeRefusesWhileAnotherIsConfirmed);
+  CPPUNIT_TEST(KnownNewerVersionEndsConfirmation);
+  CPPUNIT_TEST(ConfirmationOfAnotherVersionIsIgnored);
+  CPPUNIT_TEST(NodeWithoutDocumentRefuses);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a stale document that replaces a newer one.
+  void VersionOnlyRises() {
+    CPPUNIT_ASSERT(this->state.Adopt({7, {}}));
+    CPPUNIT_ASSERT(!this->state.Adopt({6, {}}));
+    CPPUNIT_ASSERT(!this->state.Adopt({7, {}}));
+    CPPUNIT_ASSERT_EQUAL(ConfigVersion{7}, this->state.version());
+  }
+
+  // Guards against a node that refuses although its document is known to be in force.
+  void ConfirmedNodeServesInAnyPartition() {
+    this->state.Adopt({1, {}});
+    this->state.Confirm(1, this->now + seconds(5));
+    CPPUNIT_ASSERT(this->state.MayServeNow({7, 1, false}, this->now + seconds(4)));
+    CPPUNIT_ASSERT(!this->state.MayServeNow({7, 1, false}, this->now + seconds(5)));
+  }
+
+  // Guards against half of the nodes serving an old document while the other half accepts a new
+  // one.
+  void UnconfirmedNodeNeedsAMajority() {
+    this->state.Adopt({1, {}});
+    CPPUNIT_ASSERT(this->state.MayServeNow({7, 4, false}, this->now));
+    CPPUNIT_ASSERT(!this->state.MayServeNow({7, 3, false}, this->now));
+    CPPUNIT_ASSERT(!this->state.MayServeNow({6, 3, false}, this->now));
+    CPPUNIT_ASSERT(this->state.MayServeNow({1, 1, false}, this->now));
+  }
+
+  // Guards against a node that takes its own lost contact for an outage of the platform.
+  void UnconfirmedNodeRefusesWhileAnotherIsConfirmed() {
+    this->state.Adopt({1, {}});
+    CPPUNIT_ASSERT(!this->state.MayServeNow({7, 7, true}, this->now));
+  }
+
+  // Guards against serving for ever with a document that is known to be superseded.
+  void KnownNewerVersionEndsConfirmation() {
+    this->state.Adopt({1, {}});
+    this->state.Confirm(1, this->now + seconds(5));
+    this->state.Announce(2);
+    this->state.Confirm(1, this->now + seconds(60));
+    CPPUNIT_ASSERT(this->state.MayServeNow({7, 7, false}, this->now));
+    CPPUNIT_ASSERT(!this->state.MayServeNow({7, 7, false}, this->now + seconds(5)));
+    this->state.Adopt({2, {}});
+    CPPUNIT_ASSERT(this->state.MayServeNow({7, 7, false}, this->now + seconds(5)));
+  }
+
+  // Guards against a read from before a change that confirms the document from after it.
+  void ConfirmationOfAnotherVersionIsIgnored() {
+    this->state.Adopt({2, {}});
+    this->state.Confirm(1, this->now + seconds(5));
+    this->state.Confirm(3, this->now + seconds(5));
+    CPPUNIT_ASSERT(this->state.confirmed_until() < this->now);
+  }
+
+  // Guards against serving before the first document.
+  void NodeWithoutDocumentRefuses() {
+    this->state.Confirm(0, this->now + seconds(5));
+    CPPUNIT_ASSERT(!this->state.MayServeNow({1, 1, false}, this->now));
+  }
+
+ private:
+  ConfigState state;
+  TimePoint now = Clock::now();
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigStateTest);
+
+}  // namespace
+}  // namespace limpetfall
--- /dev/null
+++ b/test/harness/fake-store.h
@@ -0,0 +1,134 @@
+#ifndef LIMPETFALL_TEST_HARNESS_FAKE_STORE_H_
+#define LIMPETFALL_TEST_HARNESS_FAKE_STORE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform/store.h"
+
+namespace limpetfall::test {
+
+/** What happens to one call of the fake store. */
+enum class Fault {
+  kNone,
+  kRefuse,       ///< No effect; the caller learns that there was none.
+  kLoseRequest,  ///< No effect; the caller does not learn that.
+  kLoseReply,    ///< Takes effect; the caller does not learn that.
+  kDelay,        ///< As `kLoseRequest`, but takes effect when `DeliverDelayed` is called.
+};
+
+/** A store in memory whose calls fail as the test says. Runs on one thread. */
+class FakeStore {
+ public:
+  std::deque<Fault> swap_faults;  ///< One for each coming `Swap`; none when it is used up.
+  std::deque<Fault> get_faults;
+  bool down = false;       ///< Every call is refused.
+  std::int64_t stale = 0;  ///< Above 0, reads show this revision.
+  std::function<void(const std::string& key)> before_swap;
+  int swaps = 0;
+  int gets = 0;
+  std::map<std::string, std::int64_t> leases;  ///< Lease of each key's last write, in seconds.
+
+  boost::asio::awaitable<Result<std::optional<StoredValue>>> Get(std::string key,
+                                                                 Deadline /*deadline*/) {
+    ++this->gets;
+    if (Next(this->get_faults) != Fault::kNone) co_return Refused();
+    co_return Read(key);
+  }
+
+  boost::asio::awaitable<Result<std::vector<StoredValue>>> List(std::string prefix,
+                                                                Deadline /*deadline*/) {
+    ++this->gets;
+    if (Next(this->get_faults) != Fault::kNone) co_return Refused();
+    std::vector<StoredValue> values;
+    for (const auto& [key, history] : this->keys) {
+      if (!key.starts_with(prefix)) continue;
+      if (auto value = Read(key)) values.push_back(std::move(*value));
+    }
+    co_return values;
+  }
+
+  boost::asio::awaitable<Result<SwapOutcome>> Swap(std::string key, std::string value,
+                                                   std::int64_t expected_revision,
+                                                   std::int64_t lease_seconds,
+                                                   Deadline /*deadline*/) {
+    ++this->swaps;
+    // A copy, because the function may replace itself.
+    if (const auto hook = this->before_swap) hook(key);
+    const Fault fault = Next(this->swap_faults);
+    if (fault == Fault::kRefuse) co_return Refused();
+    if (fault == Fault::kLoseRequest) co_return Lost();
+    if (fault == Fault::kDelay) {
+      this->delayed.push_back([this, key, value, expected_revision, lease_seconds] {
+        Apply(key, value, expected_revision, lease_seconds);
+      });
+      co_return Lost();
+    }
+    SwapOutcome outcome = Apply(key, value, expected_revision, lease_seconds);
+    if (fault == Fault::kLoseReply) co_return Lost();
+    co_return outcome;
+  }
+
+  SwapOutcome Apply(const std::string& key, const std::string& value,
+                    std::int64_t expected_revision, std::int64_t lease_seconds) {
+    auto& history = this->keys[key];
+    const std::int64_t present = history.empty() ? 0 : history.back().revision;
+    if (present != expected_revision) {
+      return {false, 0, history.empty() ? std::nullopt : std::optional(history.back())};
+    }
+    history.push_back({key, value, ++this->revision});
+    this->leases[key] = lease_seconds;
+    return {true, this->revision, std::nullopt};
+  }
+
+  void DeliverDelayed() {
+    for (const auto& write : std::exchange(this->delayed, {})) write();
+  }
+
+  /** Returns the newest state of a key, whatever reads show. */
+  [[nodiscard]] std::optional<StoredValue> Newest(const std::string& key) const {
+    const auto found = this->keys.find(key);
+    if (found == this->keys.end() || found->second.empty()) return std::nullopt;
+    return found->second.back();
+  }
+
+ private:
+  static Error Refused() { return NotRun(ErrorCode::kUnavailable, "the store is down"); }
+  static Error Lost() { return MayHaveRun(ErrorCode::kUnavailable, "no reply"); }
+
+  Fault Next(std::deque<Fault>& faults) const {
+    if (this->down) return Fault::kRefuse;
+    if (faults.empty()) return Fault::kNone;
+    const Fault fault = faults.front();
+    faults.pop_front();
+    return fault;
+  }
+
+  [[nodiscard]] std::optional<StoredValue> Read(const std::string& key) const {
+    if (this->stale == 0) return Newest(key);
+    std::optional<StoredValue> seen;
+    const auto found = this->keys.find(key);
+    if (found == this->keys.end()) return seen;
+    for (const StoredValue& value : found->second) {
+      if (value.revision <= this->stale) seen = value;
+    }
+    return seen;
+  }
+
+  std::map<std::string, std::vector<StoredValue>> keys;
+  std::vector<std::function<void()>> delayed;
+  std::int64_t revision = 0;
+};
+
+static_assert(Store<FakeStore>);
+
+}  // namespace limpetfall::test
+
+#endif  // LIMPETFALL_TEST_HARNESS_FAKE_STORE_H_
