--- /dev/null
+++ b/test/config-integration-test.cc
@@ -0,0 +1,200 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <iostream>
+#include <thread>
+
+#include "harness/cluster.h"
+
+// P8: an accepted document is in force everywhere within seconds and no older one returns.
+namespace limpetfall::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kInForceLimit{5000};
+constexpr milliseconds kLimit{20000};
+
+int VersionOf(const Reply& reply) {
+  const auto found = reply.headers.find("x-config-version");
+  return found == reply.headers.end() ? 0 : std::stoi(found->second);
+}
+
+class ConfigIntegrationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConfigIntegrationTest);
+  CPPUNIT_TEST(AcceptedChangeIsInForceEverywhere);
+  CPPUNIT_TEST(OneOfTwoRacingOperatorsLoses);
+  CPPUNIT_TEST(BadDocumentChangesNothingAndListsEveryFault);
+  CPPUNIT_TEST(LostReplyOfManifestWriteIsSettled);
+  CPPUNIT_TEST(PlatformOutageLeavesServiceUp);
+  CPPUNIT_TEST(StaleReadsNeverRevertVersion);
+  CPPUNIT_TEST(NodeStartedInOutageTakesVersionOfPeers);
+  CPPUNIT_TEST(NodeCutOffAloneRefusesWithNotRun);
+  CPPUNIT_TEST(HalfWithPlatformChangesAndOtherHalfServesNoOldVersion);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against nodes that learn of a change only at their next poll, or never.
+  void AcceptedChangeIsInForceEverywhere() {
+    auto cluster = Cluster::Start(kSmall);
+    for (int version = 2; version <= 6; ++version) {
+      const Reply applied = ApplyWeight(*cluster, version % 3, version);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(applied.body, 200, applied.status);
+      for (int node = 0; node < 3; ++node) {
+        CPPUNIT_ASSERT(
+            WaitFor([&] { return ServedVersion(*cluster, node) == version; }, kInForceLimit));
+      }
+    }
+  }
+
+  // Guards against a change that silently overwrites one made a moment before.
+  void OneOfTwoRacingOperatorsLoses() {
+    auto cluster = Cluster::Start(kSmall);
+    std::atomic<int> accepted{0};
+    std::atomic<int> conflicts{0};
+    std::vector<std::thread> operators;
+    for (int i = 0; i < 6; ++i) {
+      operators.emplace_back([&, i] {
+        json document = cluster->document();
+        document["teams"][0]["weight"] = 10 + i;
+        const Reply reply = cluster->Apply(i % 3, document, "1");
+        accepted += reply.status == 200;
+        conflicts += reply.status == 409;
+      });
+    }
+    for (std::thread& thread : operators) thread.join();
+    CPPUNIT_ASSERT_EQUAL(1, accepted.load());
+    CPPUNIT_ASSERT_EQUAL(5, conflicts.load());
+  }
+
+  // Guards against half-applied documents and against reports of the first fault only.
+  void BadDocumentChangesNothingAndListsEveryFault() {
+    auto cluster = Cluster::Start(kSmall);
+    json document = cluster->document();
+    document["teams"][0]["weight"] = -1;
+    document["branches"][0]["models"][0]["version"] = "9";
+    document["surprise"] = true;
+    const Reply reply = cluster->Apply(0, document, "1");
+    CPPUNIT_ASSERT_EQUAL(422, reply.status);
+    for (const char* pointer : {"/teams/0/weight", "/branches/0/models/0/version", "/surprise"}) {
+      CPPUNIT_ASSERT_MESSAGE(reply.body, reply.body.find(pointer) != std::string::npos);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, ServedVersion(*cluster, 0));
+  }
+
+  // Guards against reporting a lost change as refused, or applying it twice.
+  void LostReplyOfManifestWriteIsSettled() {
+    auto cluster = Cluster::Start(kSmall);
+    cluster->ControlPlatform(R"({"drop_replies":1,"drop_prefix":"/limpetfall/config/manifest"})");
+    const Reply applied = ApplyWeight(*cluster, 0, 2);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(applied.body, 200, applied.status);
+    for (int node = 0; node < 3; ++node) {
+      CPPUNIT_ASSERT(WaitFor([&] { return ServedVersion(*cluster, node) == 2; }, kInForceLimit));
+    }
+  }
+
+  // Guards against an outage of the store that becomes an outage of the system. The outage lasts
+  // longer than every confirmation, summary and address deadline.
+  void PlatformOutageLeavesServiceUp() {
+    auto cluster = Cluster::Start(kSmall);
+    cluster->ControlPlatform(R"({"outage":"silent","vm_outage":"silent"})");
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(12);
+    int served = 0;
+    while (std::chrono::steady_clock::now() < end) {
+      const Reply reply = cluster->Complete(served % 3, "outage " + std::to_string(served));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(reply.body + reply.error, 200, reply.status);
+      ++served;
+    }
+    const Reply refused = ApplyWeight(*cluster, 0, 2);
+    CPPUNIT_ASSERT_MESSAGE(refused.body, refused.status != 200);
+    cluster->ControlPlatform(R"({"outage":"none","vm_outage":"none"})");
+    CPPUNIT_ASSERT(WaitFor([&] { return ApplyWeight(*cluster, 1, 2).status == 200; }, kLimit));
+    std::cout << "\n" << served << " completions served during the outage\n";
+  }
+
+  // Guards against a store that answers from an old replica after a failover.
+  void StaleReadsNeverRevertVersion() {
+    auto cluster = Cluster::Start(kSmall);
+    for (int version = 2; version <= 4; ++version) {
+      CPPUNIT_ASSERT_EQUAL(200, ApplyWeight(*cluster, 0, version).status);
+    }
+    cluster->ControlPlatform(R"({"stale_revision":8})");
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(8);
+    while (std::chrono::steady_clock::now() < end) {
+      for (int node = 0; node < 3; ++node) {
+        const int version = ServedVersion(*cluster, node);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(version), version == 4 || version == 0);
+      }
+    }
+    cluster->ControlPlatform(R"({"stale_revision":0})");
+    for (int node = 0; node < 3; ++node) {
+      CPPUNIT_ASSERT(WaitFor([&] { return ServedVersion(*cluster, node) == 4; }, kLimit));
+    }
+  }
+
+  // Guards against a new node that serves nothing, or something old, while the store is down.
+  void NodeStartedInOutageTakesVersionOfPeers() {
+    auto cluster = Cluster::Start(kSmall);
+    CPPUNIT_ASSERT_EQUAL(200, ApplyWeight(*cluster, 0, 2).status);
+    cluster->ControlPlatform(R"({"outage":"refuse","vm_outage":"refuse"})");
+    cluster->RestartNode(2);
+    CPPUNIT_ASSERT(WaitFor([&] { return ServedVersion(*cluster, 2) == 2; }, kLimit));
+  }
+
+  // Guards against a node that serves an old document because nobody can tell it of the new one.
+  void NodeCutOffAloneRefusesWithNotRun() {
+    ClusterOptions options = kSmall;
+    options.proxy_platform = true;
+    options.proxy_nodes = true;
+    auto cluster = Cluster::Start(options);
+    cluster->ControlPlatformProxy(2, R"({"mode":"silence"})");
+    // Cutting the RPC ports of all nodes separates them from each other; 0 and 1 keep the platform.
+    for (int node = 0; node < 3; ++node) cluster->ControlNodeProxy(node, R"({"mode":"silence"})");
+    CPPUNIT_ASSERT(WaitFor([&] { return ServedVersion(*cluster, 2) == 0; }, kLimit));
+    const Reply refused = cluster->Complete(2, "cut off");
+    CPPUNIT_ASSERT_EQUAL(503, refused.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"), refused.headers.at("x-verdict"));
+    for (int node = 0; node < 2; ++node) {
+      CPPUNIT_ASSERT_EQUAL(200, cluster->Complete(node, "with platform").status);
+    }
+    cluster->ControlPlatformProxy(2, R"({"mode":"pass"})");
+    for (int node = 0; node < 3; ++node) cluster->ControlNodeProxy(node, R"({"mode":"pass"})");
+    CPPUNIT_ASSERT(WaitFor([&] { return ServedVersion(*cluster, 2) == 1; }, kLimit));
+  }
+
+  // Guards against two documents in force at once while the nodes are split.
+  void HalfWithPlatformChangesAndOtherHalfServesNoOldVersion() {
+    ClusterOptions options = kSmall;
+    options.proxy_platform = true;
+    auto cluster = Cluster::Start(options);
+    cluster->ControlPlatformProxy(2, R"({"mode":"cut"})");
+    // Node 2 still hears of the change from its peers.
+    CPPUNIT_ASSERT_EQUAL(200, ApplyWeight(*cluster, 0, 2).status);
+    CPPUNIT_ASSERT(WaitFor([&] { return ServedVersion(*cluster, 2) == 2; }, kInForceLimit));
+    CPPUNIT_ASSERT_EQUAL(2, VersionOf(cluster->Complete(2, "without platform")));
+  }
+
+ private:
+  static Reply ApplyWeight(const Cluster& cluster, int node, int next_version) {
+    json document = cluster.document();
+    document["teams"][0]["weight"] = next_version;
+    return cluster.Apply(node, document, std::to_string(next_version - 1));
+  }
+
+  // The version that a whole answer of this node names, 0 when it refuses.
+  static int ServedVersion(const Cluster& cluster, int node) {
+    const Reply reply = cluster.Complete(node, "version", 1);
+    return reply.status == 200 ? VersionOf(reply) : 0;
+  }
+
+  static const ClusterOptions kSmall;
+};
+
+const ClusterOptions ConfigIntegrationTest::kSmall{
+    .domains = 1, .vms_per_domain = 4, .vms_per_group = 2, .groups = 2};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigIntegrationTest);
+
+}  // namespace
+}  // namespace limpetfall::testing
--- /dev/null
+++ b/test/orders-integration-test.cc
@@ -0,0 +1,234 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+#include <random>
+#include <thread>
+
+#include "harness/cluster.h"
+
+// P4 ("not run" is true) and P5 (orders run at most once); the order book's journal is the judge.
+namespace limpetfall::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::string VerdictOf(const Reply& reply) {
+  const auto found = reply.headers.find("x-verdict");
+  return found == reply.headers.end() ? "" : found->second;
+}
+
+class OrdersIntegrationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OrdersIntegrationTest);
+  CPPUNIT_TEST(RepeatThroughAnotherNodeGetsRecordedOutcome);
+  CPPUNIT_TEST(DroppedReplyIsNotRepeated);
+  CPPUNIT_TEST(ConcurrentRepeatsRunOnce);
+  CPPUNIT_TEST(NodeKilledAfterDispatchRunsOnce);
+  CPPUNIT_TEST(LostClaimReplyRunsOnce);
+  CPPUNIT_TEST(PlatformDownIsNotRun);
+  CPPUNIT_TEST(SilentServiceMayHaveRun);
+  CPPUNIT_TEST(RefusedByServiceIsNotRunAndMayBeSentAgain);
+  CPPUNIT_TEST(UnreachableServiceIsNotRun);
+  CPPUNIT_TEST(SameKeyWithOtherBodyIsRefused);
+  CPPUNIT_TEST(NotRunIsTrueUnderRandomFaults);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a second run when a caller repeats a finished order.
+  void RepeatThroughAnotherNodeGetsRecordedOutcome() {
+    auto cluster = Cluster::Start(kSmall);
+    const Reply first = cluster->Order(0, "job-1", R"({"job":"repeat-1"})");
+    const Reply second = cluster->Order(1, "job-1", R"({"job":"repeat-1"})");
+    CPPUNIT_ASSERT_EQUAL(std::string("ran"), VerdictOf(first));
+    CPPUNIT_ASSERT_EQUAL(first.status, second.status);
+    CPPUNIT_ASSERT_EQUAL(first.body, second.body);
+    CPPUNIT_ASSERT_EQUAL(1, cluster->OrdersRun("repeat-1"));
+  }
+
+  // Guards against an automatic retry after the effect, when only the answer was lost.
+  void DroppedReplyIsNotRepeated() {
+    auto cluster = Cluster::Start(kSmall);
+    cluster->ControlService(R"({"drop_after":1})");
+    const Reply lost = cluster->Order(0, "job-2", R"({"job":"dropped-2"})");
+    CPPUNIT_ASSERT_EQUAL(std::string("may-have-run"), VerdictOf(lost));
+    const Reply again = cluster->Order(1, "job-2", R"({"job":"dropped-2"})");
+    CPPUNIT_ASSERT(VerdictOf(again) != "not-run");
+    const Reply without_key = cluster->Order(2, "", R"({"job":"no-key"})");
+    CPPUNIT_ASSERT_EQUAL(std::string("ran"), VerdictOf(without_key));
+    CPPUNIT_ASSERT_EQUAL(1, cluster->OrdersRun("dropped-2"));
+  }
+
+  // Guards against two nodes that both claim an order that arrives at both at once.
+  void ConcurrentRepeatsRunOnce() {
+    auto cluster = Cluster::Start(kSmall);
+    cluster->ControlService(R"({"delay_ms":300})");
+    std::vector<Reply> replies(6);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 6; ++i) {
+      callers.emplace_back([&, i] {
+        replies[static_cast<std::size_t>(i)] =
+            cluster->Order(i % 3, "job-3", R"({"job":"twice-3"})");
+      });
+    }
+    for (std::thread& caller : callers) caller.join();
+    CPPUNIT_ASSERT_EQUAL(1, cluster->OrdersRun("twice-3"));
+    int ran = 0;
+    for (const Reply& reply : replies) ran += VerdictOf(reply) == "ran";
+    CPPUNIT_ASSERT(ran >= 1);
+    for (const Reply& reply : replies) CPPUNIT_ASSERT(VerdictOf(reply) != "not-run");
+  }
+
+  // Guards against a second dispatch of an order whose first node died while the service ran it.
+  void NodeKilledAfterDispatchRunsOnce() {
+    auto cluster = Cluster::Start(kSmall);
+    cluster->ControlService(R"({"delay_ms":3000})");
+    std::thread caller([&] { (void)cluster->Order(0, "job-4", R"({"job":"killed-4"})"); });
+    CPPUNIT_ASSERT(WaitFor([&] { return cluster->OrdersRun("killed-4") == 1; }, kLimit));
+    cluster->node(0).Kill();
+    caller.join();
+    cluster->ControlService(R"({"delay_ms":0})");
+    const Reply again = cluster->Order(1, "job-4", R"({"job":"killed-4"})");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(again.body, std::string("may-have-run"), VerdictOf(again));
+    cluster->RestartNode(0);
+    CPPUNIT_ASSERT(WaitFor([&] { return cluster->Status(0).is_object(); }, kLimit));
+    CPPUNIT_ASSERT(cluster->WaitForServingGroups(0, 2, kLimit));
+    const Reply third = cluster->Order(0, "job-4", R"({"job":"killed-4"})");
+    CPPUNIT_ASSERT(VerdictOf(third) != "not-run");
+    CPPUNIT_ASSERT_EQUAL(1, cluster->OrdersRun("killed-4"));
+  }
+
+  // Guards against claiming twice when the claim took effect and its reply was lost.
+  void LostClaimReplyRunsOnce() {
+    auto cluster = Cluster::Start(kSmall);
+    cluster->ControlPlatform(R"({"drop_replies":1,"drop_prefix":"/limpetfall/orders/"})");
+    const Reply first = cluster->Order(0, "job-5", R"({"job":"claim-5"})");
+    const Reply second = cluster->Order(1, "job-5", R"({"job":"claim-5"})");
+    const int run = cluster->OrdersRun("claim-5");
+    CPPUNIT_ASSERT(run <= 1);
+    CPPUNIT_ASSERT(VerdictOf(first) != "not-run" || run == 0 || VerdictOf(second) == "ran");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(second.body, std::string("ran"), VerdictOf(second));
+  }
+
+  // Guards against dispatching an order that could not be claimed.
+  void PlatformDownIsNotRun() {
+    auto cluster = Cluster::Start(kSmall);
+    cluster->ControlPlatform(R"({"outage":"silent"})");
+    const Reply refused = cluster->Order(0, "job-6", R"({"job":"outage-6"})");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(refused.body, std::string("not-run"), VerdictOf(refused));
+    CPPUNIT_ASSERT_EQUAL(0, cluster->OrdersRun("outage-6"));
+    cluster->ControlPlatform(R"({"outage":"none"})");
+    Reply accepted;
+    CPPUNIT_ASSERT(WaitFor(
+        [&] {
+          accepted = cluster->Order(1, "job-6", R"({"job":"outage-6"})");
+          return VerdictOf(accepted) == "ran";
+        },
+        kLimit));
+    CPPUNIT_ASSERT_EQUAL(1, cluster->OrdersRun("outage-6"));
+  }
+
+  // Guards against calling an order "not run" because its service went silent after the effect.
+  void SilentServiceMayHaveRun() {
+    auto cluster = Cluster::Start(kSmall);
+    cluster->ControlService(R"({"silent":1})");
+    const Reply silent = Fetch("POST", cluster->caller_url(0) + "/v1/services/order-book/orders",
+                               R"({"job":"silent-7"})",
+                               {{"X-Branch", "ennis"},
+                                {"X-Team", "councils"},
+                                {"Idempotency-Key", "job-7"},
+                                {"X-Deadline-Ms", "2000"}},
+                               milliseconds(10000));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(silent.body, std::string("may-have-run"), VerdictOf(silent));
+    CPPUNIT_ASSERT_EQUAL(1, cluster->OrdersRun("silent-7"));
+    const Reply again = cluster->Order(1, "job-7", R"({"job":"silent-7"})");
+    CPPUNIT_ASSERT(VerdictOf(again) != "not-run");
+    CPPUNIT_ASSERT_EQUAL(1, cluster->OrdersRun("silent-7"));
+  }
+
+  // Guards against an order that can never run because a refused attempt keeps its claim.
+  void RefusedByServiceIsNotRunAndMayBeSentAgain() {
+    auto cluster = Cluster::Start(kSmall);
+    cluster->ControlService(R"({"refuse":10})");
+    const Reply refused = cluster->Order(0, "job-8", R"({"job":"refused-8"})");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(refused.body, std::string("not-run"), VerdictOf(refused));
+    CPPUNIT_ASSERT_EQUAL(0, cluster->OrdersRun("refused-8"));
+    cluster->ControlService(R"({"refuse":0})");
+    const Reply accepted = cluster->Order(1, "job-8", R"({"job":"refused-8"})");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(accepted.body, std::string("ran"), VerdictOf(accepted));
+    CPPUNIT_ASSERT_EQUAL(1, cluster->OrdersRun("refused-8"));
+  }
+
+  // Guards against "may have run" for an order whose service could not even be connected to.
+  void UnreachableServiceIsNotRun() {
+    auto cluster = Cluster::Start(kSmall);
+    cluster->service().Kill();
+    const Reply refused = cluster->Order(0, "job-9", R"({"job":"unreachable-9"})");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(refused.body, std::string("not-run"), VerdictOf(refused));
+    cluster->RestartService();
+    Reply accepted;
+    CPPUNIT_ASSERT(WaitFor(
+        [&] {
+          accepted = cluster->Order(1, "job-9", R"({"job":"unreachable-9"})");
+          return VerdictOf(accepted) == "ran";
+        },
+        kLimit));
+    CPPUNIT_ASSERT_EQUAL(1, cluster->OrdersRun("unreachable-9"));
+  }
+
+  // Guards against answering a different order with the outcome of another one.
+  void SameKeyWithOtherBodyIsRefused() {
+    auto cluster = Cluster::Start(kSmall);
+    CPPUNIT_ASSERT_EQUAL(std::string("ran"),
+                         VerdictOf(cluster->Order(0, "job-10", R"({"job":"first-10"})")));
+    const Reply other = cluster->Order(1, "job-10", R"({"job":"other-10"})");
+    CPPUNIT_ASSERT_EQUAL(422, other.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"), VerdictOf(other));
+    CPPUNIT_ASSERT_EQUAL(0, cluster->OrdersRun("other-10"));
+  }
+
+  // Guards against any path that says "not run" of an order that ran, and counts the cautious
+  // answers: "may have run" where the truth is "not run".
+  void NotRunIsTrueUnderRandomFaults() {
+    auto cluster = Cluster::Start(kSmall);
+    constexpr unsigned kSeed = 20261204;
+    constexpr int kOrders = 60;
+    std::mt19937 random(kSeed);
+    const std::vector<std::string> service_faults = {R"({"drop_after":1})", R"({"drop_before":1})",
+                                                     R"({"refuse":1})", R"({"delay_ms":20})",
+                                                     R"({"delay_ms":0})"};
+    const std::vector<std::string> platform_faults = {
+        R"({"drop_replies":1,"drop_prefix":"/limpetfall/orders/"})", R"({"slow_ms":30})",
+        R"({"slow_ms":0})"};
+    int cautious = 0;
+    for (int i = 0; i < kOrders; ++i) {
+      if (i % 2 == 0) cluster->ControlService(service_faults[random() % service_faults.size()]);
+      if (i % 3 == 0) cluster->ControlPlatform(platform_faults[random() % platform_faults.size()]);
+      const std::string mark = "random-" + std::to_string(i) + "-";
+      const std::string body = json({{"job", mark}}).dump();
+      const std::string key = "key-" + std::to_string(i);
+      const Reply first = cluster->Order(static_cast<int>(random() % 3), key, body);
+      const int run = cluster->OrdersRun(mark);
+      CPPUNIT_ASSERT_MESSAGE(mark, run <= 1);
+      const std::string verdict = VerdictOf(first);
+      CPPUNIT_ASSERT_MESSAGE(mark + first.body, verdict != "not-run" || run == 0);
+      CPPUNIT_ASSERT_MESSAGE(mark + first.body, verdict != "ran" || run == 1);
+      cautious += verdict == "may-have-run" && run == 0;
+      (void)cluster->Order(static_cast<int>(random() % 3), key, body);
+      CPPUNIT_ASSERT_MESSAGE(mark, cluster->OrdersRun(mark) <= 1);
+    }
+    std::cout << "\nseed " << kSeed << ": " << cautious << " of " << kOrders
+              << " orders were told \"may have run\" and had not run\n";
+  }
+
+ private:
+  static constexpr milliseconds kLimit{20000};
+  static const ClusterOptions kSmall;
+};
+
+const ClusterOptions OrdersIntegrationTest::kSmall{
+    .domains = 1, .vms_per_domain = 4, .vms_per_group = 2, .groups = 2};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OrdersIntegrationTest);
+
+}  // namespace
+}  // namespace limpetfall::testing
