--- a/src/caller/caller-api.cc
+++ b/src/caller/caller-api.cc
@@ -400,6 +400,10 @@
   return "event: error\ndata: " + ErrorBody(error, id.value) + "\n\n";
 }
 
+boost::asio::awaitable<void> Answer(HttpExchange& exchange, HttpResponse response) {
+  [[maybe_unused]] const Result<void> sent = co_await exchange.Send(std::move(response));
+}
+
 boost::asio::awaitable<Result<void>> StreamSink::OnStart(ConfigVersion version) {
   if (this->is_started) {
     co_return MayHaveRun(ErrorCode::kInternal, "the completion was started twice");
--- a/src/caller/caller-api.h
+++ b/src/caller/caller-api.h
@@ -61,6 +61,9 @@
 std::string ErrorEvent(const RequestId& id, const Error& error);
 inline constexpr std::string_view kEndEvent = "data: [DONE]\n\n";
 
+/** Sends the answer; a caller that has gone away is no concern of the handler. */
+boost::asio::awaitable<void> Answer(HttpExchange& exchange, HttpResponse response);
+
 /** Sends each token to the caller as it comes. */
 class StreamSink final : public CompletionSink {
  public:
@@ -145,40 +148,36 @@
     return this->Refuse(exchange, error, id.value());
   }
 
-  boost::asio::awaitable<void> Answer(HttpExchange& exchange, HttpResponse response) {
-    // The caller has gone when this fails; nobody is left to tell.
-    (void)co_await exchange.Send(std::move(response));
-  }
-
-  boost::asio::awaitable<void> Refuse(HttpExchange& exchange, Error error, RequestId id) {
-    return this->Answer(exchange, detail::CallerError(error, id, this->backend->ActiveConfig()));
+  boost::asio::awaitable<void> Refuse(HttpExchange& exchange, const Error& error,
+                                      const RequestId& id) {
+    return detail::Answer(exchange, detail::CallerError(error, id, this->backend->ActiveConfig()));
   }
 
-  boost::asio::awaitable<void> Addresses(HttpExchange& exchange, RequestId id) {
+  boost::asio::awaitable<void> Addresses(HttpExchange& exchange, const RequestId& id) {
     const ConfigVersion version = this->backend->ActiveConfig();
     if (exchange.request().method != "GET") {
-      return this->Answer(exchange, detail::MethodNotAllowed("GET", id, version));
+      return detail::Answer(exchange, detail::MethodNotAllowed("GET", id, version));
     }
     const Result<ZoneId> zone = detail::ParseZone(exchange.request(), this->options);
     if (!zone) return this->Refuse(exchange, zone.error(), id);
-    return this->Answer(
+    return detail::Answer(
         exchange, detail::AddressesResponse(this->backend->Addresses(zone.value()), id, version));
   }
 
-  boost::asio::awaitable<void> Health(HttpExchange& exchange, RequestId id) {
+  boost::asio::awaitable<void> Health(HttpExchange& exchange, const RequestId& id) {
     const ConfigVersion version = this->backend->ActiveConfig();
     if (exchange.request().method != "GET" && exchange.request().method != "HEAD") {
-      return this->Answer(exchange, detail::MethodNotAllowed("GET, HEAD", id, version));
+      return detail::Answer(exchange, detail::MethodNotAllowed("GET, HEAD", id, version));
     }
-    return this->Answer(exchange,
-                        detail::HealthResponse(this->backend->AcceptsWork(), id, version));
+    return detail::Answer(exchange,
+                          detail::HealthResponse(this->backend->AcceptsWork(), id, version));
   }
 
   boost::asio::awaitable<void> Complete(HttpExchange& exchange, RequestId id) {
     if (exchange.request().method != "POST") {
       const ConfigVersion version = this->backend->ActiveConfig();
       HttpResponse refusal = detail::MethodNotAllowed("POST", id, version);
-      co_return co_await this->Answer(exchange, std::move(refusal));
+      co_return co_await detail::Answer(exchange, std::move(refusal));
     }
     const auto call = detail::ParseCompletion(exchange.request(), id, this->options, Clock::now());
     if (!call) co_return co_await this->Refuse(exchange, call.error(), id);
@@ -195,12 +194,12 @@
     if (!completed) {
       const ConfigVersion version = sink.version().value_or(this->backend->ActiveConfig());
       HttpResponse failure = detail::CallerError(completed.error(), request.id, version);
-      co_return co_await this->Answer(exchange, std::move(failure));
+      co_return co_await detail::Answer(exchange, std::move(failure));
     }
     const ConfigVersion version = sink.version().value_or(this->backend->ActiveConfig());
     HttpResponse response =
         detail::CompletionResponse(request.id, version, sink.text(), sink.tokens());
-    co_return co_await this->Answer(exchange, std::move(response));
+    co_return co_await detail::Answer(exchange, std::move(response));
   }
 
   boost::asio::awaitable<void> Stream(HttpExchange& exchange, CompletionRequest request) {
@@ -215,7 +214,8 @@
     const std::string last = completed ? std::string(detail::kEndEvent)
                                        : detail::ErrorEvent(request.id, completed.error());
     const Result<void> written = co_await exchange.WriteChunk(last);
-    if (written) (void)co_await exchange.FinishStream();
+    if (!written) co_return;
+    [[maybe_unused]] const Result<void> finished = co_await exchange.FinishStream();
   }
 
   boost::asio::awaitable<void> CallService(HttpExchange& exchange, RequestId id) {
@@ -227,7 +227,7 @@
     Result<ServiceAnswer> answer = co_await this->backend->CallService(service_call);
     if (!answer) co_return co_await this->Refuse(exchange, answer.error(), id);
     HttpResponse response = detail::ServiceResponse(id, std::move(answer).value());
-    co_return co_await this->Answer(exchange, std::move(response));
+    co_return co_await detail::Answer(exchange, std::move(response));
   }
 
   const std::shared_ptr<Backend> backend;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -390,7 +390,8 @@
     curl_slist* list = nullptr;
     for (const auto& [name, value] : headers) {
       // libcurl drops "name:" and sends an empty header for "name;".
-      const std::string line = value.empty() ? name + ";" : name + ": " + value;
+      std::string line = name;
+      line.append(value.empty() ? ";" : ": ").append(value);
       list = curl_slist_append(list, line.c_str());
     }
     // Without these lines libcurl adds a form content type and waits for "100 Continue".
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -417,6 +417,11 @@
     co_return co_await this->WriteBytes(end, State::kDone);
   }
 
+  void Abort() override {
+    this->state = State::kBroken;
+    this->connection.Close();
+  }
+
  private:
   // In kBroken a write has begun and not ended; nothing more may be sent after it.
   enum class State { kOpen, kStreaming, kDone, kBroken };
@@ -522,7 +527,7 @@
     HttpResponse failure =
         ErrorResponse(500, MayHaveRun(ErrorCode::kInternal, "the request was not answered"),
                       IsRequestId(id) ? id : "");
-    co_await exchange.Send(std::move(failure));
+    [[maybe_unused]] const Result<void> sent = co_await exchange.Send(std::move(failure));
   }
   if (exchange.reusable()) co_return true;
   if (exchange.done()) co_await this->Linger();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -31,6 +31,9 @@
 
   /** Ends the chunked body. A stream that is destroyed without this closes the connection. */
   virtual boost::asio::awaitable<Result<void>> FinishStream() = 0;
+
+  /** Closes the connection without an answer, or without the rest of one. For stand-ins. */
+  virtual void Abort() {}
 };
 
 /** The coroutine is cancelled (terminal cancellation) when the peer closes the connection. */
--- a/src/upstream/completion.h
+++ b/src/upstream/completion.h
@@ -26,10 +26,14 @@
   virtual boost::asio::awaitable<Result<std::optional<std::string>>> Next(Deadline deadline) = 0;
 };
 
-/** Starts a completion on rank 0 of `group`, after the tokens in `resume_tokens`. */
+/**
+ * Starts a completion on rank 0 of `group`, after the tokens in `resume_tokens`. The index of the
+ * first new token is the number of those. The arguments but the client are used up before this
+ * returns its awaitable.
+ */
 boost::asio::awaitable<Result<std::unique_ptr<TokenStream>>> OpenCompletion(
-    HttpClient& client, GroupSummary group, CompletionRequest request,
-    std::vector<std::string> resume_tokens, Deadline deadline);
+    HttpClient& client, const GroupSummary& group, const CompletionRequest& request,
+    const std::vector<std::string>& resume_tokens, Deadline deadline);
 
 }  // namespace limpetfall
 
--- /dev/null
+++ b/src/upstream/refusal.h
@@ -0,0 +1,19 @@
+#ifndef LIMPETFALL_UPSTREAM_REFUSAL_H_
+#define LIMPETFALL_UPSTREAM_REFUSAL_H_
+
+#include <optional>
+#include <string_view>
+
+#include "http/client.h"
+
+namespace limpetfall {
+
+/**
+ * Returns the error that an answer stands for if the upstream's protocol defines it as a refusal
+ * of a request that did not run: status 409, 429 or 503 together with `X-Verdict: not-run`.
+ */
+std::optional<Error> RefusalOf(int status, const Headers& headers, std::string_view upstream);
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_UPSTREAM_REFUSAL_H_
