--- a/src/daemon/dispatcher-impl.h
+++ b/src/daemon/dispatcher-impl.h
@@ -6,7 +6,7 @@
 
 #define LIMPETFALL_DISPATCHER_TEMPLATE                                                        \
   template <ConfigSource Config, TokenOpener Opener, GroupConfirmer Check, MarkPusher Pusher, \
-            OrderRunner Orders, ServiceUpstreamCall Upstream, TimeSource Time>
+            OrderExecutor Orders, ServiceUpstreamCall Upstream, TimeSource Time>
 #define LIMPETFALL_DISPATCHER Dispatcher<Config, Opener, Check, Pusher, Orders, Upstream, Time>
 
 namespace limpetfall {
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -49,7 +49,7 @@
 
 /** Runs a non-idempotent call with a key at most once. */
 template <typename T>
-concept OrderRunner = requires(T& runner, ServiceCall call) {
+concept OrderExecutor = requires(T& runner, ServiceCall call) {
   { runner.Run(call) } -> std::same_as<boost::asio::awaitable<Result<ServiceAnswer>>>;
 };
 
@@ -70,7 +70,7 @@
   Milliseconds round_interval{1000};
   Milliseconds mark_timeout{500};        ///< Longest wait for acknowledgement of a suspect mark.
   Milliseconds loss_check_timeout{500};  ///< Longest wait to learn whether a failed group is whole.
-  Milliseconds suspend_time{1000};  ///< Gate of a lost group stays closed for this time.
+  Milliseconds suspend_time{1000};       ///< Gate of a lost group stays closed for this time.
   Milliseconds refusal_pause{250};  ///< Gate of a group that refused stays closed for this time.
   int max_attempts = 4;
 };
@@ -100,7 +100,7 @@
  * checks of an abandoned request outlive the request.
  */
 template <ConfigSource Config, TokenOpener Opener, GroupConfirmer Check, MarkPusher Pusher,
-          OrderRunner Orders, ServiceUpstreamCall Upstream, TimeSource Time = SteadyTime>
+          OrderExecutor Orders, ServiceUpstreamCall Upstream, TimeSource Time = SteadyTime>
 class Dispatcher : public std::enable_shared_from_this<
                        Dispatcher<Config, Opener, Check, Pusher, Orders, Upstream, Time>> {
  public:
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -243,6 +243,14 @@
   return success();
 }
 
+Result<void> EntryNodeImpl::OpenNodeService() {
+  this->AddListeners();
+  this->nodes = std::make_unique<NodeService>(this->settings);
+  this->context->SetNodeService(this->nodes.get());
+  this->sync->SetNodeService(this->nodes.get());
+  return success();
+}
+
 void EntryNodeImpl::BuildDispatcher() {
   const std::uint64_t seed = std::random_device{}();
   this->groups = std::make_shared<GroupTable>(seed);
--- a/src/daemon/node-context.h
+++ b/src/daemon/node-context.h
@@ -9,6 +9,7 @@
 
 #include "base/settings.h"
 #include "core/config-state.h"
+#include "core/request.h"
 #include "core/shared-state.h"
 #include "core/types.h"
 #include "node/node-service.h"
