--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -91,7 +91,7 @@
 Milliseconds AdmissionQueue::ExpectedWait(const AdmissionRequest& request) const {
   auto lane = this->lanes.find(request.lane);
   if (lane == this->lanes.end() || lane->second.mean_seconds == 0) return Milliseconds(0);
-  if (lane->second.running == 0 || lane->second.queued == 0) return Milliseconds(0);
+  if (lane->second.running == 0) return Milliseconds(0);
 
   double higher = 0;
   double equal = 0;
@@ -159,7 +159,7 @@
   const AdmissionId id = ++this->last_id;
   auto& ids = team.flows[{request.lane, request.priority}];
   ++team.queued;
-  ++lane.queued;
+  ++lane.queued[static_cast<std::size_t>(request.priority)];
   if (request.again) {
     ids.push_front(id);  // It has already waited for its turn once.
   } else {
@@ -175,6 +175,14 @@
   return std::max<int>(0, static_cast<int>(entry.request.priority) - static_cast<int>(steps));
 }
 
+int AdmissionQueue::BestWaiting(const Lane& lane) {
+  const auto best = std::find_if(lane.queued.begin(), lane.queued.end(),
+                                 [](std::size_t count) { return count > 0; });
+  return static_cast<int>(best - lane.queued.begin());
+}
+
+// Time raises a request at most to the best priority that others wait with. Beyond that it would
+// move a team ahead of its equals whenever its own share is small, and undo the sharing by weight.
 std::optional<AdmissionId> AdmissionQueue::Next(const std::set<std::string>& blocked_lanes,
                                                 TimePoint now) const {
   std::optional<AdmissionId> best;
@@ -183,7 +191,8 @@
     for (const auto& [flow, ids] : team.flows) {
       if (blocked_lanes.contains(flow.lane)) continue;
       const Lane& lane = this->lanes.at(flow.lane);
-      const std::pair<int, double> rank{this->EffectivePriority(this->waiting.at(ids.front()), now),
+      const int aged = this->EffectivePriority(this->waiting.at(ids.front()), now);
+      const std::pair<int, double> rank{std::max(BestWaiting(lane), aged),
                                         lane.start_tags.at(name) - lane.virtual_now};
       if (best && best_rank <= rank) continue;
       best = ids.front();
@@ -204,7 +213,7 @@
   std::erase(flow->second, id);
   if (flow->second.empty()) team.flows.erase(flow);
   --team.queued;
-  --this->lanes.at(request.lane).queued;
+  --this->lanes.at(request.lane).queued[static_cast<std::size_t>(request.priority)];
   this->by_deadline.erase({request.deadline, id});
   this->waiting.erase(id);
 }
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -117,7 +117,7 @@
 
   struct Lane {
     int running = 0;
-    std::size_t queued = 0;
+    std::array<std::size_t, 3> queued{};  ///< By priority.
     double mean_seconds = 0;  ///< Smoothed duration of a served request; 0 before the first.
     double virtual_now = 0;   ///< Start tag of the request started last.
     std::map<TeamName, double> start_tags;  ///< Of the next request of each team.
@@ -138,6 +138,7 @@
   [[nodiscard]] double DemandAt(const Team& team, TimePoint now) const;
   [[nodiscard]] bool TakeRateToken(Team& team, TimePoint now);
   [[nodiscard]] bool MeetsDeadline(const AdmissionRequest& request, TimePoint now) const;
+  [[nodiscard]] static int BestWaiting(const Lane& lane);
   [[nodiscard]] int EffectivePriority(const Waiting& entry, TimePoint now) const;
   void Remove(AdmissionId id);
 
--- /dev/null
+++ b/test/admission-test.cc
@@ -0,0 +1,336 @@
+#include "core/admission.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+#include <functional>
+#include <queue>
+
+namespace limpetfall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TeamSpec Team(const std::string& name, double weight, Priority priority = Priority::kNormal) {
+  TeamSpec team;
+  team.name = TeamName(name);
+  team.weight = weight;
+  team.priority = priority;
+  return team;
+}
+
+/** Runs a queue in virtual time against a fixed number of slots. */
+class Simulation {
+ public:
+  Simulation(AdmissionQueue& queue, int slots, milliseconds service)
+      : queue(queue), slots(slots), service(service) {}
+
+  /** Offers one request each `gap` per team until `end` and lets the queue serve them. */
+  void Run(const std::vector<AdmissionRequest>& sources, milliseconds gap, milliseconds end) {
+    for (TimePoint now = this->start; now < this->start + end; now += milliseconds(1)) {
+      this->FinishDue(now);
+      if ((now - this->start) % gap == milliseconds(0)) this->Offer(sources, now);
+      this->expired += this->queue.Expire(now).size();
+      this->StartNext(now);
+    }
+  }
+
+  std::map<std::string, int> started;
+  std::map<std::string, milliseconds> longest_wait;
+  std::size_t refused = 0;
+  std::size_t expired = 0;
+  std::size_t late = 0;  // Finished after their deadline.
+
+ private:
+  struct Job {
+    TimePoint end;
+    AdmissionId id;
+    Deadline deadline;
+    bool operator>(const Job& other) const { return this->end > other.end; }
+  };
+
+  void Offer(const std::vector<AdmissionRequest>& sources, TimePoint now) {
+    for (AdmissionRequest request : sources) {
+      request.deadline = now + (request.deadline - TimePoint());
+      const auto id = this->queue.Enqueue(request, now);
+      if (!id) {
+        ++this->refused;
+        continue;
+      }
+      this->offered[id.value()] = {request, now};
+    }
+  }
+
+  void StartNext(TimePoint now) {
+    while (static_cast<int>(this->running.size()) < this->slots) {
+      const auto id = this->queue.Next({}, now);
+      if (!id) return;
+      this->queue.Start(*id, now);
+      const auto& [request, since] = this->offered.at(*id);
+      ++this->started[request.team.value];
+      auto& longest = this->longest_wait[request.team.value];
+      longest = std::max(longest, std::chrono::duration_cast<milliseconds>(now - since));
+      this->running.push({now + this->service, *id, request.deadline});
+    }
+  }
+
+  void FinishDue(TimePoint now) {
+    while (!this->running.empty() && this->running.top().end <= now) {
+      this->queue.Finish(this->running.top().id, true, now);
+      if (this->running.top().end > this->running.top().deadline) ++this->late;
+      this->running.pop();
+    }
+  }
+
+  AdmissionQueue& queue;
+  int slots;
+  milliseconds service;
+  TimePoint start{seconds(1000)};
+  std::map<AdmissionId, std::pair<AdmissionRequest, TimePoint>> offered;
+  std::priority_queue<Job, std::vector<Job>, std::greater<>> running;
+};
+
+AdmissionRequest Request(const std::string& team, Priority priority, seconds deadline) {
+  AdmissionRequest request;
+  request.team = TeamName(team);
+  request.lane = "folds/1";
+  request.priority = priority;
+  request.deadline = TimePoint(deadline);
+  return request;
+}
+
+class AdmissionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdmissionTest);
+  CPPUNIT_TEST(OverloadIsSharedByWeight);
+  CPPUNIT_TEST(CostCountsAgainstTheShare);
+  CPPUNIT_TEST(IdleTeamDoesNotSaveUpCapacity);
+  CPPUNIT_TEST(HigherPriorityGoesFirst);
+  CPPUNIT_TEST(LowPriorityIsNotStarved);
+  CPPUNIT_TEST(WorkThatWouldBeLateIsRefusedAtOnce);
+  CPPUNIT_TEST(SlowPeriodDoesNotCauseRefusalForever);
+  CPPUNIT_TEST(QueueIsBounded);
+  CPPUNIT_TEST(CancelledRequestLeavesItsPlace);
+  CPPUNIT_TEST(BlockedLaneDoesNotHoldUpOthers);
+  CPPUNIT_TEST(RateLimitHoldsOverNodes);
+  CPPUNIT_TEST(RateShareFollowsDemand);
+  CPPUNIT_TEST(RetriesStayWithinTheirShare);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a large team that takes the capacity of small ones. Tolerance: 2% of the total.
+  void OverloadIsSharedByWeight() {
+    AdmissionQueue queue({});
+    queue.SetTeams({Team("a", 6), Team("b", 3), Team("c", 1)}, TimePoint(seconds(1000)));
+    Simulation simulation(queue, 4, milliseconds(40));
+    simulation.Run(
+        {Request("a", Priority::kNormal, seconds(60)), Request("b", Priority::kNormal, seconds(60)),
+         Request("c", Priority::kNormal, seconds(60))},
+        milliseconds(5), milliseconds(20000));
+    const double total =
+        simulation.started["a"] + simulation.started["b"] + simulation.started["c"];
+    CPPUNIT_ASSERT(total > 1900);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, simulation.started["a"] / total, 0.02);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.3, simulation.started["b"] / total, 0.02);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, simulation.started["c"] / total, 0.02);
+  }
+
+  // Guards against a team that gains capacity by sending larger requests.
+  void CostCountsAgainstTheShare() {
+    AdmissionQueue queue({});
+    queue.SetTeams({Team("a", 1), Team("b", 1)}, TimePoint(seconds(1000)));
+    AdmissionRequest large = Request("a", Priority::kNormal, seconds(60));
+    large.cost = 4;
+    Simulation simulation(queue, 1, milliseconds(10));
+    simulation.Run({large, Request("b", Priority::kNormal, seconds(60))}, milliseconds(5),
+                   milliseconds(10000));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+        4.0, static_cast<double>(simulation.started["b"]) / simulation.started["a"], 0.1);
+  }
+
+  // Guards against a team that, after a quiet hour, keeps all others waiting.
+  void IdleTeamDoesNotSaveUpCapacity() {
+    AdmissionQueue queue({});
+    queue.SetTeams({Team("a", 1), Team("b", 1)}, TimePoint(seconds(1000)));
+    const TimePoint now(seconds(1000));
+    for (int i = 0; i < 100; ++i) {
+      const auto id = queue.Enqueue(this->At("a", now), now).value();
+      queue.Start(id, now);
+    }
+    for (int i = 0; i < 10; ++i) {
+      (void)queue.Enqueue(this->At("a", now), now).value();
+      (void)queue.Enqueue(this->At("b", now), now).value();
+    }
+    std::set<AdmissionId> first;
+    for (int i = 0; i < 10; ++i) {
+      first.insert(*queue.Next({}, now));
+      queue.Start(*queue.Next({}, now), now);
+    }
+    const auto of_a =
+        std::count_if(first.begin(), first.end(), [](auto id) { return id % 2 == 1; });
+    CPPUNIT_ASSERT(of_a >= 4 && of_a <= 6);
+  }
+
+  // Guards against urgent work that waits behind ordinary work.
+  void HigherPriorityGoesFirst() {
+    AdmissionQueue queue({});
+    const TimePoint now(seconds(1000));
+    (void)queue.Enqueue(this->At("a", now, Priority::kLow), now).value();
+    const auto urgent = queue.Enqueue(this->At("a", now, Priority::kHigh), now).value();
+    CPPUNIT_ASSERT_EQUAL(urgent, *queue.Next({}, now));
+  }
+
+  // Guards against low-priority work that never runs under steady high-priority load.
+  void LowPriorityIsNotStarved() {
+    AdmissionQueue queue({});
+    queue.SetTeams({Team("high", 1), Team("low", 1)}, TimePoint(seconds(1000)));
+    Simulation simulation(queue, 2, milliseconds(20));
+    simulation.Run({Request("high", Priority::kHigh, seconds(60)),
+                    Request("low", Priority::kLow, seconds(60))},
+                   milliseconds(8), milliseconds(30000));
+    CPPUNIT_ASSERT(simulation.started["low"] > 100);
+    CPPUNIT_ASSERT(simulation.started["high"] > simulation.started["low"]);
+  }
+
+  // Guards against capacity spent on answers that come too late.
+  void WorkThatWouldBeLateIsRefusedAtOnce() {
+    AdmissionQueue queue({});
+    queue.SetTeams({Team("a", 1)}, TimePoint(seconds(1000)));
+    Simulation simulation(queue, 2, milliseconds(100));
+    simulation.Run({Request("a", Priority::kNormal, seconds(1))}, milliseconds(25),
+                   milliseconds(20000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), simulation.late);
+    CPPUNIT_ASSERT(simulation.started["a"] > 390);  // Of 400 that the slots can serve.
+    CPPUNIT_ASSERT(simulation.refused > 300);
+    CPPUNIT_ASSERT(simulation.expired < 40);  // Nearly all refusals come on arrival.
+  }
+
+  // Guards against an estimate from a slow period that no request can correct.
+  void SlowPeriodDoesNotCauseRefusalForever() {
+    AdmissionQueue queue({});
+    TimePoint now(seconds(1000));
+    const auto slow = queue.Enqueue(this->At("a", now), now).value();
+    queue.Start(slow, now);
+    now += seconds(30);
+    queue.Finish(slow, true, now);
+    int served = 0;
+    for (int i = 0; i < 40; ++i) {
+      AdmissionRequest request = this->At("a", now);
+      request.deadline = now + seconds(1);
+      const auto id = queue.Enqueue(request, now);
+      if (id) {
+        queue.Start(id.value(), now);
+        now += milliseconds(50);
+        queue.Finish(id.value(), true, now);
+        ++served;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(40, served);
+  }
+
+  // Guards against a queue that grows until the node runs out of memory.
+  void QueueIsBounded() {
+    AdmissionQueue queue({8, milliseconds(1000)});
+    const TimePoint now(seconds(1000));
+    for (int i = 0; i < 8; ++i) (void)queue.Enqueue(this->At("a", now), now).value();
+    const auto full = queue.Enqueue(this->At("b", now), now);
+    CPPUNIT_ASSERT(!full && full.error().code == ErrorCode::kResourceExhausted);
+    CPPUNIT_ASSERT(full.error().verdict == Verdict::kNotRun);
+  }
+
+  // Guards against turns given to callers that have gone.
+  void CancelledRequestLeavesItsPlace() {
+    AdmissionQueue queue({});
+    const TimePoint now(seconds(1000));
+    const auto first = queue.Enqueue(this->At("a", now), now).value();
+    const auto second = queue.Enqueue(this->At("a", now), now).value();
+    CPPUNIT_ASSERT(queue.Cancel(first));
+    CPPUNIT_ASSERT(!queue.Cancel(first));
+    CPPUNIT_ASSERT_EQUAL(second, *queue.Next({}, now));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.queued());
+  }
+
+  // Guards against one model without groups that stops all others.
+  void BlockedLaneDoesNotHoldUpOthers() {
+    AdmissionQueue queue({});
+    const TimePoint now(seconds(1000));
+    (void)queue.Enqueue(this->At("a", now), now).value();
+    AdmissionRequest other = this->At("a", now);
+    other.lane = "captions/1";
+    const auto id = queue.Enqueue(other, now).value();
+    CPPUNIT_ASSERT_EQUAL(id, *queue.Next({"folds/1"}, now));
+  }
+
+  // Guards against a team that multiplies its rate by sending through several nodes.
+  void RateLimitHoldsOverNodes() {
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+        200, this->AdmittedOverTwoNodes(10, 10).first + this->AdmittedOverTwoNodes(10, 10).second,
+        20);
+  }
+
+  // Guards against a limit that is wasted on nodes through which the team sends little.
+  void RateShareFollowsDemand() {
+    const auto [busy, quiet] = this->AdmittedOverTwoNodes(10, 200);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(200, busy + quiet, 20);
+    CPPUNIT_ASSERT(busy > 8 * quiet);
+  }
+
+  // Guards against retries that multiply load.
+  void RetriesStayWithinTheirShare() {
+    RetryBudget budget;
+    int taken = 0;
+    for (int i = 0; i < 1000; ++i) {
+      budget.OnRequest(0.1);
+      if (budget.TryTake()) ++taken;
+    }
+    CPPUNIT_ASSERT(taken >= 100 && taken <= 116);
+  }
+
+ private:
+  AdmissionRequest At(const std::string& team, TimePoint now,
+                      Priority priority = Priority::kNormal) {
+    AdmissionRequest request = Request(team, priority, seconds(0));
+    request.deadline = now + seconds(60);
+    return request;
+  }
+
+  // Sends a request of one team, limited to 20 a second, each `gap` through each of two nodes for
+  // 10 s; the nodes tell each other their demand every second. Returns what each admitted.
+  std::pair<int, int> AdmittedOverTwoNodes(int first_gap, int second_gap) {
+    struct Node {
+      AdmissionQueue queue{{}};
+      int gap = 0;
+      int admitted = 0;
+    };
+    TeamSpec team = Team("a", 1);
+    team.requests_per_second = 20;
+    Node first;
+    Node second;
+    first.gap = first_gap;
+    second.gap = second_gap;
+    const TimePoint start(seconds(1000));
+    for (Node* node : {&first, &second}) node->queue.SetTeams({team}, start);
+    for (int ms = 0; ms < 20000; ++ms) {
+      const TimePoint now = start + milliseconds(ms);
+      for (Node* node : {&first, &second}) {
+        if (ms % node->gap != 0) continue;
+        const auto id = node->queue.Enqueue(this->At("a", now), now);
+        if (!id) continue;
+        if (ms >= 10000) ++node->admitted;  // After demand has settled.
+        node->queue.Start(id.value(), now);
+        node->queue.Finish(id.value(), true, now);
+      }
+      if (ms % 1000 != 999) continue;
+      const auto from_first = first.queue.Demand(NodeId("1"), now);
+      const auto from_second = second.queue.Demand(NodeId("2"), now);
+      first.queue.OnDemand(from_second.front(), now + seconds(3));
+      second.queue.OnDemand(from_first.front(), now + seconds(3));
+    }
+    return {first.admitted, second.admitted};
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionTest);
+
+}  // namespace
+}  // namespace limpetfall
--- /dev/null
+++ b/test/quarantine-test.cc
@@ -0,0 +1,153 @@
+#include "core/quarantine.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace limpetfall {
+namespace {
+
+using std::chrono::minutes;
+
+constexpr std::uint64_t kRequest = 42;
+
+class QuarantineTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QuarantineTest);
+  CPPUNIT_TEST(FingerprintCoversWhatDeterminesTheRun);
+  CPPUNIT_TEST(SecondLossQuarantinesForTenMinutes);
+  CPPUNIT_TEST(CopiesLostWithOneGroupCountOnce);
+  CPPUNIT_TEST(SuccessClearsOnAllNodes);
+  CPPUNIT_TEST(TrialBlocksOtherNodesBeforeItRuns);
+  CPPUNIT_TEST(OneOfTwoConcurrentTrialsGivesWay);
+  CPPUNIT_TEST(AbandonedTrialMayBeRepeated);
+  CPPUNIT_TEST(ConcurrentLossesOfTwoGroupsAreTwo);
+  CPPUNIT_TEST(ConcurrentLossesOfOneGroupAreOne);
+  CPPUNIT_TEST(OlderMarkIsIgnored);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against requests that share a mark although they run differently.
+  void FingerprintCoversWhatDeterminesTheRun() {
+    CompletionRequest request;
+    request.model = ModelName("folds");
+    request.prompt = "fold";
+    const ModelVersion version("1");
+    const std::uint64_t plain = Fingerprint(request, version);
+    CompletionRequest other = request;
+    other.seed = 1;
+    CPPUNIT_ASSERT(Fingerprint(other, version) != plain);
+    other = request;
+    other.max_tokens = 1;
+    CPPUNIT_ASSERT(Fingerprint(other, version) != plain);
+    other = request;
+    other.prompt = "fold ";
+    CPPUNIT_ASSERT(Fingerprint(other, version) != plain);
+    CPPUNIT_ASSERT(Fingerprint(request, ModelVersion("2")) != plain);
+    other = request;
+    other.id = RequestId("another");
+    other.team = TeamName("another");
+    CPPUNIT_ASSERT_EQUAL(plain, Fingerprint(other, version));
+  }
+
+  // Guards against a third group lost to one request, and against a block without an end.
+  void SecondLossQuarantinesForTenMinutes() {
+    (void)this->a.OnLoss(kRequest, Group("g1"), this->now);
+    CPPUNIT_ASSERT(this->a.Check(kRequest, this->now) == Suspicion::kSuspect);
+    (void)this->a.OnLoss(kRequest, Group("g2"), this->now);
+    CPPUNIT_ASSERT(this->a.Check(kRequest, this->now) == Suspicion::kQuarantined);
+    CPPUNIT_ASSERT(!this->a.BeginTrial(kRequest, this->now));
+    CPPUNIT_ASSERT(this->a.Check(kRequest, this->now + minutes(10)) == Suspicion::kNone);
+  }
+
+  // Guards against a loss of one group that blocks every request sent twice.
+  void CopiesLostWithOneGroupCountOnce() {
+    (void)this->a.OnLoss(kRequest, Group("g1"), this->now);
+    (void)this->a.OnLoss(kRequest, Group("g1"), this->now);
+    CPPUNIT_ASSERT(this->a.Check(kRequest, this->now) == Suspicion::kSuspect);
+  }
+
+  // Guards against a request that stays suspect after it has run to its end.
+  void SuccessClearsOnAllNodes() {
+    this->b.Merge(this->a.OnLoss(kRequest, Group("g1"), this->now), this->now);
+    const auto cleared = this->a.OnSuccess(kRequest, this->now);
+    CPPUNIT_ASSERT(cleared.has_value());
+    this->b.Merge(*cleared, this->now);
+    CPPUNIT_ASSERT(this->b.Check(kRequest, this->now) == Suspicion::kNone);
+    CPPUNIT_ASSERT(!this->a.OnSuccess(kRequest, this->now).has_value());
+  }
+
+  // Guards against other nodes that run a suspect during its trial or after its node died.
+  void TrialBlocksOtherNodesBeforeItRuns() {
+    this->b.Merge(this->a.OnLoss(kRequest, Group("g1"), this->now), this->now);
+    const SharedEntry trial = this->a.BeginTrial(kRequest, this->now).value();
+    this->b.Merge(trial, this->now);
+    CPPUNIT_ASSERT(this->a.MayStartTrial(trial));
+    CPPUNIT_ASSERT(this->b.Check(kRequest, this->now) == Suspicion::kQuarantined);
+  }
+
+  // Guards against two nodes that each believe the trial is theirs.
+  void OneOfTwoConcurrentTrialsGivesWay() {
+    this->b.Merge(this->a.OnLoss(kRequest, Group("g1"), this->now), this->now);
+    const SharedEntry first = this->a.BeginTrial(kRequest, this->now).value();
+    const SharedEntry second = this->b.BeginTrial(kRequest, this->now).value();
+    this->a.Merge(second, this->now);
+    this->b.Merge(first, this->now);
+    CPPUNIT_ASSERT(this->a.MayStartTrial(first) != this->b.MayStartTrial(second));
+  }
+
+  // Guards against a request blocked because its trial was refused before it ran.
+  void AbandonedTrialMayBeRepeated() {
+    this->b.Merge(this->a.OnLoss(kRequest, Group("g1"), this->now), this->now);
+    const SharedEntry trial = this->a.BeginTrial(kRequest, this->now).value();
+    this->b.Merge(trial, this->now);
+    this->b.Merge(this->a.AbandonTrial(trial, this->now).value(), this->now);
+    CPPUNIT_ASSERT(this->b.Check(kRequest, this->now) == Suspicion::kSuspect);
+    CPPUNIT_ASSERT(!this->a.AbandonTrial(trial, this->now).has_value());
+  }
+
+  // Guards against two lost groups that both nodes take for one.
+  void ConcurrentLossesOfTwoGroupsAreTwo() {
+    const SharedEntry first = this->a.OnLoss(kRequest, Group("g1"), this->now);
+    const SharedEntry second = this->b.OnLoss(kRequest, Group("g2"), this->now);
+    const auto from_a = this->a.Merge(second, this->now);
+    const auto from_b = this->b.Merge(first, this->now);
+    CPPUNIT_ASSERT(from_a.has_value() && from_b.has_value());
+    CPPUNIT_ASSERT(this->a.Check(kRequest, this->now) == Suspicion::kQuarantined);
+    CPPUNIT_ASSERT(this->b.Check(kRequest, this->now) == Suspicion::kQuarantined);
+  }
+
+  // Guards against quarantine after copies on two nodes were lost with one group.
+  void ConcurrentLossesOfOneGroupAreOne() {
+    const SharedEntry first = this->a.OnLoss(kRequest, Group("g1"), this->now);
+    const SharedEntry second = this->b.OnLoss(kRequest, Group("g1"), this->now);
+    this->a.Merge(second, this->now);
+    this->b.Merge(first, this->now);
+    CPPUNIT_ASSERT(this->a.Check(kRequest, this->now) == Suspicion::kSuspect);
+    CPPUNIT_ASSERT(this->b.Check(kRequest, this->now) == Suspicion::kSuspect);
+  }
+
+  // Guards against a delayed mark that undoes a newer one.
+  void OlderMarkIsIgnored() {
+    const SharedEntry loss = this->a.OnLoss(kRequest, Group("g1"), this->now);
+    const auto cleared = this->a.OnSuccess(kRequest, this->now);
+    this->b.Merge(*cleared, this->now);
+    this->b.Merge(loss, this->now);
+    CPPUNIT_ASSERT(this->b.Check(kRequest, this->now) == Suspicion::kNone);
+  }
+
+ private:
+  static GroupSummary Group(const std::string& name) {
+    GroupSummary group;
+    group.group = GroupId(name);
+    group.domain = DomainId("d1");
+    group.generation = 3;
+    return group;
+  }
+
+  TimePoint now = TimePoint(minutes(100));
+  QuarantineTable a{NodeId("a")};
+  QuarantineTable b{NodeId("b")};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineTest);
+
+}  // namespace
+}  // namespace limpetfall
