--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -70,7 +70,7 @@
   Milliseconds round_interval{1000};
   Milliseconds mark_timeout{500};        ///< Longest wait for acknowledgement of a suspect mark.
   Milliseconds loss_check_timeout{500};  ///< Longest wait to learn whether a failed group is whole.
-  Milliseconds suspend_time{1000};  ///< Gate of a lost group stays closed for this time.
+  Milliseconds suspend_time{1000};       ///< Gate of a lost group stays closed for this time.
   Milliseconds refusal_pause{250};  ///< Gate of a group that refused stays closed for this time.
   int max_attempts = 4;
 };
