--- a/src/daemon/order-runner.h
+++ b/src/daemon/order-runner.h
@@ -110,17 +110,8 @@
    * once without a claim. `kConflict` means that the key was used with another request (422).
    */
   boost::asio::awaitable<Result<ServiceAnswer>> Run(ServiceCall call) {
-    if (call.idempotency_key.empty()) co_return co_await this->dispatch(std::move(call));
-    auto key = ClaimKey(call.service, call.idempotency_key);
-    if (!key) co_return std::move(key).error();
-    const auto executor = co_await boost::asio::this_coro::executor;
-    auto answer = std::make_shared<std::optional<Result<ServiceAnswer>>>();
-    auto order = RunInto(answer, this->shared_from_this(), std::move(call), std::move(key).value());
-    // An empty slot: the order is not cancelled with its caller.
-    auto token = boost::asio::bind_cancellation_slot(boost::asio::cancellation_slot(),
-                                                     boost::asio::use_awaitable);
-    co_await boost::asio::co_spawn(executor, std::move(order), token);
-    co_return std::move(*answer).value();
+    if (call.idempotency_key.empty()) return this->dispatch(std::move(call));
+    return RunApart(this->shared_from_this(), std::move(call));
   }
 
   /** Returns how many attempts run or have a claim that is still to be settled in the store. */
@@ -154,6 +145,20 @@
         dispatch(std::move(dispatch_function)),
         options(std::move(settings)) {}
 
+  // Runs the order as a coroutine of its own, which does not end with its caller.
+  static boost::asio::awaitable<Result<ServiceAnswer>> RunApart(Self self, ServiceCall call) {
+    auto key = ClaimKey(call.service, call.idempotency_key);
+    if (!key) co_return std::move(key).error();
+    const auto executor = co_await boost::asio::this_coro::executor;
+    auto answer = std::make_shared<std::optional<Result<ServiceAnswer>>>();
+    auto order = RunInto(answer, std::move(self), std::move(call), std::move(key).value());
+    // With an empty slot, the caller's cancellation does not reach the order.
+    auto token = boost::asio::bind_cancellation_slot(boost::asio::cancellation_slot(),
+                                                     boost::asio::use_awaitable);
+    co_await boost::asio::co_spawn(executor, std::move(order), token);
+    co_return std::move(*answer).value();
+  }
+
   // The result of a spawned coroutine must have a default value, which a `Result` does not have.
   static boost::asio::awaitable<void> RunInto(
       std::shared_ptr<std::optional<Result<ServiceAnswer>>> answer, Self self, ServiceCall call,
--- a/test/harness/fake-store.h
+++ b/test/harness/fake-store.h
@@ -2,6 +2,9 @@
 #define LIMPETFALL_TEST_HARNESS_FAKE_STORE_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -39,6 +42,7 @@
   boost::asio::awaitable<Result<std::optional<StoredValue>>> Get(std::string key,
                                                                  Deadline /*deadline*/) {
     ++this->gets;
+    co_await Yield();
     if (Next(this->get_faults) != Fault::kNone) co_return Refused();
     co_return Read(key);
   }
@@ -46,6 +50,7 @@
   boost::asio::awaitable<Result<std::vector<StoredValue>>> List(std::string prefix,
                                                                 Deadline /*deadline*/) {
     ++this->gets;
+    co_await Yield();
     if (Next(this->get_faults) != Fault::kNone) co_return Refused();
     std::vector<StoredValue> values;
     for (const auto& [key, history] : this->keys) {
@@ -63,6 +68,7 @@
     // A copy, because the function may replace itself.
     if (const auto hook = this->before_swap) hook(key);
     const Fault fault = Next(this->swap_faults);
+    co_await Yield();
     if (fault == Fault::kRefuse) co_return Refused();
     if (fault == Fault::kLoseRequest) co_return Lost();
     if (fault == Fault::kDelay) {
@@ -72,6 +78,7 @@
       co_return Lost();
     }
     SwapOutcome outcome = Apply(key, value, expected_revision, lease_seconds);
+    co_await Yield();
     if (fault == Fault::kLoseReply) co_return Lost();
     co_return outcome;
   }
@@ -111,6 +118,12 @@
     return fault;
   }
 
+  // Lets other coroutines run before and after a call takes effect.
+  static boost::asio::awaitable<void> Yield() {
+    const auto executor = co_await boost::asio::this_coro::executor;
+    co_await boost::asio::post(executor, boost::asio::use_awaitable);
+  }
+
   [[nodiscard]] std::optional<StoredValue> Read(const std::string& key) const {
     if (this->stale == 0) return Newest(key);
     std::optional<StoredValue> seen;
