--- /dev/null
+++ b/test/admin-api-test.cc
@@ -0,0 +1,176 @@
+#include "operators/admin-api.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "harness/run.h"
+
+namespace limpetfall {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string Example() {
+  const char* source = std::getenv("LIMPETFALL_SOURCE");
+  std::ifstream file(std::string(source != nullptr ? source : ".") +
+                     "/support/examples/mirrors.json");
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+struct FakeNode {
+  std::shared_ptr<const VersionedDocument> active;
+  Result<ConfigChange> change = ConfigChange{true, 8, {NodeId("n1"), NodeId("n2")}};
+  int changes = 0;
+  ConfigVersion expected = 0;
+  bool draining = false;
+
+  std::shared_ptr<const VersionedDocument> ActiveDocument() { return this->active; }
+  boost::asio::awaitable<Result<ConfigChange>> ChangeConfig(std::string /*document*/,
+                                                            ConfigVersion version,
+                                                            Deadline /*deadline*/) {
+    ++this->changes;
+    this->expected = version;
+    co_return this->change;
+  }
+  std::string StatusJson() { return R"({"node":"n1"})"; }
+  void Drain() { this->draining = true; }
+};
+
+static_assert(AdminNode<FakeNode>);
+
+class AdminApiTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdminApiTest);
+  CPPUNIT_TEST(ConfigCarriesItsVersion);
+  CPPUNIT_TEST(FirstDocumentIsMadeFromVersionZero);
+  CPPUNIT_TEST(ChangeNeedsAVersion);
+  CPPUNIT_TEST(ChangeReportsVersionAndNodes);
+  CPPUNIT_TEST(LostRaceNamesTheCurrentVersion);
+  CPPUNIT_TEST(FaultsAreListed);
+  CPPUNIT_TEST(FaultFoundOnAcceptIsListed);
+  CPPUNIT_TEST(ErrorsKeepTheirVerdict);
+  CPPUNIT_TEST(CheckChangesNothing);
+  CPPUNIT_TEST(StatusAndDrain);
+  CPPUNIT_TEST(OtherCallsAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against an operator who edits one version and replaces another.
+  void ConfigCarriesItsVersion() {
+    const auto document = ParseDocument(Example()).value();
+    this->node->active = std::make_shared<VersionedDocument>(VersionedDocument{7, document});
+    const auto response = Call("GET", "/admin/config");
+    CPPUNIT_ASSERT_EQUAL(200, response.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("\"7\""), response.headers.at("ETag"));
+    CPPUNIT_ASSERT(ParseDocument(response.body).value() == document);
+  }
+
+  // Guards against a new deployment whose first document cannot be submitted.
+  void FirstDocumentIsMadeFromVersionZero() {
+    const auto response = Call("GET", "/admin/config");
+    CPPUNIT_ASSERT_EQUAL(404, response.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("\"0\""), response.headers.at("ETag"));
+  }
+
+  // Guards against a change that overwrites whatever is in force.
+  void ChangeNeedsAVersion() {
+    CPPUNIT_ASSERT_EQUAL(428, Call("PUT", "/admin/config", Example()).status);
+    for (const char* tag : {"*", "\"x\"", "\"1", "-1", "\"1\", \"2\""}) {
+      CPPUNIT_ASSERT_EQUAL(400, Call("PUT", "/admin/config", Example(), tag).status);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, this->node->changes);
+  }
+
+  // Guards against a change that reaches the wrong version.
+  void ChangeReportsVersionAndNodes() {
+    const auto response = Call("PUT", "/admin/config", Example(), "\"7\"");
+    CPPUNIT_ASSERT_EQUAL(200, response.status);
+    CPPUNIT_ASSERT_EQUAL(ConfigVersion{7}, this->node->expected);
+    CPPUNIT_ASSERT_EQUAL(std::string("\"8\""), response.headers.at("ETag"));
+    CPPUNIT_ASSERT(Json::parse(response.body) ==
+                   Json({{"version", 8}, {"confirmed_by", {"n1", "n2"}}}));
+  }
+
+  // Guards against a loser who does not learn what to build on.
+  void LostRaceNamesTheCurrentVersion() {
+    this->node->change = ConfigChange{false, 9, {}};
+    const auto response = Call("PUT", "/admin/config", Example(), "7");
+    CPPUNIT_ASSERT_EQUAL(409, response.status);
+    CPPUNIT_ASSERT_EQUAL(9, Json::parse(response.body)["version"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"), response.headers.at("X-Verdict"));
+  }
+
+  // Guards against a refusal that does not say what to correct.
+  void FaultsAreListed() {
+    const auto response = Call("PUT", "/admin/config", R"({"models":[]})", "7");
+    CPPUNIT_ASSERT_EQUAL(422, response.status);
+    const Json faults = Json::parse(response.body)["faults"];
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, faults.size());
+    CPPUNIT_ASSERT(faults[0] == Json({{"pointer", "/teams"}, {"problem", "is missing"}}));
+    CPPUNIT_ASSERT_EQUAL(0, this->node->changes);
+  }
+
+  // Guards against the same for a section that is too large for the store.
+  void FaultFoundOnAcceptIsListed() {
+    this->node->change = NotRun(ErrorCode::kInvalidArgument, "/teams: takes too much\nno pointer");
+    const auto response = Call("PUT", "/admin/config", Example(), "7");
+    CPPUNIT_ASSERT_EQUAL(422, response.status);
+    CPPUNIT_ASSERT(Json::parse(response.body)["faults"] ==
+                   Json({{{"pointer", "/teams"}, {"problem", "takes too much"}},
+                         {{"pointer", ""}, {"problem", "no pointer"}}}));
+  }
+
+  // Guards against "not run" for a document that may be in force.
+  void ErrorsKeepTheirVerdict() {
+    this->node->change = MayHaveRun(ErrorCode::kUnavailable, "no reply");
+    const auto response = Call("PUT", "/admin/config", Example(), "7");
+    CPPUNIT_ASSERT_EQUAL(503, response.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("may-have-run"), response.headers.at("X-Verdict"));
+    CPPUNIT_ASSERT(response.headers.contains("Retry-After"));
+  }
+
+  // Guards against a check that puts the document in force.
+  void CheckChangesNothing() {
+    CPPUNIT_ASSERT_EQUAL(200, Call("POST", "/admin/config/check", Example()).status);
+    CPPUNIT_ASSERT_EQUAL(422, Call("POST", "/admin/config/check", "{").status);
+    CPPUNIT_ASSERT_EQUAL(0, this->node->changes);
+  }
+
+  // Guards against a node that cannot be stopped in a planned way.
+  void StatusAndDrain() {
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"node":"n1"})"), Call("GET", "/admin/status?x=1").body);
+    CPPUNIT_ASSERT(!this->node->draining);
+    CPPUNIT_ASSERT_EQUAL(202, Call("POST", "/admin/drain").status);
+    CPPUNIT_ASSERT(this->node->draining);
+  }
+
+  // Guards against a drain by a GET, which any link could cause.
+  void OtherCallsAreRefused() {
+    CPPUNIT_ASSERT_EQUAL(405, Call("GET", "/admin/drain").status);
+    CPPUNIT_ASSERT_EQUAL(404, Call("GET", "/admin/other").status);
+    CPPUNIT_ASSERT(!this->node->draining);
+  }
+
+ private:
+  HttpResponse Call(const std::string& method, const std::string& target,
+                    const std::string& body = "", const std::string& if_match = "") {
+    boost::asio::io_context io;
+    auto handler = MakeAdminHandler(this->node, Milliseconds(5000));
+    const auto server = HttpServer::Create(io, "127.0.0.1:0", std::move(handler), {}).value();
+    const auto client = HttpClient::Create({}).value();
+    HttpRequest request{method, server->address(), target, {}, body};
+    if (!if_match.empty()) request.headers["If-Match"] = if_match;
+    const Deadline deadline = Clock::now() + std::chrono::seconds(5);
+    return test::RunUntilDone(io, client->Fetch(std::move(request), deadline)).value();
+  }
+
+  std::shared_ptr<FakeNode> node = std::make_shared<FakeNode>();
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdminApiTest);
+
+}  // namespace
+}  // namespace limpetfall
