Check pooled connections for waiting bytes just before a request is sent

A late second answer of an upstream was then read as the answer to the next request, which LateAnswerIsNotReadByTheNextRequest showed ("wrong" instead of "ok").

Change: the hook that runs before a request is sent peeks into the socket of a reused connection. If bytes or its end wait there, nothing is sent, the connection is closed and the request goes out on a new one.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,6 +1,8 @@
 #include "http/client.h"
 
 #include <curl/curl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <boost/asio/async_result.hpp>
@@ -12,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cctype>
+#include <cerrno>
 #include <charconv>
 #include <mutex>
 #include <thread>
@@ -42,14 +45,19 @@
   asio::any_io_executor work;  ///< Keeps the caller's io_context running.
 };
 
+class CurlLoop;
+
 /** One request and what has arrived of its answer. */
 struct Transfer {
-  Transfer(asio::io_context& io, HttpRequest http_request, bool whole_answer, std::size_t max_bytes)
-      : request(std::move(http_request)),
+  Transfer(CurlLoop& curl_loop, asio::io_context& io, HttpRequest http_request, bool whole_answer,
+           std::size_t max_bytes)
+      : loop(curl_loop),
+        request(std::move(http_request)),
         whole(whole_answer),
         max_body_bytes(max_bytes),
         timer(io) {}
 
+  CurlLoop& loop;
   const HttpRequest request;
   const bool whole;  ///< The answer is handed over at its end; otherwise piece by piece.
   const std::size_t max_body_bytes;
@@ -58,6 +66,8 @@
   CURL* easy = nullptr;
   curl_slist* header_list = nullptr;
   asio::steady_timer timer;
+  curl_socket_t opened = CURL_SOCKET_BAD;  ///< Set when this transfer opened a connection.
+  bool unfit_connection = false;           ///< The pooled connection had bytes or its end waiting.
 
   // Guarded by `mutex`.
   std::mutex mutex;
@@ -341,6 +351,9 @@
     if (transfer->easy == nullptr) return this->Finish(transfer, CURLE_OUT_OF_MEMORY);
     this->active.emplace(transfer->easy, transfer);
     this->SetUp(*transfer);
+    if (std::exchange(transfer->unfit_connection, false)) {
+      curl_easy_setopt(transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
     if (curl_multi_add_handle(this->multi, transfer->easy) != CURLM_OK) {
       this->Finish(transfer, CURLE_FAILED_INIT);
     }
@@ -363,6 +376,10 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &CurlLoop::OnConnected);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &CurlLoop::OnOpenSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &CurlLoop::OnCloseSocket);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlLoop::OnHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlLoop::OnBody);
@@ -434,6 +451,8 @@
 
   void Finish(const TransferPtr& transfer, CURLcode code) {
     this->Remove(transfer);
+    // Nothing of the request was sent, so it can go out on a new connection.
+    if (transfer->unfit_connection) return this->Add(transfer);
     const std::lock_guard lock(transfer->mutex);
     if (code != CURLE_OK) {
       transfer->failure = ErrorOf(*transfer, code);
@@ -542,21 +561,63 @@
     return 0;
   }
 
+  static curl_socket_t OnOpenSocket(void* data, curlsocktype, curl_sockaddr* target) {
+    const int type = target->socktype | SOCK_CLOEXEC;
+    const curl_socket_t opened = ::socket(target->family, type, target->protocol);
+    static_cast<Transfer*>(data)->opened = opened;
+    return opened;
+  }
+
+  static int OnCloseSocket(void* data, curl_socket_t socket) {
+    auto* self = static_cast<CurlLoop*>(data);
+    if (const auto found = self->open_connections.find(socket);
+        found != self->open_connections.end()) {
+      self->sockets_by_connection.erase(found->second);
+      self->open_connections.erase(found);
+    }
+    return ::close(socket);
+  }
+
   // libcurl calls this when a connection is ready and before it sends a request, also when it sends
   // the request again because a pooled connection was closed. It has no option against sending
   // again, so the second call refuses: the first bytes may have been read.
-  static int OnConnected(void* data, char*, char*, int, int) {
+  static int OnConnected(void* data, char* peer_ip, char* own_ip, int peer_port, int own_port) {
     auto* transfer = static_cast<Transfer*>(data);
+    std::string connection = own_ip;
+    connection += ':' + std::to_string(own_port) + '>' + peer_ip + ':' + std::to_string(peer_port);
     const std::lock_guard lock(transfer->mutex);
     if (transfer->abandoned) return CURL_PREREQFUNC_ABORT;
     if (transfer->connected) {
       transfer->resend_refused = true;
       return CURL_PREREQFUNC_ABORT;
     }
+    if (!transfer->loop.IsFit(*transfer, connection)) {
+      transfer->unfit_connection = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
     transfer->connected = true;
     return CURL_PREREQFUNC_OK;
   }
 
+  /**
+   * Says whether a request may be sent on the connection. libcurl's own check of a pooled
+   * connection notices that it was closed but not that bytes wait on it, which it would take for
+   * the answer to this request.
+   */
+  bool IsFit(Transfer& transfer, const std::string& connection) {
+    const curl_socket_t opened = std::exchange(transfer.opened, CURL_SOCKET_BAD);
+    if (opened != CURL_SOCKET_BAD) {
+      this->open_connections[opened] = connection;
+      this->sockets_by_connection[connection] = opened;
+      return true;
+    }
+    const auto found = this->sockets_by_connection.find(connection);
+    if (found == this->sockets_by_connection.end()) return false;
+    char byte = 0;
+    const auto length = ::recv(found->second, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return length < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
   static std::size_t OnHeader(char* bytes, std::size_t size, std::size_t count, void* data) {
     auto* transfer = static_cast<Transfer*>(data);
     const std::lock_guard lock(transfer->mutex);
@@ -615,6 +676,8 @@
   CURLM* multi;
   std::unordered_map<CURL*, TransferPtr> active;
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> sockets;
+  std::unordered_map<curl_socket_t, std::string> open_connections;  ///< "IP:port>IP:port".
+  std::unordered_map<std::string, curl_socket_t> sockets_by_connection;
   std::vector<CURL*> free_handles;
   std::unordered_map<std::string, Deadline> silent_until;  ///< Pooled connections are not used.
   std::thread thread;
@@ -742,9 +805,9 @@
 
  private:
   OwnedTransfer Begin(HttpRequest request, bool whole) {
-    return OwnedTransfer(
-        this->loop, std::make_shared<Transfer>(this->loop->context(), std::move(request), whole,
-                                               this->options.max_body_bytes));
+    return OwnedTransfer(this->loop, std::make_shared<Transfer>(*this->loop, this->loop->context(),
+                                                                std::move(request), whole,
+                                                                this->options.max_body_bytes));
   }
 
   CurlLoopPtr loop;
--- /dev/null
+++ b/test/http-client-test.cc
@@ -0,0 +1,422 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <iostream>
+#include <random>
+
+#include "harness/net.h"
+#include "http/client.h"
+#include "http/server.h"
+
+namespace limpetfall {
+namespace {
+
+namespace asio = boost::asio;
+using test::Eventually;
+using test::IoThreads;
+using test::PeerConnection;
+using test::ScriptedPeer;
+
+constexpr std::string_view kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr Milliseconds kLong{5000};
+
+HttpRequest Post(const std::string& address, const std::string& body) {
+  HttpRequest request;
+  request.method = "POST";
+  request.address = address;
+  request.target = "/orders";
+  request.body = body;
+  return request;
+}
+
+asio::awaitable<Result<std::unique_ptr<HttpStream>>> OpenFrom(std::shared_ptr<HttpClient> client,
+                                                              HttpRequest request) {
+  return client->Open(std::move(request), Clock::now() + kLong);
+}
+
+class HttpClientTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpClientTest);
+  CPPUNIT_TEST(SendsTheRequestAsGiven);
+  CPPUNIT_TEST(RefusedConnectionIsNotRun);
+  CPPUNIT_TEST(ConnectTimeoutIsNotRun);
+  CPPUNIT_TEST(CutAfterTheRequestIsMayHaveRun);
+  CPPUNIT_TEST(CutInsideTheBodyIsAnError);
+  CPPUNIT_TEST(RequestIsNotSentAgainOnAStaleConnection);
+  CPPUNIT_TEST(ClosedIdleConnectionIsReplaced);
+  CPPUNIT_TEST(SurplusAnswerIsNotReadByTheNextRequest);
+  CPPUNIT_TEST(LateAnswerIsNotReadByTheNextRequest);
+  CPPUNIT_TEST(SilenceEndsAtTheDeadline);
+  CPPUNIT_TEST(SilentAddressGetsANewConnection);
+  CPPUNIT_TEST(CancelledFetchClosesItsConnection);
+  CPPUNIT_TEST(StreamThatIsNotReadHoldsUpTheServer);
+  CPPUNIT_TEST(SilenceInAStreamEndsAtTheDeadline);
+  CPPUNIT_TEST(DestroyedStreamClosesItsConnection);
+  CPPUNIT_TEST(AnswerOfUnknownLengthIsRefused);
+  CPPUNIT_TEST(OversizedAnswerIsRefused);
+  CPPUNIT_TEST(HeaderThatHoldsALineBreakIsNotSent);
+  CPPUNIT_TEST(AbandonedRequestsNeverMixUpAnswers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void SendsTheRequestAsGiven() {
+    std::string seen;
+    ScriptedPeer peer([&](PeerConnection& connection) {
+      seen = connection.ReadRequest();
+      connection.Write("HTTP/1.1 201 Created\r\nX-A: 1\r\nx-a: 2\r\nContent-Length: 2\r\n\r\nhi");
+    });
+    HttpRequest request = Post(peer.address(), "body");
+    request.target = "/a/../b?x=%2F";
+    request.headers["X-Request-Id"] = "r1";
+    const auto answer = this->Fetch(request);
+    CPPUNIT_ASSERT_EQUAL(201, answer.value().status);
+    CPPUNIT_ASSERT_EQUAL(std::string("1, 2"), answer.value().headers.at("X-A"));
+    CPPUNIT_ASSERT_EQUAL(std::string("hi"), answer.value().body);
+    CPPUNIT_ASSERT(seen.starts_with("POST /a/../b?x=%2F HTTP/1.1\r\n"));
+    CPPUNIT_ASSERT(seen.find("X-Request-Id: r1\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(seen.find("Expect") == std::string::npos);
+    CPPUNIT_ASSERT(seen.ends_with("\r\n\r\nbody"));
+  }
+
+  // Guards against giving up a request that could have gone to another upstream.
+  void RefusedConnectionIsNotRun() {
+    std::string address;
+    {
+      ScriptedPeer closed([](PeerConnection&) {});
+      address = closed.address();
+    }
+    this->ExpectError(this->Fetch(Post(address, "x")), ErrorCode::kUnavailable, Verdict::kNotRun);
+  }
+
+  // Guards against reporting an upstream that drops packets as one that may have run the request.
+  void ConnectTimeoutIsNotRun() {
+    asio::io_context io;
+    const asio::ip::tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
+    asio::ip::tcp::acceptor full(io, any.protocol());
+    full.bind(any);
+    full.listen(0);
+    // With the queue full, the system ignores further connections.
+    std::vector<asio::ip::tcp::socket> queued;
+    for (int i = 0; i < 3; ++i) {
+      queued.emplace_back(io);
+      queued.back().open(any.protocol());
+      queued.back().native_non_blocking(true);
+      const auto target = full.local_endpoint();
+      ::connect(queued.back().native_handle(), target.data(),
+                static_cast<socklen_t>(target.size()));
+    }
+    HttpClientOptions options;
+    options.connect_timeout = Milliseconds(200);
+    this->client = HttpClient::Create(options).value();
+    const std::string address = "127.0.0.1:" + std::to_string(full.local_endpoint().port());
+    this->ExpectError(this->Fetch(Post(address, "x")), ErrorCode::kUnavailable, Verdict::kNotRun);
+  }
+
+  // Guards against a second execution of an order whose answer was lost.
+  void CutAfterTheRequestIsMayHaveRun() {
+    ScriptedPeer peer([](PeerConnection& connection) { connection.ReadRequest(); });
+    this->ExpectError(this->Fetch(Post(peer.address(), "x")), ErrorCode::kUpstreamLost,
+                      Verdict::kMayHaveRun);
+  }
+
+  // Guards against passing on a part of an answer as the whole.
+  void CutInsideTheBodyIsAnError() {
+    ScriptedPeer peer([](PeerConnection& connection) {
+      connection.ReadRequest();
+      connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    });
+    this->ExpectError(this->Fetch(Post(peer.address(), "x")), ErrorCode::kUpstreamLost,
+                      Verdict::kMayHaveRun);
+  }
+
+  // Guards against libcurl sending a request twice when a pooled connection dies under it.
+  void RequestIsNotSentAgainOnAStaleConnection() {
+    std::atomic<int> requests = 0;
+    ScriptedPeer peer([&](PeerConnection& connection) {
+      while (!connection.ReadRequest().empty()) {
+        if (++requests == 2) return;
+        connection.Write(kOk);
+      }
+    });
+    CPPUNIT_ASSERT(this->Fetch(Post(peer.address(), "first")).has_value());
+    this->ExpectError(this->Fetch(Post(peer.address(), "second")), ErrorCode::kUpstreamLost,
+                      Verdict::kMayHaveRun);
+    CPPUNIT_ASSERT_EQUAL(2, requests.load());
+    CPPUNIT_ASSERT(this->Fetch(Post(peer.address(), "third")).has_value());
+  }
+
+  // Guards against errors each time an upstream closes connections that were idle.
+  void ClosedIdleConnectionIsReplaced() {
+    std::atomic<int> closed = 0;
+    ScriptedPeer peer([&](PeerConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(kOk);
+      connection.ShutDown();
+      ++closed;
+    });
+    for (int i = 1; i <= 3; ++i) {
+      CPPUNIT_ASSERT(this->Fetch(Post(peer.address(), "x")).has_value());
+      CPPUNIT_ASSERT(Eventually([&] { return closed == i; }));
+    }
+  }
+
+  // Guards against taking bytes behind an answer for the answer to the next request.
+  void SurplusAnswerIsNotReadByTheNextRequest() {
+    ScriptedPeer peer([&](PeerConnection& connection) {
+      while (!connection.ReadRequest().empty()) {
+        const std::string own = "own-" + std::to_string(connection.number());
+        const std::string surplus = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+        connection.Write(connection.number() % 2 == 0
+                             ? "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" + own + surplus
+                             : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n" + own +
+                                   "\r\n0\r\n\r\n" + surplus);
+      }
+    });
+    for (int i = 0; i < 4; ++i) {
+      const auto answer = this->Fetch(Post(peer.address(), "x"));
+      CPPUNIT_ASSERT(answer.value().body.starts_with("own-"));
+    }
+  }
+
+  // Guards against the same after a pause, when the connection is already in the pool.
+  void LateAnswerIsNotReadByTheNextRequest() {
+    std::atomic<bool> sent = false;
+    ScriptedPeer peer([&](PeerConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(kOk);
+      if (connection.number() > 0) return;
+      std::this_thread::sleep_for(Milliseconds(50));
+      connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+      sent = true;
+      connection.ReadRequest();
+    });
+    CPPUNIT_ASSERT(this->Fetch(Post(peer.address(), "x")).has_value());
+    CPPUNIT_ASSERT(Eventually([&] { return sent.load(); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), this->Fetch(Post(peer.address(), "y")).value().body);
+  }
+
+  // Guards against requests that wait for ever on an upstream that has gone silent.
+  void SilenceEndsAtTheDeadline() {
+    std::atomic<bool> closed = false;
+    ScriptedPeer peer([&](PeerConnection& connection) {
+      connection.ReadRequest();
+      closed = connection.ReadRequest().empty();
+    });
+    const TimePoint start = Clock::now();
+    this->ExpectError(this->Fetch(Post(peer.address(), "x"), Milliseconds(150)),
+                      ErrorCode::kDeadlineExceeded, Verdict::kMayHaveRun);
+    CPPUNIT_ASSERT(Clock::now() - start >= Milliseconds(150));
+    CPPUNIT_ASSERT(Eventually([&] { return closed.load(); }));
+  }
+
+  // Guards against losing request after request on pooled connections that have gone silent
+  // together while new ones work.
+  void SilentAddressGetsANewConnection() {
+    std::atomic<int> connected = 0;
+    ScriptedPeer peer([&](PeerConnection& connection) {
+      connection.ReadRequest();
+      ++connected;
+      if (connection.number() < 3) {
+        CPPUNIT_ASSERT(Eventually([&] { return connected >= 3; }));
+      }
+      connection.Write(kOk);
+      // The first three connections take requests from now on and never answer.
+      while (!connection.ReadRequest().empty()) {
+        if (connection.number() >= 3) connection.Write(kOk);
+      }
+    });
+    std::vector<std::future<bool>> warm;
+    for (int i = 0; i < 3; ++i) {
+      warm.push_back(std::async(
+          std::launch::async, [&] { return this->Fetch(Post(peer.address(), "x")).has_value(); }));
+    }
+    for (auto& fetched : warm) CPPUNIT_ASSERT(fetched.get());
+    CPPUNIT_ASSERT(!this->Fetch(Post(peer.address(), "y"), Milliseconds(150)).has_value());
+    CPPUNIT_ASSERT(this->Fetch(Post(peer.address(), "z"), Milliseconds(1000)).has_value());
+  }
+
+  // Guards against work that goes on upstream after its caller has left.
+  void CancelledFetchClosesItsConnection() {
+    std::atomic<bool> received = false;
+    std::atomic<bool> closed = false;
+    ScriptedPeer peer([&](PeerConnection& connection) {
+      connection.ReadRequest();
+      received = true;
+      closed = connection.ReadRequest().empty();
+    });
+    asio::cancellation_signal signal;
+    const auto strand = asio::make_strand(this->threads.io());
+    std::optional<Error> error;
+    std::atomic<bool> ended = false;
+    const auto fetch = [](std::shared_ptr<HttpClient> client, HttpRequest request,
+                          std::optional<Error>& out) -> asio::awaitable<void> {
+      const auto answer = co_await client->Fetch(std::move(request), Clock::now() + kLong);
+      if (!answer) out = answer.error();
+    };
+    asio::co_spawn(strand, fetch(this->client, Post(peer.address(), "x"), error),
+                   asio::bind_cancellation_slot(signal.slot(),
+                                                [&](const std::exception_ptr&) { ended = true; }));
+    CPPUNIT_ASSERT(Eventually([&] { return received.load(); }));
+    asio::post(strand, [&] { signal.emit(asio::cancellation_type::terminal); });
+    CPPUNIT_ASSERT(Eventually([&] { return ended.load() && closed.load(); }));
+    CPPUNIT_ASSERT(error && error->code == ErrorCode::kCancelled);
+    CPPUNIT_ASSERT(error->verdict == Verdict::kMayHaveRun);
+  }
+
+  // Guards against holding whole streams in memory for callers that read slowly.
+  void StreamThatIsNotReadHoldsUpTheServer() {
+    constexpr int kPieces = 1024;
+    const std::string piece(64 << 10, 'a');
+    std::atomic<int> written = 0;
+    ScriptedPeer peer([&](PeerConnection& connection) {
+      connection.ReadRequest();
+      connection.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                       std::to_string(kPieces * piece.size()) + "\r\n\r\n");
+      for (int i = 0; i < kPieces; ++i, ++written) connection.Write(piece);
+    });
+    auto opened = this->threads.Run(OpenFrom(this->client, Post(peer.address(), "x")));
+    std::this_thread::sleep_for(Milliseconds(300));
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(written), written < kPieces / 2);
+    const auto received = this->threads.Run(ReadLength(*opened.value(), kLong));
+    CPPUNIT_ASSERT_EQUAL(kPieces * piece.size(), received.value());
+  }
+
+  // Guards against streams that hang between two tokens.
+  void SilenceInAStreamEndsAtTheDeadline() {
+    ScriptedPeer peer([](PeerConnection& connection) {
+      connection.ReadRequest();
+      connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n");
+      connection.ReadRequest();
+    });
+    auto opened = this->threads.Run(OpenFrom(this->client, Post(peer.address(), "x")));
+    const auto read = this->threads.Run(ReadLength(*opened.value(), Milliseconds(150)));
+    CPPUNIT_ASSERT(read.error().code == ErrorCode::kDeadlineExceeded);
+    CPPUNIT_ASSERT(read.error().verdict == Verdict::kMayHaveRun);
+  }
+
+  // Guards against engines that go on generating for a stream that nobody holds.
+  void DestroyedStreamClosesItsConnection() {
+    std::atomic<bool> closed = false;
+    ScriptedPeer peer([&](PeerConnection& connection) {
+      connection.ReadRequest();
+      connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n");
+      closed = connection.ReadRequest().empty();
+    });
+    {
+      auto opened = this->threads.Run(OpenFrom(this->client, Post(peer.address(), "x")));
+      CPPUNIT_ASSERT_EQUAL(200, opened.value()->status());
+      CPPUNIT_ASSERT(!closed);
+    }
+    CPPUNIT_ASSERT(Eventually([&] { return closed.load(); }));
+  }
+
+  // Guards against taking a cut answer for a whole one when only the close marks its end.
+  void AnswerOfUnknownLengthIsRefused() {
+    ScriptedPeer peer([](PeerConnection& connection) {
+      connection.ReadRequest();
+      connection.Write("HTTP/1.1 200 OK\r\n\r\npart");
+    });
+    this->ExpectError(this->Fetch(Post(peer.address(), "x")), ErrorCode::kUpstreamProtocol,
+                      Verdict::kMayHaveRun);
+  }
+
+  // Guards against an upstream that fills this process's memory.
+  void OversizedAnswerIsRefused() {
+    ScriptedPeer peer([](PeerConnection& connection) {
+      connection.ReadRequest();
+      connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + std::string(2000, 'a'));
+    });
+    HttpClientOptions options;
+    options.max_body_bytes = 1999;
+    this->client = HttpClient::Create(options).value();
+    this->ExpectError(this->Fetch(Post(peer.address(), "x")), ErrorCode::kUpstreamProtocol,
+                      Verdict::kMayHaveRun);
+  }
+
+  // Guards against a value that smuggles a second request to an upstream.
+  void HeaderThatHoldsALineBreakIsNotSent() {
+    ScriptedPeer peer([](PeerConnection&) {});
+    HttpRequest request = Post(peer.address(), "x");
+    request.headers["X-Team"] = "a\r\nX-Priority: high";
+    this->ExpectError(this->Fetch(request), ErrorCode::kInvalidArgument, Verdict::kNotRun);
+  }
+
+  // Guards against the answer of an abandoned request reaching the next one on its connection.
+  void AbandonedRequestsNeverMixUpAnswers() {
+    const auto seed = std::random_device()();
+    std::cout << " seed " << seed;
+    auto server = HttpServer::Create(this->threads.io(), "127.0.0.1:0", &AnswerLate, {});
+    const std::string address = server.value()->address();
+    std::vector<std::future<int>> workers;
+    std::atomic<int> answers = 0;
+    std::atomic<int> abandoned = 0;
+    const TimePoint end = Clock::now() + Milliseconds(1500);
+    for (int i = 0; i < 16; ++i) {
+      workers.push_back(std::async(std::launch::async, [&, i] {
+        std::mt19937 random(seed + i);
+        int wrong = 0;
+        for (int n = 0; Clock::now() < end; ++n) {
+          const std::string body = std::to_string(i) + "-" + std::to_string(n);
+          const auto answer = this->Fetch(Post(address, body), Milliseconds(1 + random() % 6));
+          ++(answer ? answers : abandoned);
+          if (answer && answer.value().body != body) ++wrong;
+        }
+        return wrong;
+      }));
+    }
+    int wrong = 0;
+    for (auto& worker : workers) wrong += worker.get();
+    std::cout << " answers " << answers << " abandoned " << abandoned;
+    CPPUNIT_ASSERT_EQUAL(0, wrong);
+    CPPUNIT_ASSERT(answers > 100 && abandoned > 100);
+    CPPUNIT_ASSERT(Eventually([&] { return server.value()->in_flight() == 0; }));
+  }
+
+ private:
+  static asio::awaitable<void> AnswerLate(HttpExchange& exchange) {
+    thread_local std::mt19937 random;
+    asio::steady_timer timer(co_await asio::this_coro::executor, Milliseconds(random() % 5));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    HttpResponse response;
+    response.status = 200;
+    response.body = exchange.request().body;
+    [[maybe_unused]] const auto sent = co_await exchange.Send(std::move(response));
+  }
+
+  static asio::awaitable<Result<std::size_t>> ReadLength(HttpStream& stream,
+                                                         Milliseconds patience) {
+    std::size_t length = 0;
+    for (;;) {
+      BOOST_OUTCOME_CO_TRY(auto bytes, co_await stream.Read(Clock::now() + patience));
+      if (!bytes) co_return length;
+      length += bytes->size();
+    }
+  }
+
+  Result<HttpResponse> Fetch(HttpRequest request, Milliseconds timeout = kLong) {
+    return this->threads.Run(this->client->Fetch(std::move(request), Clock::now() + timeout));
+  }
+
+  static void ExpectError(const Result<HttpResponse>& result, ErrorCode code, Verdict verdict) {
+    CPPUNIT_ASSERT(!result.has_value());
+    const Error& error = result.error();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(error.message, std::string(ToString(code)),
+                                 std::string(ToString(error.code)));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(error.message, std::string(ToString(verdict)),
+                                 std::string(ToString(error.verdict)));
+  }
+
+  IoThreads threads;
+  std::shared_ptr<HttpClient> client = HttpClient::Create({}).value();
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
+
+}  // namespace
+}  // namespace limpetfall
