Test the HTTP server

Cause: the server had no tests.

Change: tests of limits, slow and silent peers, pipelining, disconnects, planned stop, and of 40 clients that close near the moment of the answer for 5 s.

--- /dev/null
+++ b/test/http-server-test.cc
@@ -0,0 +1,342 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "harness/net.h"
+#include "http/server.h"
+
+namespace limpetfall {
+namespace {
+
+namespace asio = boost::asio;
+using test::Eventually;
+using test::IoThreads;
+using test::RawClient;
+
+constexpr std::string_view kGet = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+HttpResponse TextResponse(std::string text) {
+  HttpResponse response;
+  response.status = 200;
+  response.body = std::move(text);
+  return response;
+}
+
+asio::awaitable<void> Sleep(std::chrono::microseconds time) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, time);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+/** Answers with the target, after the number of ms in it if it starts with "/wait-". */
+asio::awaitable<void> Echo(HttpExchange& exchange) {
+  const std::string target = exchange.request().target;
+  constexpr std::string_view kWait = "/wait-";
+  if (target.starts_with(kWait)) {
+    co_await Sleep(Milliseconds(std::stoi(target.substr(kWait.size()))));
+  }
+  HttpResponse response = TextResponse(target + exchange.request().body);
+  [[maybe_unused]] const auto sent = co_await exchange.Send(std::move(response));
+}
+
+class HttpServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpServerTest);
+  CPPUNIT_TEST(MalformedRequestGets400);
+  CPPUNIT_TEST(ConflictingLengthsGet400);
+  CPPUNIT_TEST(TruncatedBodyGets400);
+  CPPUNIT_TEST(OversizedHeaderGets431);
+  CPPUNIT_TEST(OversizedBodyGets413);
+  CPPUNIT_TEST(SlowSenderGets408);
+  CPPUNIT_TEST(IdleConnectionIsClosed);
+  CPPUNIT_TEST(SurplusConnectionGets503);
+  CPPUNIT_TEST(PipelinedRequestsAreAnsweredInOrder);
+  CPPUNIT_TEST(ExpectedContinueIsSent);
+  CPPUNIT_TEST(HeadAnswerHasNoBody);
+  CPPUNIT_TEST(DisconnectCancelsTheHandler);
+  CPPUNIT_TEST(UnansweredRequestGets500);
+  CPPUNIT_TEST(AbandonedStreamHasNoEnd);
+  CPPUNIT_TEST(PeerThatDoesNotReadIsDropped);
+  CPPUNIT_TEST(StopLetsRequestsInFlightFinish);
+  CPPUNIT_TEST(LeavingClientsNeverMixUpAnswers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void MalformedRequestGets400() { this->ExpectRefusal("GET / HTTP/9.x\r\n\r\n", 400); }
+
+  // Guards against a request that two programs cut into different requests.
+  void ConflictingLengthsGet400() {
+    this->ExpectRefusal(
+        "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400);
+    this->ExpectRefusal("POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+                        400);
+  }
+
+  // Guards against running a part of an order.
+  void TruncatedBodyGets400() {
+    this->Start(&Echo, {});
+    RawClient client(this->server->address());
+    client.Send("POST / HTTP/1.1\r\nX-Request-Id: r1\r\nContent-Length: 10\r\n\r\nhalf");
+    client.EndSending();
+    this->ExpectError(client.ReadAll(), 400, "r1");
+  }
+
+  void OversizedHeaderGets431() {
+    this->ExpectRefusal("GET / HTTP/1.1\r\nX-A: " + std::string(20 << 10, 'a') + "\r\n\r\n", 431);
+  }
+
+  // Guards against an answer that is lost because the client is still sending.
+  void OversizedBodyGets413() {
+    const std::string header = "POST / HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n";
+    this->ExpectRefusal(header + std::string(2000000, 'a'), 413);
+    std::string chunks = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 20; ++i) chunks += "10000\r\n" + std::string(0x10000, 'a') + "\r\n";
+    this->ExpectRefusal(chunks + "0\r\n\r\n", 413);
+  }
+
+  // Guards against clients that hold connections by sending a byte now and then.
+  void SlowSenderGets408() {
+    HttpServerOptions options;
+    options.request_read_timeout = Milliseconds(150);
+    this->Start(&Echo, options);
+    RawClient client(this->server->address());
+    const TimePoint start = Clock::now();
+    for (int i = 0; i < 10 && Clock::now() - start < Milliseconds(200); ++i) {
+      client.Send(kGet.substr(i, 1));
+      std::this_thread::sleep_for(Milliseconds(20));
+    }
+    this->ExpectError(client.ReadAll(), 408, "");
+    CPPUNIT_ASSERT(Clock::now() - start < Milliseconds(2000));
+  }
+
+  void IdleConnectionIsClosed() {
+    HttpServerOptions options;
+    options.idle_timeout = Milliseconds(100);
+    this->Start(&Echo, options);
+    RawClient client(this->server->address());
+    client.Send(kGet);
+    CPPUNIT_ASSERT(client.ReadUntil("/x").ends_with("\r\n\r\n/x"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), client.ReadAll());
+  }
+
+  void SurplusConnectionGets503() {
+    HttpServerOptions options;
+    options.max_connections = 1;
+    this->Start(&Echo, options);
+    RawClient first(this->server->address());
+    first.Send(kGet);
+    first.ReadUntil("/x");
+    RawClient second(this->server->address());
+    this->ExpectError(second.ReadAll(), 503, "");
+  }
+
+  // Guards against the answer to one request being read as the answer to another.
+  void PipelinedRequestsAreAnsweredInOrder() {
+    this->Start(&Echo, {});
+    RawClient client(this->server->address());
+    client.Send(
+        "GET /wait-50 HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 2\r\n\r\n-1"
+        "GET /wait-10 HTTP/1.1\r\n\r\nGET /d HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CPPUNIT_ASSERT(client.ReadUntil("/wait-50").ends_with("\r\n\r\n/wait-50"));
+    CPPUNIT_ASSERT(client.ReadUntil("/b-1").starts_with("HTTP/1.1 200 OK\r\n"));
+    CPPUNIT_ASSERT(client.ReadUntil("/wait-10").starts_with("HTTP/1.1 200 OK\r\n"));
+    CPPUNIT_ASSERT(client.ReadAll().ends_with("\r\n\r\n/d"));
+  }
+
+  void ExpectedContinueIsSent() {
+    this->Start(&Echo, {});
+    RawClient client(this->server->address());
+    client.Send("POST /b HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+                         client.ReadUntil("\r\n\r\n"));
+    client.Send("1");
+    CPPUNIT_ASSERT(client.ReadUntil("/b1").ends_with("\r\n\r\n/b1"));
+  }
+
+  // Guards against a body that a client takes for the start of the next answer.
+  void HeadAnswerHasNoBody() {
+    this->Start(&Echo, {});
+    RawClient client(this->server->address());
+    client.Send("HEAD /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const std::string answer = client.ReadAll();
+    CPPUNIT_ASSERT(answer.find("Content-Length: 2\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(answer.ends_with("\r\n\r\n"));
+  }
+
+  // Guards against work that goes on for callers that have left.
+  void DisconnectCancelsTheHandler() {
+    std::atomic<bool> cancelled = false;
+    const HttpHandler handler = [&](HttpExchange&) -> asio::awaitable<void> {
+      const std::shared_ptr<void> at_end(nullptr, [&](void*) { cancelled = true; });
+      co_await Sleep(std::chrono::minutes(1));
+    };
+    this->Start(handler, {});
+    {
+      RawClient client(this->server->address());
+      client.Send(kGet);
+      CPPUNIT_ASSERT(Eventually([&] { return this->server->in_flight() == 1; }));
+    }
+    CPPUNIT_ASSERT(Eventually([&] { return cancelled && this->server->in_flight() == 0; }));
+  }
+
+  // Guards against a client that waits for ever on a handler that failed.
+  void UnansweredRequestGets500() {
+    const HttpHandler handler = [](HttpExchange&) -> asio::awaitable<void> {
+      throw std::runtime_error("a fault of the handler");
+      co_return;
+    };
+    this->Start(handler, {});
+    RawClient client(this->server->address());
+    client.Send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const std::string answer = client.ReadAll();
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 500 "));
+    CPPUNIT_ASSERT(answer.find("X-Verdict: may-have-run\r\n") != std::string::npos);
+  }
+
+  // Guards against a cut stream that looks complete.
+  void AbandonedStreamHasNoEnd() {
+    const HttpHandler handler = [](HttpExchange& exchange) -> asio::awaitable<void> {
+      const auto started = co_await exchange.StartStream(200, {});
+      const auto written = co_await exchange.WriteChunk("part");
+      CPPUNIT_ASSERT(started && written);
+    };
+    this->Start(handler, {});
+    RawClient client(this->server->address());
+    client.Send(kGet);
+    CPPUNIT_ASSERT(client.ReadAll().ends_with("\r\n\r\n4\r\npart\r\n"));
+  }
+
+  // Guards against clients that hold a handler and its memory by not reading.
+  void PeerThatDoesNotReadIsDropped() {
+    HttpServerOptions options;
+    options.write_timeout = Milliseconds(200);
+    const HttpHandler handler = [](HttpExchange& exchange) -> asio::awaitable<void> {
+      const std::string piece(1 << 20, 'a');
+      Result<void> written = co_await exchange.StartStream(200, {});
+      while (written) written = co_await exchange.WriteChunk(piece);
+    };
+    this->Start(handler, options);
+    RawClient client(this->server->address());
+    client.Send(kGet);
+    client.ReadUntil("a");
+    CPPUNIT_ASSERT(Eventually([&] { return this->server->in_flight() == 0; }));
+  }
+
+  // Guards against a planned stop that interrupts a request.
+  void StopLetsRequestsInFlightFinish() {
+    this->Start(&Echo, {});
+    RawClient idle(this->server->address());
+    idle.Send(kGet);
+    idle.ReadUntil("/x");
+    RawClient busy(this->server->address());
+    busy.Send("GET /wait-200 HTTP/1.1\r\n\r\n");
+    CPPUNIT_ASSERT(Eventually([&] { return this->server->in_flight() == 1; }));
+    this->server->StopAccepting();
+    CPPUNIT_ASSERT_EQUAL(std::string(), idle.ReadAll());
+    CPPUNIT_ASSERT(Eventually([&] {
+      try {
+        RawClient late(this->server->address());
+        return false;
+      } catch (const boost::system::system_error&) {
+        return true;
+      }
+    }));
+    const std::string answer = busy.ReadAll();
+    CPPUNIT_ASSERT(answer.ends_with("\r\n\r\n/wait-200"));
+    CPPUNIT_ASSERT(answer.find("Connection: close\r\n") != std::string::npos);
+  }
+
+  // Guards against a client getting the answer to another one's request when connections close near
+  // the answer and their descriptors are used again at once.
+  void LeavingClientsNeverMixUpAnswers() {
+    const auto seed = std::random_device()();
+    std::cout << " seed " << seed;
+    this->Start(&AnswerSoon, {});
+    const TimePoint end = Clock::now() + Milliseconds(5000);
+    std::atomic<int> whole = 0;
+    std::atomic<int> left = 0;
+    std::atomic<int> wrong = 0;
+    std::vector<std::thread> clients;
+    for (int i = 0; i < 40; ++i) {
+      clients.emplace_back([&, i] {
+        std::mt19937 random(seed + i);
+        for (int n = 0; Clock::now() < end; ++n) {
+          const std::string mark = "<" + std::to_string(i) + "." + std::to_string(n) + ">";
+          this->AskAndLeave(mark, random, whole, left, wrong);
+        }
+      });
+    }
+    for (std::thread& client : clients) client.join();
+    std::cout << " whole " << whole << " left " << left << " wrong " << wrong;
+    CPPUNIT_ASSERT_EQUAL(0, wrong.load());
+    CPPUNIT_ASSERT(whole > 500 && left > 500);
+    CPPUNIT_ASSERT(Eventually([&] { return this->server->in_flight() == 0; }));
+  }
+
+ private:
+  static asio::awaitable<void> AnswerSoon(HttpExchange& exchange) {
+    thread_local std::mt19937 random;
+    co_await Sleep(std::chrono::microseconds(random() % 2000));
+    HttpResponse response = TextResponse(exchange.request().headers.at("X-Mark"));
+    [[maybe_unused]] const auto sent = co_await exchange.Send(std::move(response));
+  }
+
+  /** Sends a request or two and either reads the answers or closes about when they come. */
+  void AskAndLeave(const std::string& mark, std::mt19937& random, std::atomic<int>& whole,
+                   std::atomic<int>& left, std::atomic<int>& wrong) {
+    RawClient client(this->server->address());
+    const std::string request = "GET / HTTP/1.1\r\nX-Mark: " + mark + "\r\n\r\n";
+    const int requests = 1 + static_cast<int>(random() % 2);
+    for (int i = 0; i < requests; ++i) client.Send(request);
+    if (random() % 2 == 0) {
+      std::this_thread::sleep_for(std::chrono::microseconds(random() % 2500));
+      ++left;
+      return;
+    }
+    for (int i = 0; i < requests; ++i) {
+      const std::string answer = client.ReadUntil(">");
+      ++(answer.ends_with("\r\n\r\n" + mark) ? whole : wrong);
+    }
+  }
+
+  void Start(HttpHandler handler, HttpServerOptions options) {
+    this->server =
+        HttpServer::Create(this->threads->io(), "127.0.0.1:0", std::move(handler), options).value();
+  }
+
+  /** Sends the bytes and expects an answer that says that nothing ran. */
+  void ExpectRefusal(const std::string& bytes, int status) {
+    std::atomic<int> handled = 0;
+    const HttpHandler handler = [&](HttpExchange& exchange) {
+      ++handled;
+      return Echo(exchange);
+    };
+    this->Start(handler, {});
+    RawClient client(this->server->address());
+    client.Send(bytes);
+    this->ExpectError(client.ReadAll(), status, "");
+    CPPUNIT_ASSERT_EQUAL(0, handled.load());
+  }
+
+  void ExpectError(const std::string& answer, int status, const std::string& request_id) {
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 " + std::to_string(status) + " "));
+    CPPUNIT_ASSERT(answer.find("\r\nX-Verdict: not-run\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(answer.find("\r\nConnection: close\r\n") != std::string::npos);
+    const auto body = nlohmann::json::parse(answer.substr(answer.find("\r\n\r\n") + 4));
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"), body["error"]["verdict"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(request_id, body["error"]["request_id"].get<std::string>());
+  }
+
+  std::unique_ptr<IoThreads> threads = std::make_unique<IoThreads>(4);
+  std::unique_ptr<HttpServer> server;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
+
+}  // namespace
+}  // namespace limpetfall
