--- /dev/null
+++ b/test/caller-api-test.cc
@@ -0,0 +1,346 @@
+#include "caller/caller-api.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+#include "harness/net.h"
+#include "http/client.h"
+
+namespace limpetfall {
+namespace {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+using test::IoThreads;
+using test::RawClient;
+
+constexpr Milliseconds kLong{5000};
+
+/** Gives prepared tokens and answers, and keeps the last request. */
+class FakeBackend {
+ public:
+  asio::awaitable<Result<void>> Complete(const CompletionRequest& request, CompletionSink& sink) {
+    this->completion = request;
+    ++this->calls;
+    if (this->start) {
+      BOOST_OUTCOME_CO_TRY(co_await sink.OnStart(41));
+    }
+    for (const std::string& token : this->tokens) {
+      BOOST_OUTCOME_CO_TRY(co_await sink.OnToken(token));
+    }
+    if (this->failure) co_return *this->failure;
+    co_return success();
+  }
+
+  asio::awaitable<Result<ServiceAnswer>> CallService(const ServiceCall& call) {
+    this->service_call = call;
+    ++this->calls;
+    if (this->failure) co_return *this->failure;
+    co_return this->answer;
+  }
+
+  AddressList Addresses(const ZoneId& zone) { return {{zone.value + ":80", "127.0.0.1:81"}, 5000}; }
+  bool AcceptsWork() { return this->accepts_work; }
+  ConfigVersion ActiveConfig() { return 42; }
+
+  std::atomic<int> calls = 0;
+  std::atomic<bool> accepts_work = true;
+  bool start = true;
+  std::vector<std::string> tokens = {"fold ", "h\"å\n"};
+  std::optional<Error> failure;
+  ServiceAnswer answer = {201, "text/plain", "order 1", 41};
+  CompletionRequest completion;
+  ServiceCall service_call;
+};
+
+class CallerApiTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CallerApiTest);
+  CPPUNIT_TEST(WholeCompletion);
+  CPPUNIT_TEST(StreamedCompletion);
+  CPPUNIT_TEST(RequestIdIsMadeWhenAbsent);
+  CPPUNIT_TEST(EveryFaultIsNamed);
+  CPPUNIT_TEST(MalformedJsonIsRefused);
+  CPPUNIT_TEST(MalformedRequestIdIsRefused);
+  CPPUNIT_TEST(OversizedInputIsRefused);
+  CPPUNIT_TEST(SlowSenderIsRefused);
+  CPPUNIT_TEST(TruncatedBodyIsRefused);
+  CPPUNIT_TEST(FailedCompletionGivesNoPartOfTheBody);
+  CPPUNIT_TEST(FailedStreamHasNoEndMark);
+  CPPUNIT_TEST(ErrorBeforeTheStreamIsAPlainError);
+  CPPUNIT_TEST(ErrorsHaveTheirStatus);
+  CPPUNIT_TEST(ServiceCallIsPassedOn);
+  CPPUNIT_TEST(ServicePathsAreInNormalForm);
+  CPPUNIT_TEST(AddressesPutTheZoneFirst);
+  CPPUNIT_TEST(StoppingNodeRefusesWork);
+  CPPUNIT_TEST(UnknownCallsAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { this->Start({}); }
+
+  void WholeCompletion() {
+    const HttpResponse response =
+        this->Complete(R"({"model":"m1","prompt":"p","max_tokens":9,"seed":18446744073709551615})");
+    this->ExpectHeaders(response, 200, "ran", "41");
+    const json body = json::parse(response.body);
+    CPPUNIT_ASSERT_EQUAL(std::string("r1"), body["id"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("fold h\"å\n"), body["choices"][0]["text"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(2, body["usage"]["completion_tokens"].get<int>());
+    const CompletionRequest& seen = this->backend->completion;
+    CPPUNIT_ASSERT(seen.id == RequestId("r1") && seen.branch == BranchName("ennis") &&
+                   seen.team == TeamName("councils") && seen.priority == Priority::kHigh);
+    CPPUNIT_ASSERT(seen.model == ModelName("m1") && seen.prompt == "p" && seen.max_tokens == 9 &&
+                   seen.seed == UINT64_MAX);
+    const auto left = TimeLeft(seen.deadline, Clock::now());
+    CPPUNIT_ASSERT(left <= Milliseconds(3000) && left > Milliseconds(1000));
+  }
+
+  void StreamedCompletion() {
+    const HttpResponse response = this->Complete(kStream);
+    this->ExpectHeaders(response, 200, "may-have-run", "41");
+    CPPUNIT_ASSERT_EQUAL(std::string("text/event-stream"), response.headers.at("Content-Type"));
+    std::vector<std::string> events;
+    for (std::size_t at = 0, end = 0; at < response.body.size(); at = end + 2) {
+      end = response.body.find("\n\n", at);
+      events.push_back(response.body.substr(at, end - at));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, events.size());
+    for (int i = 0; i < 2; ++i) {
+      const json event = json::parse(events[i].substr(6));
+      CPPUNIT_ASSERT_EQUAL(std::string("r1"), event["id"].get<std::string>());
+      CPPUNIT_ASSERT_EQUAL(i, event["token_index"].get<int>());
+      CPPUNIT_ASSERT_EQUAL(this->backend->tokens[i],
+                           event["choices"][0]["text"].get<std::string>());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("data: [DONE]"), events[2]);
+  }
+
+  // Guards against answers that cannot be told apart because two callers named no id.
+  void RequestIdIsMadeWhenAbsent() {
+    this->headers.erase("X-Request-Id");
+    const std::string first = this->Complete(kWhole).headers.at("X-Request-Id");
+    CPPUNIT_ASSERT(IsRequestId(first));
+    CPPUNIT_ASSERT_EQUAL(first, this->backend->completion.id.value);
+    CPPUNIT_ASSERT(first != this->Complete(kWhole).headers.at("X-Request-Id"));
+  }
+
+  // Guards against callers that have to find their mistakes one by one.
+  void EveryFaultIsNamed() {
+    this->headers = {{"X-Priority", "urgent"}, {"X-Deadline-Ms", "-1"}, {"X-Branch", "a b"}};
+    const HttpResponse response = this->Complete(
+        R"({"prompt":7,"max_tokens":0,"seed":-1,"stream":1,"colour":"red","seed":2})");
+    const std::string message = this->ExpectRefusal(response, 400);
+    for (const char* part :
+         {"X-Priority", "X-Deadline-Ms", "X-Branch", "X-Team", "\"model\"", "\"prompt\"",
+          "\"max_tokens\"", "\"stream\"", "\"colour\"", "\"seed\" occurs more than once"}) {
+      CPPUNIT_ASSERT_MESSAGE(message + " lacks " + part, message.find(part) != std::string::npos);
+    }
+  }
+
+  void MalformedJsonIsRefused() {
+    for (const std::string& body :
+         {std::string(), std::string("{"), std::string("[]"), std::string("null"),
+          std::string("{\"model\":\"\xff\"}"), std::string(100000, '[')}) {
+      this->ExpectRefusal(this->Complete(body), 400);
+    }
+  }
+
+  // Guards against an id that a log line or an upstream's header would not survive.
+  void MalformedRequestIdIsRefused() {
+    for (const std::string& id : {std::string("a b"), std::string(129, 'a'), std::string("a,b")}) {
+      this->headers["X-Request-Id"] = id;
+      this->ExpectRefusal(this->Complete(kWhole), 400);
+    }
+  }
+
+  void OversizedInputIsRefused() {
+    const std::string prompt(1 << 20, 'a');
+    this->ExpectRefusal(this->Complete(R"({"model":"m","prompt":")" + prompt + "\"}"), 413);
+    this->headers["X-Note"] = std::string(16 << 10, 'a');
+    this->ExpectRefusal(this->Complete(kWhole), 431);
+  }
+
+  void SlowSenderIsRefused() {
+    HttpServerOptions options;
+    options.request_read_timeout = Milliseconds(150);
+    this->Start(options);
+    this->ExpectRawRefusal("POST /v1/completions HTTP/1.1\r\nContent-Length: 9\r\n\r\n{", 408,
+                           false);
+  }
+
+  void TruncatedBodyIsRefused() {
+    this->ExpectRawRefusal("POST /v1/completions HTTP/1.1\r\nContent-Length: 99\r\n\r\n{}", 400,
+                           true);
+  }
+
+  // Guards against releasing tokens of a completion whose check failed at the end.
+  void FailedCompletionGivesNoPartOfTheBody() {
+    this->backend->failure = MayHaveRun(ErrorCode::kUpstreamLost, "a member was lost");
+    const HttpResponse response = this->Complete(kWhole);
+    this->ExpectHeaders(response, 502, "may-have-run", "41");
+    CPPUNIT_ASSERT(response.body.find("fold") == std::string::npos);
+  }
+
+  void FailedStreamHasNoEndMark() {
+    this->backend->failure = MayHaveRun(ErrorCode::kUpstreamLost, "a member was lost");
+    const std::string body = this->Complete(kStream).body;
+    CPPUNIT_ASSERT(body.find("[DONE]") == std::string::npos);
+    const auto event = body.find("event: error\ndata: ");
+    CPPUNIT_ASSERT(event != std::string::npos && body.ends_with("\n\n"));
+    const json error = json::parse(body.substr(event + 19))["error"];
+    CPPUNIT_ASSERT_EQUAL(std::string("upstream_lost"), error["code"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("may-have-run"), error["verdict"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(std::string("r1"), error["request_id"].get<std::string>());
+  }
+
+  // Guards against a refusal that a caller can only find inside a stream with status 200.
+  void ErrorBeforeTheStreamIsAPlainError() {
+    this->backend->start = false;
+    this->backend->tokens.clear();
+    this->backend->failure = NotRun(ErrorCode::kResourceExhausted, "the queue is full");
+    const HttpResponse response = this->Complete(kStream);
+    this->ExpectHeaders(response, 503, "not-run", "42");
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), response.headers.at("Retry-After"));
+  }
+
+  void ErrorsHaveTheirStatus() {
+    const std::vector<std::pair<Error, int>> expected = {
+        {NotRun(ErrorCode::kNotFound, ""), 404},
+        {NotRun(ErrorCode::kConflict, ""), 422},
+        {NotRun(ErrorCode::kPermissionDenied, ""), 403},
+        {NotRun(ErrorCode::kUnavailable, ""), 503},
+        {NotRun(ErrorCode::kDeadlineExceeded, ""), 503},
+        {MayHaveRun(ErrorCode::kDeadlineExceeded, ""), 504},
+        {MayHaveRun(ErrorCode::kUpstreamProtocol, ""), 502},
+        {NotRun(ErrorCode::kQuarantined, ""), 422},
+        {MayHaveRun(ErrorCode::kInternal, ""), 500}};
+    this->backend->tokens.clear();
+    for (const auto& [error, status] : expected) {
+      this->backend->failure = error;
+      const HttpResponse response = this->Complete(kWhole);
+      this->ExpectHeaders(response, status, std::string(ToString(error.verdict)), "41");
+      CPPUNIT_ASSERT_EQUAL(status == 503, response.headers.contains("Retry-After"));
+    }
+  }
+
+  void ServiceCallIsPassedOn() {
+    this->headers["Idempotency-Key"] = "k1";
+    this->headers["Content-Type"] = "text/plain";
+    const auto response = this->Send("PUT", "/v1/services/order-book/orders/7?x=%2F..", "two");
+    this->ExpectHeaders(response, 201, "ran", "41");
+    CPPUNIT_ASSERT_EQUAL(std::string("order 1"), response.body);
+    const ServiceCall& seen = this->backend->service_call;
+    CPPUNIT_ASSERT(seen.id == RequestId("r1") && seen.branch == BranchName("ennis") &&
+                   seen.team == TeamName("councils") && seen.service == ServiceName("order-book"));
+    CPPUNIT_ASSERT(seen.method == "PUT" && seen.path == "/orders/7?x=%2F.." && seen.body == "two" &&
+                   seen.content_type == "text/plain" && seen.idempotency_key == "k1");
+  }
+
+  // Guards against a path that the configured routes read as another one than the service does, so
+  // that a call that may not be repeated passes for one that may.
+  void ServicePathsAreInNormalForm() {
+    for (const char* path : {"stock/../orders", "./orders", "stock//orders", "%6Frders", "a%2e",
+                             "a%2Fb", "a%5Cb", "a%", "a%4", "a%zz", "a\\b", "stock/.."}) {
+      const std::string target = std::string("/v1/services/order-book/") + path;
+      this->ExpectRefusal(this->Send("GET", target, ""), 400);
+    }
+  }
+
+  void AddressesPutTheZoneFirst() {
+    const auto named = this->Send("GET", "/v1/addresses?zone=limerick", "");
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"addresses":["limerick:80","127.0.0.1:81"],"ttl_ms":5000})"), named.body);
+    const auto own = this->Send("GET", "/v1/addresses", "");
+    CPPUNIT_ASSERT(own.body.find("\"ennis:80\"") != std::string::npos);
+    this->ExpectRefusal(this->Send("GET", "/v1/addresses?city=x", ""), 400);
+  }
+
+  void StoppingNodeRefusesWork() {
+    CPPUNIT_ASSERT_EQUAL(200, this->Send("GET", "/healthz", "").status);
+    this->backend->accepts_work = false;
+    this->ExpectRefusal(this->Send("GET", "/healthz", ""), 503);
+    this->ExpectRefusal(this->Complete(kWhole), 503);
+    this->ExpectRefusal(this->Send("POST", "/v1/services/order-book/orders", "x"), 503);
+  }
+
+  void UnknownCallsAreRefused() {
+    this->ExpectRefusal(this->Send("GET", "/v1/unknown", ""), 404);
+    this->ExpectRefusal(this->Send("GET", "/v1/completions", ""), 405);
+    this->ExpectRefusal(this->Send("DELETE", "/v1/addresses", ""), 405);
+    this->ExpectRefusal(this->Send("POST", "/v1/services/", "x"), 400);
+  }
+
+ private:
+  inline static const std::string kWhole = R"({"model":"m1","prompt":"p"})";
+  inline static const std::string kStream = R"({"model":"m1","prompt":"p","stream":true})";
+
+  void Start(HttpServerOptions server_options) {
+    CallerApiOptions options;
+    options.zone = ZoneId("ennis");
+    const auto api = CallerApi<FakeBackend>::Create(this->backend, options);
+    this->server =
+        HttpServer::Create(this->threads.io(), "127.0.0.1:0", api->Handler(), server_options)
+            .value();
+  }
+
+  HttpResponse Complete(const std::string& body) {
+    return this->Send("POST", "/v1/completions", body);
+  }
+
+  HttpResponse Send(const std::string& method, const std::string& target, const std::string& body) {
+    HttpRequest request;
+    request.method = method;
+    request.address = this->server->address();
+    request.target = target;
+    request.headers = this->headers;
+    request.body = body;
+    return this->threads.Run(this->client->Fetch(request, Clock::now() + kLong)).value();
+  }
+
+  void ExpectHeaders(const HttpResponse& response, int status, const std::string& verdict,
+                     const std::string& version) {
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, status, response.status);
+    CPPUNIT_ASSERT_EQUAL(verdict, response.headers.at("X-Verdict"));
+    CPPUNIT_ASSERT_EQUAL(version, response.headers.at("X-Config-Version"));
+    CPPUNIT_ASSERT_EQUAL(std::string("r1"), response.headers.at("X-Request-Id"));
+  }
+
+  /** Expects a refusal that did not reach the backend; returns its message. */
+  std::string ExpectRefusal(const HttpResponse& response, int status) {
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, status, response.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"), response.headers.at("X-Verdict"));
+    CPPUNIT_ASSERT_EQUAL(0, this->backend->calls.load());
+    const json error = json::parse(response.body)["error"];
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"), error["verdict"].get<std::string>());
+    CPPUNIT_ASSERT(error["code"].is_string() && error["request_id"].is_string());
+    return error["message"].get<std::string>();
+  }
+
+  void ExpectRawRefusal(const std::string& bytes, int status, bool end_sending) {
+    RawClient raw(this->server->address());
+    raw.Send(bytes);
+    if (end_sending) raw.EndSending();
+    const std::string answer = raw.ReadAll();
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 " + std::to_string(status) + " "));
+    CPPUNIT_ASSERT(answer.find("\r\nX-Verdict: not-run\r\n") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(0, this->backend->calls.load());
+  }
+
+  Headers headers = {{"X-Request-Id", "r1"},
+                     {"X-Branch", "ennis"},
+                     {"X-Team", "councils"},
+                     {"X-Priority", "high"},
+                     {"X-Deadline-Ms", "3000"}};
+  std::shared_ptr<FakeBackend> backend = std::make_shared<FakeBackend>();
+  IoThreads threads;
+  std::shared_ptr<HttpClient> client = HttpClient::Create({}).value();
+  std::unique_ptr<HttpServer> server;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallerApiTest);
+
+}  // namespace
+}  // namespace limpetfall
