Let several groups be broken up, count draining groups as gone, print priority-weighted downtime

Cause: trial replays showed domains giving up the same surplus at once and a wanted group of four that two groups of two could have made room for. Change: victims are a set; domains act in turns; surplus counts leave out draining groups.

--- a/src/core/assembly-policy.cc
+++ b/src/core/assembly-policy.cc
@@ -32,13 +32,13 @@
               situation.size * situation.load_s);
 }
 
-// The victim stays down until the missing members return and it is loaded again.
+// The victims stay down until the missing members return and they are loaded again.
 double BreakUpCost(const RepairSituation& situation) {
-  const Victim& victim = *situation.victim;
-  const double victim_down = victim.serving ? situation.remaining_restart_s + victim.load_s : 0;
-  const double left_over = std::max(0, victim.size - situation.missing);
-  return SpareCost(situation) +
-         Cost(situation, victim.priority_weight * victim_down, left_over * victim_down);
+  const Victims& victims = *situation.victims;
+  const double down =
+      victims.priority_weight > 0 ? situation.remaining_restart_s + victims.load_s : 0;
+  const double left_over = std::max(0, victims.vms + situation.free_vms - situation.missing);
+  return SpareCost(situation) + Cost(situation, victims.priority_weight * down, left_over * down);
 }
 
 }  // namespace
@@ -98,11 +98,11 @@
   if (may_wait) {
     const double wait = WaitCost(situation);
     if (has_spares) return SpareCost(situation) < wait ? Repair::kSpare : Repair::kWait;
-    if (situation.victim && BreakUpCost(situation) < wait) return Repair::kBreakUp;
+    if (situation.victims && BreakUpCost(situation) < wait) return Repair::kBreakUp;
     return Repair::kWait;
   }
   if (has_spares) return Repair::kSpare;
-  if (!situation.victim) return Repair::kRelease;
+  if (!situation.victims) return Repair::kRelease;
   const double release = WaitCost(situation);
   return BreakUpCost(situation) < release ? Repair::kBreakUp : Repair::kRelease;
 }
--- a/src/core/assembly-policy.h
+++ b/src/core/assembly-policy.h
@@ -38,15 +38,14 @@
 enum class Repair {
   kWait,     ///< Keep the group until the missing members return.
   kSpare,    ///< Replace the missing members by free VMs.
-  kBreakUp,  ///< Replace the missing members by those of the victim.
+  kBreakUp,  ///< Replace the missing members by those of the victims.
   kRelease,  ///< Give up the group and free its members.
 };
 
-/** A group whose members may be taken for a more important one. */
-struct Victim {
-  int size = 0;
-  double priority_weight = 1;
-  bool serving = false;
+/** Groups whose members may be taken for a more important one. */
+struct Victims {
+  int vms = 0;
+  double priority_weight = 0;  ///< Sum over the groups that serve and are wanted.
   double load_s = 0;
 };
 
@@ -64,7 +63,7 @@
   double priority_weight = 1;
   double downtime_weight = 0.5;
   int free_vms = 0;
-  std::optional<Victim> victim;
+  std::optional<Victims> victims;
 };
 
 /** A wanted group that free VMs could form, and the spares this would use up. */
--- a/src/core/assembly.cc
+++ b/src/core/assembly.cc
@@ -18,8 +18,6 @@
 constexpr std::chrono::minutes kLossWindow{10};
 // One loss per VM and day until the domain has a record of its own.
 constexpr double kPriorLossesPerVmSecond = 1.0 / 86400;
-// Domains that may exceed their quota take their turns, so that not all build the missing group.
-constexpr std::size_t kTurns = 8;
 
 double Seconds(Clock::duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -27,6 +25,10 @@
   return std::find(vms.begin(), vms.end(), vm) != vms.end();
 }
 
+int UsableMembers(const GroupView& view) {
+  return static_cast<int>(view.record.members.size() - view.absent.size() - view.leaving.size());
+}
+
 std::uint64_t StableHash(const std::string& text) {
   std::uint64_t hash = 14695981039346656037ULL;
   for (unsigned char byte : text) hash = (hash ^ byte) * 1099511628211ULL;
@@ -166,7 +168,7 @@
   for (const GroupRecord& record : this->input->record.groups) {
     GroupView view;
     view.record = record;
-    view.product = FindProduct(this->input->placement.products, record.model, record.version);
+    view.product = FindProduct(this->input->placement->products, record.model, record.version);
     view.ready = true;
     view.oldest_report = TimePoint::max();
     GroupTrack& track = this->group_tracks[record.group];
@@ -251,7 +253,7 @@
 
 template <AssemblyPolicy Policy>
 std::vector<int> Assembly<Policy>::HandlingOrder() const {
-  const auto& products = this->input->placement.products;
+  const auto& products = this->input->placement->products;
   std::vector<int> order;
   for (std::size_t i = 0; i < products.size(); ++i) order.push_back(static_cast<int>(i));
   if constexpr (Policy::kByPriority) {
@@ -280,26 +282,13 @@
     if (view.restarted) this->Renew(view);
     return;
   }
-  // A planned stop interrupts no request, so a group that is still whole drains first.
-  if (view.absent.empty() && !view.restarted) {
-    this->plan.drains.insert(view.record.group);
-    if (!this->Drained(view, now)) return;
-  }
-  const Product& product = this->input->placement.products[static_cast<std::size_t>(view.product)];
+  if (!this->Stop(view, now)) return;
+  const Product& product = this->ProductAt(view.product);
   const int healthy = static_cast<int>(view.record.members.size() - missing.size());
   RepairSituation situation = this->Situation(product, healthy, missing, now);
-  const GroupView* victim = this->FindVictim(product, &view);
-  if (victim != nullptr) {
-    const Product& other =
-        this->input->placement.products[static_cast<std::size_t>(victim->product)];
-    const int usable = static_cast<int>(victim->record.members.size() - victim->absent.size() -
-                                        victim->leaving.size());
-    if (usable + situation.free_vms >= situation.missing) {
-      situation.victim = Victim{usable, PriorityWeight(other.priority), this->IsServing(*victim),
-                                this->estimates.LoadTime(other.model)};
-    }
-  }
-  this->Apply(this->policy.ChooseRepair(situation), view, missing, victim, now);
+  const auto victims = this->FindVictims(product, &view, situation.missing - situation.free_vms);
+  situation.victims = this->Describe(victims);
+  this->Apply(this->policy.ChooseRepair(situation), view, missing, victims, now);
 }
 
 template <AssemblyPolicy Policy>
@@ -332,21 +321,15 @@
 
 template <AssemblyPolicy Policy>
 void Assembly<Policy>::Apply(limpetfall::Repair choice, const GroupView& view,
-                             const std::vector<VmId>& missing, const GroupView* victim,
-                             TimePoint now) {
+                             const std::vector<VmId>& missing,
+                             const std::vector<const GroupView*>& victims, TimePoint now) {
   if (choice == limpetfall::Repair::kWait) return;
   if (choice == limpetfall::Repair::kRelease) {
     this->RemoveGroup(view);
     return;
   }
   if (this->plan.slots <= 0) return;
-  if (choice == limpetfall::Repair::kBreakUp) {
-    if (this->IsServing(*victim)) {
-      this->plan.drains.insert(victim->record.group);
-      if (!this->Drained(*victim, now)) return;
-    }
-    this->RemoveGroup(*victim);
-  }
+  if (choice == limpetfall::Repair::kBreakUp && !this->BreakUp(victims, now)) return;
   const std::vector<VmId> added = this->TakeFree(static_cast<int>(missing.size()), now);
   auto replacement = added.begin();
   for (GroupRecord& group : this->plan.record.groups) {
@@ -371,20 +354,25 @@
 }
 
 template <AssemblyPolicy Policy>
-bool Assembly<Policy>::IsVictim(const GroupView& view, const Product& product,
-                                const GroupView* own) const {
+bool Assembly<Policy>::IsVictim(const GroupView& view, const Product& product, const GroupView* own,
+                                const std::vector<const GroupView*>& chosen) const {
   if (&view == own || view.product < 0 || !this->InPlan(view.record.group)) return false;
-  const Product& other = this->input->placement.products[static_cast<std::size_t>(view.product)];
-  const bool whole = view.absent.empty() && view.leaving.empty() && !view.restarted;
+  if (std::find(chosen.begin(), chosen.end(), &view) != chosen.end()) return false;
   // Groups that this step changed already are left alone.
   for (const GroupRecord& group : this->plan.record.groups) {
     if (group.group == view.record.group && group != view.record) return false;
   }
+  const Product& other = this->ProductAt(view.product);
+  const bool whole = view.absent.empty() && view.leaving.empty() && !view.restarted;
   if (!whole) return other.priority >= product.priority;
-  if (other.priority <= product.priority || !view.ready) return false;
+  const int taken = static_cast<int>(
+      std::count_if(chosen.begin(), chosen.end(),
+                    [&view](const GroupView* victim) { return victim->product == view.product; }));
   const auto [here, in_all] = this->WholeGroups(view.product);
+  if (in_all - taken > other.wanted) return true;
+  if (other.priority <= product.priority || !view.ready) return false;
   // The share of each domain keeps owners that act at the same time from taking too many together.
-  return in_all > other.min_groups && here > this->ProtectedHere(view.product);
+  return in_all - taken > other.min_groups && here - taken > this->ProtectedHere(view.product);
 }
 
 template <AssemblyPolicy Policy>
@@ -392,38 +380,91 @@
   int here = 0;
   for (const GroupView& view : this->groups) {
     const bool whole = view.ready && view.absent.empty() && view.leaving.empty();
-    const bool leaves = this->plan.drains.contains(view.record.group);
-    if (view.product == product && whole && !view.restarted && !leaves &&
-        this->InPlan(view.record.group)) {
+    if (view.product == product && whole && !view.restarted && this->InPlan(view.record.group)) {
       ++here;
     }
   }
+  return {here, here + Elsewhere(this->input->elsewhere_staying, product)};
+}
+
+template <AssemblyPolicy Policy>
+int Assembly<Policy>::Elsewhere(const std::vector<int>& counts, int product) {
   const auto index = static_cast<std::size_t>(product);
-  const bool counted = index < this->input->elsewhere.size();
-  return {here, here + (counted ? this->input->elsewhere[index] : 0)};
+  return index < counts.size() ? counts[index] : 0;
+}
+
+template <AssemblyPolicy Policy>
+const Product& Assembly<Policy>::ProductAt(int product) const {
+  return this->input->placement->products[static_cast<std::size_t>(product)];
 }
 
 template <AssemblyPolicy Policy>
 int Assembly<Policy>::ProtectedHere(int product) const {
-  const auto found = this->input->placement.protected_quotas.find(this->options.domain);
-  if (found == this->input->placement.protected_quotas.end()) return 0;
+  const auto found = this->input->placement->protected_quotas.find(this->options.domain);
+  if (found == this->input->placement->protected_quotas.end()) return 0;
   return found->second[static_cast<std::size_t>(product)];
 }
 
+// Returns groups whose members are enough, or none.
 template <AssemblyPolicy Policy>
-const GroupView* Assembly<Policy>::FindVictim(const Product& product, const GroupView* own) const {
-  const GroupView* best = nullptr;
+std::vector<const GroupView*> Assembly<Policy>::FindVictims(const Product& product,
+                                                            const GroupView* own,
+                                                            int needed) const {
+  // Incomplete groups first, then surplus ones, then the lowest priority, then the youngest group.
   const auto rank = [this](const GroupView& view) {
-    const Product& other = this->input->placement.products[static_cast<std::size_t>(view.product)];
-    // Incomplete groups first, then the lowest priority, then the youngest group.
-    return std::make_tuple(this->IsServing(view), -static_cast<int>(other.priority),
+    const Product& other = this->ProductAt(view.product);
+    const bool surplus = this->WholeGroups(view.product).second > other.wanted;
+    return std::make_tuple(this->IsServing(view), !surplus, -static_cast<int>(other.priority),
                            ~view.record.generation);
   };
-  for (const GroupView& view : this->groups) {
-    if (!this->IsVictim(view, product, own)) continue;
-    if (best == nullptr || rank(view) < rank(*best)) best = &view;
+  std::vector<const GroupView*> chosen;
+  for (int gained = 0; gained < needed;) {
+    const GroupView* best = nullptr;
+    for (const GroupView& view : this->groups) {
+      if (!this->IsVictim(view, product, own, chosen)) continue;
+      if (best == nullptr || rank(view) < rank(*best)) best = &view;
+    }
+    if (best == nullptr) return {};
+    chosen.push_back(best);
+    gained += UsableMembers(*best);
   }
-  return best;
+  return chosen;
+}
+
+template <AssemblyPolicy Policy>
+std::optional<Victims> Assembly<Policy>::Describe(
+    const std::vector<const GroupView*>& chosen) const {
+  if (chosen.empty()) return std::nullopt;
+  Victims victims;
+  std::map<int, int> surplus;
+  for (const GroupView* view : chosen) {
+    const Product& other = this->ProductAt(view->product);
+    victims.vms += UsableMembers(*view);
+    if (!this->IsServing(*view)) continue;
+    const auto left =
+        surplus.try_emplace(view->product, this->WholeGroups(view->product).second - other.wanted);
+    if (left.first->second-- > 0) continue;
+    victims.priority_weight += PriorityWeight(other.priority);
+    victims.load_s = std::max(victims.load_s, this->estimates.LoadTime(other.model));
+  }
+  return victims;
+}
+
+template <AssemblyPolicy Policy>
+bool Assembly<Policy>::BreakUp(const std::vector<const GroupView*>& victims, TimePoint now) {
+  bool stopped = true;
+  for (const GroupView* victim : victims) stopped = this->Stop(*victim, now) && stopped;
+  if (!stopped) return false;
+  for (const GroupView* victim : victims) this->RemoveGroup(*victim);
+  return true;
+}
+
+// A planned stop interrupts no request, so a group that is still whole drains first.
+template <AssemblyPolicy Policy>
+bool Assembly<Policy>::Stop(const GroupView& view, TimePoint now) {
+  if (!view.absent.empty() || view.restarted || !view.ready) return true;
+  this->plan.drains.insert(view.record.group);
+  return this->Drained(view, now);
 }
 
 template <AssemblyPolicy Policy>
@@ -451,48 +492,54 @@
 
 template <AssemblyPolicy Policy>
 void Assembly<Policy>::RetireUnwanted(TimePoint now) {
-  const auto& products = this->input->placement.products;
-  for (std::size_t i = 0; i < products.size(); ++i) {
-    const int index = static_cast<int>(i);
-    if (this->GroupsInAll(index) <= products[i].wanted || this->GroupsHere(index) == 0) {
-      this->surplus_since.erase(index);
+  const int products = static_cast<int>(this->input->placement->products.size());
+  for (int product = 0; product < products; ++product) {
+    if (this->Surplus(product) > 0 && this->GroupsHere(product) > 0) {
+      this->surplus_since.try_emplace(product, now);
     } else {
-      this->surplus_since.try_emplace(index, now);
+      this->surplus_since.erase(product);
     }
   }
-  bool draining = std::any_of(this->groups.begin(), this->groups.end(), [](const GroupView& view) {
-    return !view.ready && view.absent.empty();
-  });
+  // One group at a time, and none while another loads, so that a change of version does not take
+  // all capacity at once.
+  bool busy = std::any_of(this->groups.begin(), this->groups.end(),
+                          [](const GroupView& view) { return !view.ready && view.absent.empty(); });
   for (const GroupView& view : this->groups) {
-    if (!this->InPlan(view.record.group)) continue;
-    bool retire = view.product < 0;
-    if (view.product >= 0) {
-      const auto index = static_cast<std::size_t>(view.product);
-      const auto since = this->surplus_since.find(view.product);
-      const auto quota = this->input->placement.quotas.find(this->options.domain);
-      const int own_quota = quota == this->input->placement.quotas.end() ? 0 : quota->second[index];
-      retire = since != this->surplus_since.end() && this->GroupsHere(view.product) > own_quota &&
-               (products[index].wanted == 0 || now - since->second >= this->options.surplus_linger);
+    if (!this->InPlan(view.record.group) || !this->IsUnwanted(view, now)) continue;
+    if (this->IsServing(view)) {
+      if (busy) continue;
+      busy = true;
     }
-    if (!retire) continue;
-    if (!this->IsServing(view)) {
-      this->RemoveGroup(view);
-      continue;
-    }
-    // One group at a time, and none while another loads, so that a change of version does not take
-    // all capacity at once.
-    if (draining) continue;
-    draining = true;
-    this->plan.drains.insert(view.record.group);
-    if (this->Drained(view, now)) this->RemoveGroup(view);
+    if (this->Stop(view, now)) this->RemoveGroup(view);
   }
 }
 
+template <AssemblyPolicy Policy>
+bool Assembly<Policy>::IsUnwanted(const GroupView& view, TimePoint now) const {
+  if (view.product < 0) return true;
+  const auto since = this->surplus_since.find(view.product);
+  if (since == this->surplus_since.end() || this->Surplus(view.product) <= 0) return false;
+  if (this->ProductAt(view.product).wanted == 0) return true;
+  const auto quota = this->input->placement->quotas.find(this->options.domain);
+  const int own_quota = quota == this->input->placement->quotas.end()
+                            ? 0
+                            : quota->second[static_cast<std::size_t>(view.product)];
+  return this->GroupsHere(view.product) > own_quota &&
+         now - since->second >= this->options.surplus_linger + this->Turn(view.product);
+}
+
+// Groups that drain elsewhere count as gone, so that not every domain gives up the same surplus.
+template <AssemblyPolicy Policy>
+int Assembly<Policy>::Surplus(int product) const {
+  return this->GroupsHere(product) + Elsewhere(this->input->elsewhere_staying, product) -
+         this->ProductAt(product).wanted;
+}
+
 template <AssemblyPolicy Policy>
 void Assembly<Policy>::BuildWanted(TimePoint now) {
-  const auto& products = this->input->placement.products;
-  const auto quota = this->input->placement.quotas.find(this->options.domain);
-  if (quota == this->input->placement.quotas.end()) return;
+  const auto& products = this->input->placement->products;
+  const auto quota = this->input->placement->quotas.find(this->options.domain);
+  if (quota == this->input->placement->quotas.end()) return;
   const ZoneId zone = this->input->vms.empty() ? ZoneId() : this->input->vms.front().zone;
   for (int product : this->HandlingOrder()) {
     const auto index = static_cast<std::size_t>(product);
@@ -512,15 +559,28 @@
 
 template <AssemblyPolicy Policy>
 bool Assembly<Policy>::MayExceedQuota(int product, TimePoint now) {
-  const Product& wanted = this->input->placement.products[static_cast<std::size_t>(product)];
-  const std::size_t turn =
-      StableHash(this->options.domain.value + '/' + wanted.model.value) % kTurns;
-  return now - this->lacking_since[product] >= this->options.settle * (1 + turn);
+  return now - this->lacking_since[product] >= this->options.settle + this->Turn(product);
+}
+
+// Spreads the domains over a fixed time, in an order that differs by product.
+template <AssemblyPolicy Policy>
+Milliseconds Assembly<Policy>::Turn(int product) const {
+  const std::string& model = this->ProductAt(product).model.value;
+  const auto rank_of = [&model](const DomainId& domain) {
+    return std::make_pair(StableHash(model + '/' + domain.value), domain);
+  };
+  const auto own = rank_of(this->options.domain);
+  std::size_t before = 0;
+  for (const auto& [domain, unused] : this->input->placement->quotas) {
+    if (rank_of(domain) < own) ++before;
+  }
+  const std::size_t domains = std::max<std::size_t>(1, this->input->placement->quotas.size());
+  return this->options.turns * before / domains;
 }
 
 template <AssemblyPolicy Policy>
 bool Assembly<Policy>::BuildOne(int product, TimePoint now) {
-  const Product& wanted = this->input->placement.products[static_cast<std::size_t>(product)];
+  const Product& wanted = this->ProductAt(product);
   if (this->plan.slots <= 0) return false;
   BuildSituation situation;
   situation.size = wanted.size;
@@ -532,7 +592,7 @@
   situation.losses_per_second = this->LossesPerSecond(now);
   situation.remaining_restart_s = this->estimates.RemainingRestart(0);
   if (!this->policy.MayBuild(situation)) {
-    if (situation.free_vms < wanted.size) this->TakeVictimFor(product, now);
+    if (situation.free_vms < wanted.size) this->TakeVictimsFor(product, now);
     if (static_cast<int>(this->plan.free.size()) < wanted.size) return false;
     if (static_cast<int>(this->plan.free.size()) == situation.free_vms) return false;
   }
@@ -547,29 +607,19 @@
   return true;
 }
 
-// Breaks up a lower-priority group for one that is wanted and cannot be built otherwise.
+// Breaks up lower-priority groups for one that is wanted and cannot be built otherwise.
 template <AssemblyPolicy Policy>
-void Assembly<Policy>::TakeVictimFor(int product, TimePoint now) {
-  const Product& wanted = this->input->placement.products[static_cast<std::size_t>(product)];
-  const GroupView* victim = this->FindVictim(wanted, nullptr);
-  if (victim == nullptr) return;
-  const int missing = wanted.size - static_cast<int>(this->plan.free.size());
+void Assembly<Policy>::TakeVictimsFor(int product, TimePoint now) {
+  const Product& wanted = this->ProductAt(product);
   RepairSituation situation = this->Situation(wanted, 0, {}, now);
   situation.missing = wanted.size;
   // Without a group there is nothing to wait for but the return of other members.
   situation.remaining_restart_s = std::max(situation.remaining_restart_s, situation.wait_limit_s);
-  const Product& other = this->input->placement.products[static_cast<std::size_t>(victim->product)];
-  const int usable = static_cast<int>(victim->record.members.size() - victim->absent.size() -
-                                      victim->leaving.size());
-  if (usable < missing) return;
-  situation.victim = Victim{usable, PriorityWeight(other.priority), this->IsServing(*victim),
-                            this->estimates.LoadTime(other.model)};
-  if (this->policy.ChooseRepair(situation) != limpetfall::Repair::kBreakUp) return;
-  if (this->IsServing(*victim)) {
-    this->plan.drains.insert(victim->record.group);
-    if (!this->Drained(*victim, now)) return;
+  const auto victims = this->FindVictims(wanted, nullptr, situation.missing - situation.free_vms);
+  situation.victims = this->Describe(victims);
+  if (this->policy.ChooseRepair(situation) == limpetfall::Repair::kBreakUp) {
+    this->BreakUp(victims, now);
   }
-  this->RemoveGroup(*victim);
 }
 
 template <AssemblyPolicy Policy>
@@ -600,7 +650,7 @@
 
 template <AssemblyPolicy Policy>
 int Assembly<Policy>::GroupsHere(int product) const {
-  const auto& products = this->input->placement.products;
+  const auto& products = this->input->placement->products;
   int count = 0;
   for (const GroupRecord& group : this->plan.record.groups) {
     if (FindProduct(products, group.model, group.version) == product) ++count;
@@ -610,9 +660,7 @@
 
 template <AssemblyPolicy Policy>
 int Assembly<Policy>::GroupsInAll(int product) const {
-  const auto index = static_cast<std::size_t>(product);
-  const int elsewhere = index < this->input->elsewhere.size() ? this->input->elsewhere[index] : 0;
-  return this->GroupsHere(product) + elsewhere;
+  return this->GroupsHere(product) + Elsewhere(this->input->elsewhere, product);
 }
 
 template <AssemblyPolicy Policy>
--- a/src/core/assembly.h
+++ b/src/core/assembly.h
@@ -2,6 +2,7 @@
 #define LIMPETFALL_CORE_ASSEMBLY_H_
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -25,6 +26,7 @@
   Milliseconds drain_settle{1000};  ///< Time until nodes know that a group drains.
   Milliseconds drain_limit{60000};  ///< Longest wait for requests in flight.
   Milliseconds settle{2000};        ///< Time for counts of other domains to arrive.
+  Milliseconds turns{16000};        ///< Domains exceed their quota in turns over this time.
   Milliseconds surplus_linger{60000};
 
   friend bool operator==(const AssemblyOptions&, const AssemblyOptions&) = default;
@@ -42,9 +44,10 @@
   std::vector<Vm> vms;  ///< VMs of this domain.
   std::vector<ReceivedReport> reports;
   DomainRecord record;  ///< As last read from the store or written to it.
-  Placement placement;
+  std::shared_ptr<const Placement> placement;
   PolicySpec policy;
   std::vector<int> elsewhere;  ///< Groups of each product in other domains that are not lost.
+  std::vector<int> elsewhere_staying;  ///< Those of them that do not drain.
   int slots_in_use_elsewhere = 0;
 };
 
@@ -156,24 +159,36 @@
   void RepairGroups(TimePoint now);
   void Repair(const detail::GroupView& view, TimePoint now);
   void Apply(limpetfall::Repair choice, const detail::GroupView& view,
-             const std::vector<VmId>& missing, const detail::GroupView* victim, TimePoint now);
+             const std::vector<VmId>& missing, const std::vector<const detail::GroupView*>& victims,
+             TimePoint now);
+  bool BreakUp(const std::vector<const detail::GroupView*>& victims, TimePoint now);
+  bool Stop(const detail::GroupView& view, TimePoint now);
   void Renew(const detail::GroupView& view);
   void RetireUnwanted(TimePoint now);
   void BuildWanted(TimePoint now);
   bool BuildOne(int product, TimePoint now);
-  void TakeVictimFor(int product, TimePoint now);
+  void TakeVictimsFor(int product, TimePoint now);
   bool MayExceedQuota(int product, TimePoint now);
 
   [[nodiscard]] RepairSituation Situation(const Product& product, int healthy,
                                           const std::vector<VmId>& missing, TimePoint now) const;
-  [[nodiscard]] const detail::GroupView* FindVictim(const Product& product,
-                                                    const detail::GroupView* own) const;
+  [[nodiscard]] std::vector<const detail::GroupView*> FindVictims(const Product& product,
+                                                                  const detail::GroupView* own,
+                                                                  int needed) const;
   [[nodiscard]] bool IsVictim(const detail::GroupView& view, const Product& product,
-                              const detail::GroupView* own) const;
+                              const detail::GroupView* own,
+                              const std::vector<const detail::GroupView*>& chosen) const;
+  [[nodiscard]] std::optional<Victims> Describe(
+      const std::vector<const detail::GroupView*>& chosen) const;
+  [[nodiscard]] bool IsUnwanted(const detail::GroupView& view, TimePoint now) const;
+  [[nodiscard]] int Surplus(int product) const;
+  [[nodiscard]] Milliseconds Turn(int product) const;
+  [[nodiscard]] const Product& ProductAt(int product) const;
+  [[nodiscard]] static int Elsewhere(const std::vector<int>& counts, int product);
   [[nodiscard]] std::vector<int> HandlingOrder() const;
   [[nodiscard]] int GroupsHere(int product) const;
   [[nodiscard]] int GroupsInAll(int product) const;
-  /** Returns the whole groups of this domain that do not drain, and those of all domains. */
+  /** Returns the whole groups of this domain and of all domains. */
   [[nodiscard]] std::pair<int, int> WholeGroups(int product) const;
   [[nodiscard]] int ProtectedHere(int product) const;
   [[nodiscard]] bool IsServing(const detail::GroupView& view) const;
--- a/src/core/policy-table.cc
+++ b/src/core/policy-table.cc
@@ -32,27 +32,30 @@
 
 void PrintPolicyTable(const std::vector<PolicyRow>& rows, std::ostream& out) {
   out << std::left << std::setw(28) << "trace" << std::setw(18) << "policy" << std::setw(8)
-      << "weight" << std::right << std::setw(14) << "downtime g*s" << std::setw(12) << "bound"
-      << std::setw(16) << "stranded VM*s" << std::setw(12) << "bound" << std::setw(9) << "records"
+      << "weight" << std::right << std::setw(14) << "downtime g*s" << std::setw(10) << "bound"
+      << std::setw(16) << "by priority" << std::setw(16) << "stranded VM*s" << std::setw(12)
+      << "bound" << std::setw(9) << "records"
       << "\n";
   for (const PolicyRow& row : rows) {
     out << std::left << std::setw(28) << row.trace << std::setw(18) << row.policy << std::setw(8)
         << WeightText(row) << std::right << std::fixed << std::setprecision(0) << std::setw(14)
         << row.outcome.downtime_group_s << std::setw(12) << row.bound.downtime_group_s
-        << std::setw(16) << row.outcome.stranded_vm_s << std::setw(12) << row.bound.stranded_vm_s
-        << std::setw(9) << row.outcome.records_written << "\n";
+        << std::setw(16) << row.outcome.weighted_downtime << std::setw(16)
+        << row.outcome.stranded_vm_s << std::setw(12) << row.bound.stranded_vm_s << std::setw(9)
+        << row.outcome.records_written << "\n";
   }
 }
 
 void PrintPolicyCsv(const std::vector<PolicyRow>& rows, std::ostream& out) {
-  out << "trace,policy,weight,downtime_group_s,bound_downtime_group_s,stranded_vm_s,"
+  out << "trace,policy,weight,downtime_group_s,bound_downtime_group_s,downtime_by_priority,"
+         "stranded_vm_s,"
          "bound_stranded_vm_s,records_written,most_loading\n";
   for (const PolicyRow& row : rows) {
     out << row.trace << "," << row.policy << "," << (row.weight ? WeightText(row) : "") << ","
         << std::fixed << std::setprecision(2) << row.outcome.downtime_group_s << ","
-        << row.bound.downtime_group_s << "," << row.outcome.stranded_vm_s << ","
-        << row.bound.stranded_vm_s << "," << row.outcome.records_written << ","
-        << row.outcome.most_loading << "\n";
+        << row.bound.downtime_group_s << "," << row.outcome.weighted_downtime << ","
+        << row.outcome.stranded_vm_s << "," << row.bound.stranded_vm_s << ","
+        << row.outcome.records_written << "," << row.outcome.most_loading << "\n";
   }
 }
 
--- a/src/core/replay.cc
+++ b/src/core/replay.cc
@@ -73,7 +73,7 @@
  private:
   void Replan() {
     this->list = this->fleet.List();
-    this->placement = PlanPlacement(this->document, this->list);
+    this->placement = std::make_shared<const Placement>(PlanPlacement(this->document, this->list));
   }
 
   void Handle(const TraceEvent& event, double now) {
@@ -148,14 +148,18 @@
     input.record = domain.record;
     input.placement = this->placement;
     input.policy = this->document.policy;
-    input.elsewhere.resize(this->placement.products.size());
+    input.elsewhere.resize(this->placement->products.size());
+    input.elsewhere_staying.resize(this->placement->products.size());
     for (const auto& other : this->domains) {
       if (other.domain == domain.domain) continue;
       for (const auto& [id, summary] : other.summaries) {
         if (summary.state == GroupState::kLost) continue;
         if (summary.state == GroupState::kLoading) ++input.slots_in_use_elsewhere;
-        const int product = FindProduct(this->placement.products, summary.model, summary.version);
-        if (product >= 0) ++input.elsewhere[static_cast<std::size_t>(product)];
+        const int product = FindProduct(this->placement->products, summary.model, summary.version);
+        if (product < 0) continue;
+        ++input.elsewhere[static_cast<std::size_t>(product)];
+        if (summary.state == GroupState::kDraining) continue;
+        ++input.elsewhere_staying[static_cast<std::size_t>(product)];
       }
     }
     return input;
@@ -217,23 +221,26 @@
   }
 
   void Measure(double now, double seconds) {
-    std::vector<int> serving(this->placement.products.size());
+    std::vector<int> serving(this->placement->products.size());
     int busy_vms = 0;
     int loading = 0;
     for (const auto& domain : this->domains) {
       for (const auto& [id, summary] : domain.summaries) {
         if (summary.state == GroupState::kLoading) ++loading;
         if (!this->Serves(domain, summary, now)) continue;
-        busy_vms += static_cast<int>(summary.members.size());
-        const int product = FindProduct(this->placement.products, summary.model, summary.version);
+        const int product = FindProduct(this->placement->products, summary.model, summary.version);
         if (product >= 0) ++serving[static_cast<std::size_t>(product)];
       }
     }
     this->outcome.most_loading = std::max(this->outcome.most_loading, loading);
     if (now < this->trace.measure_from) return;
     for (std::size_t i = 0; i < serving.size(); ++i) {
-      const int lacking = std::max(0, this->placement.products[i].wanted - serving[i]);
-      this->outcome.downtime_group_s += lacking * seconds;
+      const Product& product = this->placement->products[i];
+      // VMs of more groups than wanted count as stranded.
+      busy_vms += std::min(serving[i], product.wanted) * product.size;
+      const double lacking = std::max(0, product.wanted - serving[i]) * seconds;
+      this->outcome.downtime_group_s += lacking;
+      this->outcome.weighted_downtime += lacking * PriorityWeight(product.priority);
     }
     int healthy = 0;
     for (const auto& [id, vm] : this->fleet.vms()) healthy += vm.alive && !vm.leaving ? 1 : 0;
@@ -245,7 +252,7 @@
   ReplayFleet fleet;
   Document document;
   std::vector<Vm> list;
-  Placement placement;
+  std::shared_ptr<const Placement> placement;
   std::vector<ReplayDomain<P>> domains;
   std::map<ModelName, int> running;
   ReplayOutcome outcome;
--- a/src/core/replay.h
+++ b/src/core/replay.h
@@ -71,9 +71,10 @@
 
 /** What one run of a trace measured. */
 struct ReplayOutcome {
-  double downtime_group_s = 0;  ///< Wanted groups that did not serve.
-  double stranded_vm_s = 0;     ///< Healthy VMs outside a serving group.
-  int most_loading = 0;         ///< Groups that loaded at the same time.
+  double downtime_group_s = 0;   ///< Wanted groups that did not serve.
+  double weighted_downtime = 0;  ///< The same, each group counted by its priority.
+  double stranded_vm_s = 0;      ///< Healthy VMs outside a wanted group that serves.
+  int most_loading = 0;          ///< Groups that loaded at the same time.
   int records_written = 0;
   std::vector<std::string> failures;  ///< Stated outcomes and rules that did not hold.
 };
--- a/src/daemon/domain-owner.cc
+++ b/src/daemon/domain-owner.cc
@@ -39,18 +39,22 @@
   return options;
 }
 
-std::vector<int> CountElsewhere(const std::vector<SharedEntry>& entries, const DomainId& own,
-                                const std::vector<Product>& products, int& loading) {
-  std::vector<int> counts(products.size());
-  loading = 0;
+void CountElsewhere(const std::vector<SharedEntry>& entries, const DomainId& own,
+                    AssemblyInput& input) {
+  const std::vector<Product>& products = input.placement->products;
+  input.elsewhere.assign(products.size(), 0);
+  input.elsewhere_staying.assign(products.size(), 0);
+  input.slots_in_use_elsewhere = 0;
   for (const SharedEntry& entry : entries) {
     const auto* group = std::get_if<GroupSummary>(&entry.value);
     if (group == nullptr || group->domain == own || group->state == GroupState::kLost) continue;
-    if (group->state == GroupState::kLoading) ++loading;
+    if (group->state == GroupState::kLoading) ++input.slots_in_use_elsewhere;
     const int product = FindProduct(products, group->model, group->version);
-    if (product >= 0) ++counts[static_cast<std::size_t>(product)];
+    if (product < 0) continue;
+    ++input.elsewhere[static_cast<std::size_t>(product)];
+    if (group->state == GroupState::kDraining) continue;
+    ++input.elsewhere_staying[static_cast<std::size_t>(product)];
   }
-  return counts;
 }
 
 std::string NewWriterToken(const NodeId& node) {
@@ -78,9 +82,8 @@
       if (other != nullptr && other->generation > update.summary.generation) continue;
       version = std::max(version, existing->version + 1);
     }
-    const bool lost_or_serving = update.urgent && update.summary.state != GroupState::kLoading;
     state.Put({key, version, update.serve_until, update.summary},
-              lost_or_serving ? Urgency::kUrgent : Urgency::kNormal, now);
+              update.urgent ? Urgency::kUrgent : Urgency::kNormal, now);
     this->published[update.summary.group] = {update.summary, now};
   }
   std::erase_if(this->published, [&updates](const auto& entry) {
--- a/src/daemon/domain-owner.h
+++ b/src/daemon/domain-owner.h
@@ -74,9 +74,9 @@
 /** Returns the core's options for a domain. */
 AssemblyOptions AssemblyOptionsFrom(const Settings& settings, const DomainId& domain);
 
-/** Counts groups of other domains that are not lost, by product; `loading` gets those that load. */
-std::vector<int> CountElsewhere(const std::vector<SharedEntry>& entries, const DomainId& own,
-                                const std::vector<Product>& products, int& loading);
+/** Sets the counts of groups in other domains and of those that load. */
+void CountElsewhere(const std::vector<SharedEntry>& entries, const DomainId& own,
+                    AssemblyInput& input);
 
 /** Returns a text that no other write carries. */
 std::string NewWriterToken(const NodeId& node);
@@ -324,7 +324,7 @@
   void UpdatePlacement(const std::shared_ptr<const VersionedDocument>& document,
                        const std::shared_ptr<const std::vector<Vm>>& list) {
     if (document == this->placed_document && list == this->placed_list) return;
-    this->placement = PlanPlacement(document->document, *list);
+    this->placement = std::make_shared<const Placement>(PlanPlacement(document->document, *list));
     this->placed_document = document;
     this->placed_list = list;
   }
@@ -337,9 +337,7 @@
     input.record = this->record;
     input.placement = this->placement;
     input.policy = policy;
-    input.elsewhere =
-        detail::CountElsewhere(this->state->List("group/", now), this->domain,
-                               this->placement.products, input.slots_in_use_elsewhere);
+    detail::CountElsewhere(this->state->List("group/", now), this->domain, input);
     AssemblyOutput output = this->core.Step(input, now);
     this->publisher.Publish(*this->state, output.summaries, this->record.revision, now);
     return output;
@@ -401,7 +399,7 @@
   Deadline command_deadline;
   Deadline record_recheck;
 
-  Placement placement;
+  std::shared_ptr<const Placement> placement;
   std::shared_ptr<const VersionedDocument> placed_document;
   std::shared_ptr<const std::vector<Vm>> placed_list;
   detail::SummaryPublisher publisher;
