Take weight-store slots by compare-and-swap

Change: a slot is a key of the store with a lease; the core asks for the slots it needs. A missing group is expected to stay missing longer the longer it has been missing.

--- a/src/core/assembly.cc
+++ b/src/core/assembly.cc
@@ -66,6 +66,7 @@
 
   AssemblyOutput output;
   if (this->plan.changed) output.proposal = this->plan.record;
+  output.slots_needed = this->plan.slots_needed;
   this->AddSummaries(output, now);
   this->AddCommands(output, now);
   this->input = nullptr;
@@ -234,8 +235,7 @@
   for (const auto& [id, view] : this->views) {
     if (view.present && !assigned.contains(id)) this->plan.free.push_back(id);
   }
-  this->plan.slots =
-      this->input->policy.weight_store_slots - this->input->slots_in_use_elsewhere - loading;
+  this->plan.slots_needed = loading;
   // Nothing is planned on half of the picture, for example right after taking over.
   if (!known) {
     for (const auto& [id, track] : this->group_tracks) {
@@ -328,7 +328,7 @@
     this->RemoveGroup(view);
     return;
   }
-  if (this->plan.slots <= 0) return;
+  if (!this->TakeSlot()) return;
   if (choice == limpetfall::Repair::kBreakUp && !this->BreakUp(victims, now)) return;
   const std::vector<VmId> added = this->TakeFree(static_cast<int>(missing.size()), now);
   auto replacement = added.begin();
@@ -339,18 +339,16 @@
     }
     group.generation = this->NextGeneration();
   }
-  --this->plan.slots;
 }
 
 // A new generation tells the remaining members to join the restarted one, and no engine can confuse
 // the group with the one before the restart.
 template <AssemblyPolicy Policy>
 void Assembly<Policy>::Renew(const GroupView& view) {
-  if (this->plan.slots <= 0) return;
+  if (!this->TakeSlot()) return;
   for (GroupRecord& group : this->plan.record.groups) {
     if (group.group == view.record.group) group.generation = this->NextGeneration();
   }
-  --this->plan.slots;
 }
 
 template <AssemblyPolicy Policy>
@@ -581,7 +579,6 @@
 template <AssemblyPolicy Policy>
 bool Assembly<Policy>::BuildOne(int product, TimePoint now) {
   const Product& wanted = this->ProductAt(product);
-  if (this->plan.slots <= 0) return false;
   BuildSituation situation;
   situation.size = wanted.size;
   situation.free_vms = static_cast<int>(this->plan.free.size());
@@ -591,11 +588,9 @@
   situation.downtime_weight = this->input->policy.group_downtime_weight;
   situation.losses_per_second = this->LossesPerSecond(now);
   situation.remaining_restart_s = this->estimates.RemainingRestart(0);
-  if (!this->policy.MayBuild(situation)) {
-    if (situation.free_vms < wanted.size) this->TakeVictimsFor(product, now);
-    if (static_cast<int>(this->plan.free.size()) < wanted.size) return false;
-    if (static_cast<int>(this->plan.free.size()) == situation.free_vms) return false;
-  }
+  const bool enough = situation.free_vms >= wanted.size;
+  if (enough && !this->policy.MayBuild(situation)) return false;
+  if (enough ? !this->TakeSlot() : !this->TakeVictimsFor(product, now)) return false;
   GroupRecord group;
   group.generation = this->NextGeneration();
   group.group = GroupId(this->options.domain.value + "/g" + std::to_string(group.generation));
@@ -603,23 +598,25 @@
   group.version = wanted.version;
   group.members = this->TakeFree(wanted.size, now);
   this->plan.record.groups.push_back(std::move(group));
-  --this->plan.slots;
   return true;
 }
 
-// Breaks up lower-priority groups for one that is wanted and cannot be built otherwise.
+// Breaks up lower-priority groups for one that is wanted and cannot be built otherwise. Returns
+// whether their members are free.
 template <AssemblyPolicy Policy>
-void Assembly<Policy>::TakeVictimsFor(int product, TimePoint now) {
+bool Assembly<Policy>::TakeVictimsFor(int product, TimePoint now) {
   const Product& wanted = this->ProductAt(product);
   RepairSituation situation = this->Situation(wanted, 0, {}, now);
   situation.missing = wanted.size;
-  // Without a group there is nothing to wait for but the return of other members.
-  situation.remaining_restart_s = std::max(situation.remaining_restart_s, situation.wait_limit_s);
+  // Without a group there is nothing to wait for but the return of other members; the longer they
+  // have been missing, the longer this is expected to take.
+  situation.remaining_restart_s =
+      std::max(this->estimates.RemainingRestart(Seconds(now - this->lacking_since[product])),
+               situation.wait_limit_s);
   const auto victims = this->FindVictims(wanted, nullptr, situation.missing - situation.free_vms);
   situation.victims = this->Describe(victims);
-  if (this->policy.ChooseRepair(situation) == limpetfall::Repair::kBreakUp) {
-    this->BreakUp(victims, now);
-  }
+  if (this->policy.ChooseRepair(situation) != limpetfall::Repair::kBreakUp) return false;
+  return this->TakeSlot() && this->BreakUp(victims, now);
 }
 
 template <AssemblyPolicy Policy>
@@ -639,6 +636,13 @@
   return taken;
 }
 
+// Returns whether this domain holds a slot for one more load; asks for one otherwise.
+template <AssemblyPolicy Policy>
+bool Assembly<Policy>::TakeSlot() {
+  ++this->plan.slots_needed;
+  return this->plan.slots_needed <= this->input->slots_held;
+}
+
 template <AssemblyPolicy Policy>
 Generation Assembly<Policy>::NextGeneration() {
   this->plan.changed = true;
--- a/src/core/assembly.h
+++ b/src/core/assembly.h
@@ -48,7 +48,7 @@
   PolicySpec policy;
   std::vector<int> elsewhere;  ///< Groups of each product in other domains that are not lost.
   std::vector<int> elsewhere_staying;  ///< Those of them that do not drain.
-  int slots_in_use_elsewhere = 0;
+  int slots_held = 0;                  ///< Weight-store slots that this domain holds.
 };
 
 /** Tells one engine its place. An empty group id releases the VM. */
@@ -74,6 +74,7 @@
   std::optional<DomainRecord> proposal;
   std::vector<AssignmentCommand> commands;  ///< Follow from the record that was passed in.
   std::vector<SummaryUpdate> summaries;
+  int slots_needed = 0;  ///< Weight-store slots for the loads under way and those planned.
 };
 
 namespace detail {
@@ -124,7 +125,7 @@
   DomainRecord record;
   std::vector<VmId> free;
   std::set<GroupId> drains;
-  int slots = 0;
+  int slots_needed = 0;
   bool changed = false;
 };
 
@@ -167,7 +168,7 @@
   void RetireUnwanted(TimePoint now);
   void BuildWanted(TimePoint now);
   bool BuildOne(int product, TimePoint now);
-  void TakeVictimsFor(int product, TimePoint now);
+  bool TakeVictimsFor(int product, TimePoint now);
   bool MayExceedQuota(int product, TimePoint now);
 
   [[nodiscard]] RepairSituation Situation(const Product& product, int healthy,
@@ -198,6 +199,7 @@
   bool Drained(const detail::GroupView& view, TimePoint now);
   void RemoveGroup(const detail::GroupView& view);
   std::vector<VmId> TakeFree(int count, TimePoint now);
+  bool TakeSlot();
   Generation NextGeneration();
 
   void AddSummaries(AssemblyOutput& output, TimePoint now);
--- a/src/core/replay.cc
+++ b/src/core/replay.cc
@@ -32,6 +32,7 @@
   std::map<VmId, ReceivedReport> reports;
   std::map<GroupId, GroupSummary> summaries;
   std::map<GroupId, double> not_serving_since;
+  int slots_held = 0;
 };
 
 template <AssemblyPolicy P>
@@ -43,7 +44,8 @@
     for (const TraceDomain& domain : source.domains) {
       AssemblyOptions options;
       options.domain = domain.domain;
-      this->domains.push_back({domain.domain, Assembly<P>::Create(options, P{}), {}, {}, {}, {}});
+      this->domains.push_back(
+          {domain.domain, Assembly<P>::Create(options, P{}), {}, {}, {}, {}, 0});
     }
   }
 
@@ -119,6 +121,11 @@
   bool StepDomain(ReplayDomain<P>& domain, double now) {
     AssemblyInput input = this->InputOf(domain, now);
     AssemblyOutput output = domain.core.Step(input, AtSeconds(now));
+    const int granted = this->GrantSlots(domain, output.slots_needed);
+    if (granted > input.slots_held) {
+      input.slots_held = granted;
+      output = domain.core.Step(input, AtSeconds(now));
+    }
     bool busy = this->TakeSummaries(domain, output.summaries, now);
     if (output.proposal) {
       this->TakeRecord(domain, *output.proposal, now);
@@ -131,6 +138,16 @@
     return busy;
   }
 
+  // Gives the domain the slots that it needs, as far as the weight store's limit allows.
+  int GrantSlots(ReplayDomain<P>& domain, int needed) {
+    int left = this->document.policy.weight_store_slots;
+    for (const auto& other : this->domains) {
+      if (other.domain != domain.domain) left -= other.slots_held;
+    }
+    domain.slots_held = std::min(needed, std::max(left, 0));
+    return domain.slots_held;
+  }
+
   AssemblyInput InputOf(ReplayDomain<P>& domain, double now) {
     AssemblyInput input;
     for (const Vm& vm : this->list) {
@@ -145,6 +162,7 @@
       const auto report = domain.reports.find(vm.id);
       if (report != domain.reports.end()) input.reports.push_back(report->second);
     }
+    input.slots_held = domain.slots_held;
     input.record = domain.record;
     input.placement = this->placement;
     input.policy = this->document.policy;
@@ -154,7 +172,6 @@
       if (other.domain == domain.domain) continue;
       for (const auto& [id, summary] : other.summaries) {
         if (summary.state == GroupState::kLost) continue;
-        if (summary.state == GroupState::kLoading) ++input.slots_in_use_elsewhere;
         const int product = FindProduct(this->placement->products, summary.model, summary.version);
         if (product < 0) continue;
         ++input.elsewhere[static_cast<std::size_t>(product)];
--- a/src/daemon/domain-owner.cc
+++ b/src/daemon/domain-owner.cc
@@ -44,11 +44,9 @@
   const std::vector<Product>& products = input.placement->products;
   input.elsewhere.assign(products.size(), 0);
   input.elsewhere_staying.assign(products.size(), 0);
-  input.slots_in_use_elsewhere = 0;
   for (const SharedEntry& entry : entries) {
     const auto* group = std::get_if<GroupSummary>(&entry.value);
     if (group == nullptr || group->domain == own || group->state == GroupState::kLost) continue;
-    if (group->state == GroupState::kLoading) ++input.slots_in_use_elsewhere;
     const int product = FindProduct(products, group->model, group->version);
     if (product < 0) continue;
     ++input.elsewhere[static_cast<std::size_t>(product)];
--- a/src/daemon/domain-owner.h
+++ b/src/daemon/domain-owner.h
@@ -19,6 +19,7 @@
 #include "core/document.h"
 #include "core/domain-record.h"
 #include "core/shared-state.h"
+#include "daemon/weight-slots.h"
 #include "platform/store.h"
 #include "upstream/engine-control.h"
 #include "upstream/join.h"
@@ -135,6 +136,10 @@
     this->UpdatePlacement(document, list);
     std::int64_t revision = this->record.revision;
     AssemblyOutput output = this->Step(vms, document->document.policy);
+    if (this->record_current && output.slots_needed != this->slots.Held(this->context->Now())) {
+      const bool more = co_await this->AdjustSlots(output.slots_needed, document);
+      if (more) output = this->Step(vms, document->document.policy);
+    }
     if (output.proposal && this->record_current) {
       DomainRecord proposal = std::move(*output.proposal);
       const bool written = co_await this->Write(std::move(proposal));
@@ -161,6 +166,7 @@
         engines(std::move(fleet)),
         state(std::move(shared)),
         key(DomainRecordKey(this->domain)),
+        slots(this->store, detail::NewWriterToken(this->settings.node)),
         core(NewCore()) {}
 
   Assembly<P> NewCore() const {
@@ -184,6 +190,7 @@
     this->record_current = false;
     this->reports.clear();
     this->publisher.Reset();
+    this->slots.Forget();
     this->core = this->NewCore();
   }
 
@@ -319,6 +326,18 @@
     return this->context->Now() + Milliseconds(this->settings.platform_timeout_ms);
   }
 
+  // Returns whether more slots are held than before.
+  boost::asio::awaitable<bool> AdjustSlots(int needed,
+                                           std::shared_ptr<const VersionedDocument> document) {
+    const TimePoint now = this->context->Now();
+    const int before = this->slots.Held(now);
+    if (needed < before) co_await this->slots.Release(needed, this->PlatformDeadline());
+    if (needed <= before) co_return false;
+    co_await this->slots.Acquire(needed, document->document.policy.weight_store_slots, now,
+                                 this->PlatformDeadline());
+    co_return this->slots.Held(now) > before;
+  }
+
   // ---- decision
 
   void UpdatePlacement(const std::shared_ptr<const VersionedDocument>& document,
@@ -337,6 +356,7 @@
     input.record = this->record;
     input.placement = this->placement;
     input.policy = policy;
+    input.slots_held = this->slots.Held(now);
     detail::CountElsewhere(this->state->List("group/", now), this->domain, input);
     AssemblyOutput output = this->core.Step(input, now);
     this->publisher.Publish(*this->state, output.summaries, this->record.revision, now);
@@ -384,6 +404,7 @@
   std::shared_ptr<E> engines;
   std::shared_ptr<SharedState> state;
   std::string key;
+  WeightSlots<S> slots;
   Assembly<P> core;
 
   bool active = false;
