--- /dev/null
+++ b/test/release-check-test.cc
@@ -0,0 +1,244 @@
+#include "upstream/release-check.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+#include "upstream/engine-control.h"
+
+namespace limpetfall {
+namespace {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using std::chrono::milliseconds;
+
+// Answers requests by a function, after a delay.
+class FakeClient : public HttpClient {
+ public:
+  using Answer = std::function<Result<HttpResponse>(const HttpRequest&)>;
+
+  awaitable<Result<HttpResponse>> Fetch(HttpRequest request, Deadline /*deadline*/) override {
+    ++this->fetches;
+    const auto executor = co_await asio::this_coro::executor;
+    // The engine looks at its state when the request arrives, not when its answer does.
+    const Result<HttpResponse> response = this->answer(request);
+    asio::steady_timer timer(executor, this->delay);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_return response;
+  }
+
+  awaitable<Result<std::unique_ptr<HttpStream>>> Open(HttpRequest /*request*/,
+                                                      Deadline /*deadline*/) override {
+    co_return NotRun(ErrorCode::kInternal, "not used");
+  }
+
+  Answer answer;
+  milliseconds delay{0};
+  std::atomic<int> fetches = 0;
+};
+
+nlohmann::json ReportOf(const std::string& vm, const std::string& instance, int generation) {
+  return {{"vm", vm},
+          {"instance", instance},
+          {"state", "ready"},
+          {"group", "d/g1"},
+          {"generation", generation},
+          {"model", "m"},
+          {"version", "1"},
+          {"rank", 0},
+          {"size", 2},
+          {"running", 0},
+          {"queued", 0}};
+}
+
+GroupSummary TwoMembers() {
+  GroupSummary group;
+  group.group = GroupId("d/g1");
+  group.generation = 4;
+  group.members = {{VmId("v1"), "127.0.0.1:1", "i1"}, {VmId("v2"), "127.0.0.1:2", "i2"}};
+  return group;
+}
+
+class ReleaseCheckTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReleaseCheckTest);
+  CPPUNIT_TEST(WholeGroupIsConfirmed);
+  CPPUNIT_TEST(ChangedGenerationFails);
+  CPPUNIT_TEST(RestartedEngineFails);
+  CPPUNIT_TEST(AnotherVmOnTheAddressFails);
+  CPPUNIT_TEST(GoneMemberFailsBeforeTheDeadline);
+  CPPUNIT_TEST(SilenceIsRetried);
+  CPPUNIT_TEST(SilenceEndsWithTheDeadline);
+  CPPUNIT_TEST(RequestsShareARound);
+  CPPUNIT_TEST(LateRequestGetsAFreshRound);
+  CPPUNIT_TEST(MalformedReportIsAnError);
+  CPPUNIT_TEST(RefusedAssignmentIsAConflict);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    this->client = std::make_shared<FakeClient>();
+    this->client->answer = [this](const HttpRequest& request) { return this->Whole(request); };
+    this->check = ReleaseCheck::Create(this->client);
+  }
+
+  Result<HttpResponse> Whole(const HttpRequest& request) const {
+    const bool first = request.address.ends_with(":1");
+    return HttpResponse{
+        200, {}, ReportOf(first ? "v1" : "v2", first ? "i1" : "i2", this->generation).dump()};
+  }
+
+  void Start(std::vector<Result<void>>& results, milliseconds after, milliseconds limit) {
+    asio::co_spawn(this->io, Confirm(this->io, this->check, after, limit, &results),
+                   asio::detached);
+  }
+
+  static awaitable<void> Confirm(asio::io_context& io, std::shared_ptr<ReleaseCheck> check,
+                                 milliseconds after, milliseconds limit,
+                                 std::vector<Result<void>>* results) {
+    asio::steady_timer timer(io, after);
+    co_await timer.async_wait(asio::use_awaitable);
+    const Deadline deadline = Clock::now() + limit;
+    auto result = co_await check->Confirm(TwoMembers(), deadline);
+    results->push_back(result);
+  }
+
+  static awaitable<void> ReadReport(HttpClient& client, std::optional<Result<VmReport>>* report) {
+    auto result = co_await FetchReport(client, "127.0.0.1:1", Clock::now() + kLimit);
+    report->emplace(std::move(result));
+  }
+
+  static awaitable<void> Assign(HttpClient& client, std::optional<Result<void>>* sent) {
+    GroupRecord group;
+    auto result = co_await SendAssignment(client, "127.0.0.1:1", group, 0, Clock::now() + kLimit);
+    sent->emplace(std::move(result));
+  }
+
+  Result<void> ConfirmOnce(milliseconds limit = milliseconds(1000)) {
+    std::vector<Result<void>> results;
+    this->Start(results, milliseconds(0), limit);
+    this->io.restart();
+    this->io.run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, results.size());
+    return results.front();
+  }
+
+  void WholeGroupIsConfirmed() { CPPUNIT_ASSERT(this->ConfirmOnce().has_value()); }
+
+  // Guards against releasing a response of a group that was rebuilt meanwhile.
+  void ChangedGenerationFails() {
+    this->generation = 5;
+    CPPUNIT_ASSERT(this->ConfirmOnce().error().code == ErrorCode::kUpstreamLost);
+  }
+
+  // Guards against releasing a response although a member died and came back in between.
+  void RestartedEngineFails() {
+    this->client->answer = [](const HttpRequest& request) -> Result<HttpResponse> {
+      const bool first = request.address.ends_with(":1");
+      return HttpResponse{200, {}, ReportOf(first ? "v1" : "v2", "i1", 4).dump()};
+    };
+    CPPUNIT_ASSERT(this->ConfirmOnce().error().code == ErrorCode::kUpstreamLost);
+  }
+
+  // Guards against crossed answers.
+  void AnotherVmOnTheAddressFails() {
+    this->client->answer = [](const HttpRequest&) -> Result<HttpResponse> {
+      return HttpResponse{200, {}, ReportOf("v1", "i1", 4).dump()};
+    };
+    CPPUNIT_ASSERT(this->ConfirmOnce().error().code == ErrorCode::kUpstreamLost);
+  }
+
+  // Guards against holding a response back until its deadline when a member is plainly gone.
+  void GoneMemberFailsBeforeTheDeadline() {
+    this->client->answer = [](const HttpRequest&) -> Result<HttpResponse> {
+      return NotRun(ErrorCode::kUnavailable, "connection refused");
+    };
+    const TimePoint start = Clock::now();
+    CPPUNIT_ASSERT(!this->ConfirmOnce(milliseconds(5000)).has_value());
+    CPPUNIT_ASSERT(Clock::now() - start < milliseconds(2500));
+  }
+
+  // Guards against failing a whole group because one connection went silent.
+  void SilenceIsRetried() {
+    this->client->answer = [this](const HttpRequest& request) -> Result<HttpResponse> {
+      if (this->client->fetches > 4) return this->Whole(request);
+      return MayHaveRun(ErrorCode::kDeadlineExceeded, "silent");
+    };
+    CPPUNIT_ASSERT(this->ConfirmOnce().has_value());
+  }
+
+  // Guards against a release without the reports of all members.
+  void SilenceEndsWithTheDeadline() {
+    this->client->answer = [](const HttpRequest&) -> Result<HttpResponse> {
+      return MayHaveRun(ErrorCode::kDeadlineExceeded, "silent");
+    };
+    CPPUNIT_ASSERT(this->ConfirmOnce(milliseconds(100)).error().code ==
+                   ErrorCode::kDeadlineExceeded);
+  }
+
+  // Guards against a round of reports for each response.
+  void RequestsShareARound() {
+    this->client->delay = milliseconds(100);
+    std::vector<Result<void>> results;
+    for (int i = 0; i < 50; ++i) this->Start(results, milliseconds(i == 0 ? 0 : 30), kLimit);
+    this->io.run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{50}, results.size());
+    // One round for the first request and one for the rest, of two members each.
+    CPPUNIT_ASSERT_EQUAL(4, this->client->fetches.load());
+  }
+
+  // Guards against confirming a response by reports that are older than its end.
+  void LateRequestGetsAFreshRound() {
+    this->client->delay = milliseconds(100);
+    std::vector<Result<void>> results;
+    this->Start(results, milliseconds(0), kLimit);
+    this->Start(results, milliseconds(50), kLimit);
+    asio::steady_timer change(this->io, milliseconds(25));
+    change.async_wait([this](const boost::system::error_code&) { this->generation = 5; });
+    this->io.run();
+    CPPUNIT_ASSERT(results.at(0).has_value());
+    CPPUNIT_ASSERT(!results.at(1).has_value());
+  }
+
+  // Guards against reading a damaged report as an idle VM.
+  void MalformedReportIsAnError() {
+    this->client->answer = [](const HttpRequest&) -> Result<HttpResponse> {
+      return HttpResponse{200, {}, R"({"vm":"v1","state":"ready"})"};
+    };
+    std::optional<Result<VmReport>> report;
+    asio::co_spawn(this->io, ReadReport(*this->client, &report), asio::detached);
+    this->io.run();
+    CPPUNIT_ASSERT(report->error().code == ErrorCode::kUpstreamProtocol);
+  }
+
+  // Guards against taking a refused command for one that was obeyed.
+  void RefusedAssignmentIsAConflict() {
+    this->client->answer = [](const HttpRequest&) -> Result<HttpResponse> {
+      return HttpResponse{409, {}, ""};
+    };
+    std::optional<Result<void>> sent;
+    asio::co_spawn(this->io, Assign(*this->client, &sent), asio::detached);
+    this->io.run();
+    CPPUNIT_ASSERT(sent->error().code == ErrorCode::kConflict);
+  }
+
+ private:
+  static constexpr milliseconds kLimit{2000};
+
+  asio::io_context io;
+  std::shared_ptr<FakeClient> client;
+  std::shared_ptr<ReleaseCheck> check;
+  int generation = 4;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReleaseCheckTest);
+
+}  // namespace
+}  // namespace limpetfall
