--- a/test/domain-owner-test.cc
+++ b/test/domain-owner-test.cc
@@ -151,7 +151,10 @@
       for (int i = 0; i < 2; ++i) {
         Vm vm{VmId(domain + std::to_string(i)), domain + std::to_string(i), ZoneId("z"),
               DomainId(domain), false};
-        this->engines->reports[vm.address] = {vm.id, vm.id.value + "-1"};
+        VmReport report;
+        report.vm = vm.id;
+        report.instance = vm.id.value + "-1";
+        this->engines->reports[vm.address] = report;
         vms.push_back(vm);
       }
     }
