Make the owner's pause tests sensitive to each check

Cause: with the freshness check of commands removed, the test still passed, because the core itself sends nothing on old reports. Change: the pause comes between the decision and the command; a second test keeps the earlier case.

--- a/src/daemon/domain-owner.h
+++ b/src/daemon/domain-owner.h
@@ -310,7 +310,8 @@
       if (swapped.error().verdict == Verdict::kNotRun) co_return false;
       // The write may have taken effect although its reply was lost.
       const bool known = co_await this->ReadRecord();
-      co_return known&& this->writer == token;
+      if (!known) co_return false;
+      co_return this->writer == token;
     }
     if (!swapped.value().written) {
       Log(LogLevel::kInfo, "domain_record_conflict", {{"domain", this->domain.value}});
--- a/test/domain-owner-test.cc
+++ b/test/domain-owner-test.cc
@@ -83,8 +83,13 @@
   bool OwnsDomain(const DomainId& /*domain*/) const { return this->owner; }
   std::shared_ptr<const std::vector<Vm>> Vms() const { return this->vms; }
   std::shared_ptr<const VersionedDocument> ActiveDocument() const { return this->document; }
-  TimePoint Now() const { return this->now; }
+  TimePoint Now() const {
+    const TimePoint read = this->now;
+    if (this->pause_after_now) std::exchange(this->pause_after_now, nullptr)();
+    return read;
+  }
 
+  mutable std::function<void()> pause_after_now;  ///< Runs once, after the time was read.
   bool owner = true;
   TimePoint now = TimePoint(std::chrono::hours(1));
   std::shared_ptr<const std::vector<Vm>> vms;
@@ -127,6 +132,7 @@
   CPPUNIT_TEST(LostWriteSendsNoCommand);
   CPPUNIT_TEST(PauseBetweenReadAndWriteLosesTheRace);
   CPPUNIT_TEST(PauseBetweenWriteAndCommandSendsNothingOld);
+  CPPUNIT_TEST(PauseBeforeTheReplySendsNothingOld);
   CPPUNIT_TEST(PauseAloneSendsAfterReadingAgain);
   CPPUNIT_TEST(OtherNodeOwnsTheDomain);
   CPPUNIT_TEST(ServingGoesOnWithoutThePlatform);
@@ -261,6 +267,20 @@
 
   // Guards against a command that follows from a record which another owner has replaced.
   void PauseBetweenWriteAndCommandSendsNothingOld() {
+    // The owner pauses after it has read the time for its decision.
+    this->store->after_write = [this] {
+      this->context->pause_after_now = [this] {
+        this->context->now += seconds(60);
+        this->OtherOwnerWrites();
+      };
+    };
+    this->Tick(5);
+    CPPUNIT_ASSERT(!this->engines->sent.empty());
+    this->AssertOnlySent(50);
+  }
+
+  // Guards against the same when the pause comes before the write's reply.
+  void PauseBeforeTheReplySendsNothingOld() {
     this->store->after_write = [this] {
       this->context->now += seconds(60);
       this->OtherOwnerWrites();
