--- a/src/core/replay.cc
+++ b/src/core/replay.cc
@@ -32,6 +32,7 @@
   std::map<VmId, ReceivedReport> reports;
   std::map<GroupId, GroupSummary> summaries;
   std::map<GroupId, double> not_serving_since;
+  int slots_held = 0;
 };
 
 template <AssemblyPolicy P>
@@ -43,7 +44,8 @@
     for (const TraceDomain& domain : source.domains) {
       AssemblyOptions options;
       options.domain = domain.domain;
-      this->domains.push_back({domain.domain, Assembly<P>::Create(options, P{}), {}, {}, {}, {}});
+      this->domains.push_back(
+          {domain.domain, Assembly<P>::Create(options, P{}), {}, {}, {}, {}, 0});
     }
   }
 
@@ -73,7 +75,7 @@
  private:
   void Replan() {
     this->list = this->fleet.List();
-    this->placement = PlanPlacement(this->document, this->list);
+    this->placement = std::make_shared<const Placement>(PlanPlacement(this->document, this->list));
   }
 
   void Handle(const TraceEvent& event, double now) {
@@ -119,6 +121,11 @@
   bool StepDomain(ReplayDomain<P>& domain, double now) {
     AssemblyInput input = this->InputOf(domain, now);
     AssemblyOutput output = domain.core.Step(input, AtSeconds(now));
+    const int granted = this->GrantSlots(domain, output.slots_needed);
+    if (granted > input.slots_held) {
+      input.slots_held = granted;
+      output = domain.core.Step(input, AtSeconds(now));
+    }
     bool busy = this->TakeSummaries(domain, output.summaries, now);
     if (output.proposal) {
       this->TakeRecord(domain, *output.proposal, now);
@@ -131,6 +138,16 @@
     return busy;
   }
 
+  // Gives the domain the slots that it needs, as far as the weight store's limit allows.
+  int GrantSlots(ReplayDomain<P>& domain, int needed) {
+    int left = this->document.policy.weight_store_slots;
+    for (const auto& other : this->domains) {
+      if (other.domain != domain.domain) left -= other.slots_held;
+    }
+    domain.slots_held = std::min(needed, std::max(left, 0));
+    return domain.slots_held;
+  }
+
   AssemblyInput InputOf(ReplayDomain<P>& domain, double now) {
     AssemblyInput input;
     for (const Vm& vm : this->list) {
@@ -145,17 +162,21 @@
       const auto report = domain.reports.find(vm.id);
       if (report != domain.reports.end()) input.reports.push_back(report->second);
     }
+    input.slots_held = domain.slots_held;
     input.record = domain.record;
     input.placement = this->placement;
     input.policy = this->document.policy;
-    input.elsewhere.resize(this->placement.products.size());
+    input.elsewhere.resize(this->placement->products.size());
+    input.elsewhere_staying.resize(this->placement->products.size());
     for (const auto& other : this->domains) {
       if (other.domain == domain.domain) continue;
       for (const auto& [id, summary] : other.summaries) {
         if (summary.state == GroupState::kLost) continue;
-        if (summary.state == GroupState::kLoading) ++input.slots_in_use_elsewhere;
-        const int product = FindProduct(this->placement.products, summary.model, summary.version);
-        if (product >= 0) ++input.elsewhere[static_cast<std::size_t>(product)];
+        const int product = FindProduct(this->placement->products, summary.model, summary.version);
+        if (product < 0) continue;
+        ++input.elsewhere[static_cast<std::size_t>(product)];
+        if (summary.state == GroupState::kDraining) continue;
+        ++input.elsewhere_staying[static_cast<std::size_t>(product)];
       }
     }
     return input;
@@ -217,23 +238,26 @@
   }
 
   void Measure(double now, double seconds) {
-    std::vector<int> serving(this->placement.products.size());
+    std::vector<int> serving(this->placement->products.size());
     int busy_vms = 0;
     int loading = 0;
     for (const auto& domain : this->domains) {
       for (const auto& [id, summary] : domain.summaries) {
         if (summary.state == GroupState::kLoading) ++loading;
         if (!this->Serves(domain, summary, now)) continue;
-        busy_vms += static_cast<int>(summary.members.size());
-        const int product = FindProduct(this->placement.products, summary.model, summary.version);
+        const int product = FindProduct(this->placement->products, summary.model, summary.version);
         if (product >= 0) ++serving[static_cast<std::size_t>(product)];
       }
     }
     this->outcome.most_loading = std::max(this->outcome.most_loading, loading);
     if (now < this->trace.measure_from) return;
     for (std::size_t i = 0; i < serving.size(); ++i) {
-      const int lacking = std::max(0, this->placement.products[i].wanted - serving[i]);
-      this->outcome.downtime_group_s += lacking * seconds;
+      const Product& product = this->placement->products[i];
+      // VMs of more groups than wanted count as stranded.
+      busy_vms += std::min(serving[i], product.wanted) * product.size;
+      const double lacking = std::max(0, product.wanted - serving[i]) * seconds;
+      this->outcome.downtime_group_s += lacking;
+      this->outcome.weighted_downtime += lacking * PriorityWeight(product.priority);
     }
     int healthy = 0;
     for (const auto& [id, vm] : this->fleet.vms()) healthy += vm.alive && !vm.leaving ? 1 : 0;
@@ -245,7 +269,7 @@
   ReplayFleet fleet;
   Document document;
   std::vector<Vm> list;
-  Placement placement;
+  std::shared_ptr<const Placement> placement;
   std::vector<ReplayDomain<P>> domains;
   std::map<ModelName, int> running;
   ReplayOutcome outcome;
--- a/src/daemon/domain-owner.h
+++ b/src/daemon/domain-owner.h
@@ -19,6 +19,7 @@
 #include "core/document.h"
 #include "core/domain-record.h"
 #include "core/shared-state.h"
+#include "daemon/weight-slots.h"
 #include "platform/store.h"
 #include "upstream/engine-control.h"
 #include "upstream/join.h"
@@ -74,9 +75,9 @@
 /** Returns the core's options for a domain. */
 AssemblyOptions AssemblyOptionsFrom(const Settings& settings, const DomainId& domain);
 
-/** Counts groups of other domains that are not lost, by product; `loading` gets those that load. */
-std::vector<int> CountElsewhere(const std::vector<SharedEntry>& entries, const DomainId& own,
-                                const std::vector<Product>& products, int& loading);
+/** Sets the counts of groups in other domains and of those that load. */
+void CountElsewhere(const std::vector<SharedEntry>& entries, const DomainId& own,
+                    AssemblyInput& input);
 
 /** Returns a text that no other write carries. */
 std::string NewWriterToken(const NodeId& node);
@@ -135,6 +136,10 @@
     this->UpdatePlacement(document, list);
     std::int64_t revision = this->record.revision;
     AssemblyOutput output = this->Step(vms, document->document.policy);
+    if (this->record_current && output.slots_needed != this->slots.Held(this->context->Now())) {
+      const bool more = co_await this->AdjustSlots(output.slots_needed, document);
+      if (more) output = this->Step(vms, document->document.policy);
+    }
     if (output.proposal && this->record_current) {
       DomainRecord proposal = std::move(*output.proposal);
       const bool written = co_await this->Write(std::move(proposal));
@@ -161,6 +166,7 @@
         engines(std::move(fleet)),
         state(std::move(shared)),
         key(DomainRecordKey(this->domain)),
+        slots(this->store, detail::NewWriterToken(this->settings.node)),
         core(NewCore()) {}
 
   Assembly<P> NewCore() const {
@@ -184,6 +190,7 @@
     this->record_current = false;
     this->reports.clear();
     this->publisher.Reset();
+    this->slots.Forget();
     this->core = this->NewCore();
   }
 
@@ -303,7 +310,8 @@
       if (swapped.error().verdict == Verdict::kNotRun) co_return false;
       // The write may have taken effect although its reply was lost.
       const bool known = co_await this->ReadRecord();
-      co_return known&& this->writer == token;
+      if (!known) co_return false;
+      co_return this->writer == token;
     }
     if (!swapped.value().written) {
       Log(LogLevel::kInfo, "domain_record_conflict", {{"domain", this->domain.value}});
@@ -319,12 +327,24 @@
     return this->context->Now() + Milliseconds(this->settings.platform_timeout_ms);
   }
 
+  // Returns whether more slots are held than before.
+  boost::asio::awaitable<bool> AdjustSlots(int needed,
+                                           std::shared_ptr<const VersionedDocument> document) {
+    const TimePoint now = this->context->Now();
+    const int before = this->slots.Held(now);
+    if (needed < before) co_await this->slots.Release(needed, this->PlatformDeadline());
+    if (needed <= before) co_return false;
+    co_await this->slots.Acquire(needed, document->document.policy.weight_store_slots, now,
+                                 this->PlatformDeadline());
+    co_return this->slots.Held(now) > before;
+  }
+
   // ---- decision
 
   void UpdatePlacement(const std::shared_ptr<const VersionedDocument>& document,
                        const std::shared_ptr<const std::vector<Vm>>& list) {
     if (document == this->placed_document && list == this->placed_list) return;
-    this->placement = PlanPlacement(document->document, *list);
+    this->placement = std::make_shared<const Placement>(PlanPlacement(document->document, *list));
     this->placed_document = document;
     this->placed_list = list;
   }
@@ -337,9 +357,8 @@
     input.record = this->record;
     input.placement = this->placement;
     input.policy = policy;
-    input.elsewhere =
-        detail::CountElsewhere(this->state->List("group/", now), this->domain,
-                               this->placement.products, input.slots_in_use_elsewhere);
+    input.slots_held = this->slots.Held(now);
+    detail::CountElsewhere(this->state->List("group/", now), this->domain, input);
     AssemblyOutput output = this->core.Step(input, now);
     this->publisher.Publish(*this->state, output.summaries, this->record.revision, now);
     return output;
@@ -386,6 +405,7 @@
   std::shared_ptr<E> engines;
   std::shared_ptr<SharedState> state;
   std::string key;
+  WeightSlots<S> slots;
   Assembly<P> core;
 
   bool active = false;
@@ -401,7 +421,7 @@
   Deadline command_deadline;
   Deadline record_recheck;
 
-  Placement placement;
+  std::shared_ptr<const Placement> placement;
   std::shared_ptr<const VersionedDocument> placed_document;
   std::shared_ptr<const std::vector<Vm>> placed_list;
   detail::SummaryPublisher publisher;
