Bound the wait for a turn without refusing long completions

Cause: the bound of 10 s on queueing was passed as the request's deadline, which also covers its service; in a busy lane with a mean service time above 10 s every request would have been refused. A node without any upstream for a request kept it until its deadline. Change: the bound is a deadline of its own for the start. A first attempt waits 1 s when no upstream can take it at all; a resume waits on. A test of the gate runs 400 requests on 4 threads.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -20,6 +20,11 @@
 
 double Seconds(Clock::duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+// Orders waiting requests by when they are first looked at again.
+Deadline FirstDeadline(const AdmissionRequest& request) {
+  return std::min(request.deadline, request.start_by);
+}
+
 Clock::duration FromSeconds(double seconds) {
   return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
 }
@@ -118,12 +123,13 @@
 }
 
 bool AdmissionQueue::MeetsDeadline(const AdmissionRequest& request, TimePoint now) const {
-  if (request.deadline <= now) return false;
+  if (request.deadline <= now || request.start_by <= now) return false;
   auto lane = this->lanes.find(request.lane);
   // An idle lane takes every request, so that the mean is measured again.
   if (lane == this->lanes.end() || lane->second.running == 0) return true;
-  return now + this->ExpectedWait(request) + FromSeconds(lane->second.mean_seconds) <=
-         request.deadline;
+  const TimePoint start = now + this->ExpectedWait(request);
+  return start <= request.start_by &&
+         start + FromSeconds(lane->second.mean_seconds) <= request.deadline;
 }
 
 Result<AdmissionId> AdmissionQueue::Enqueue(const AdmissionRequest& request, TimePoint now) {
@@ -165,7 +171,7 @@
   } else {
     ids.push_back(id);
   }
-  this->by_deadline.emplace(request.deadline, id);
+  this->by_deadline.emplace(FirstDeadline(request), id);
   this->waiting.emplace(id, Waiting{request, now});
   return id;
 }
@@ -214,7 +220,7 @@
   if (flow->second.empty()) team.flows.erase(flow);
   --team.queued;
   --this->lanes.at(request.lane).queued[static_cast<std::size_t>(request.priority)];
-  this->by_deadline.erase({request.deadline, id});
+  this->by_deadline.erase({FirstDeadline(request), id});
   this->waiting.erase(id);
 }
 
@@ -253,10 +259,16 @@
 
 std::vector<AdmissionId> AdmissionQueue::Expire(TimePoint now) {
   std::vector<AdmissionId> expired;
+  double longest = 0;
+  for (const auto& [name, lane] : this->lanes) longest = std::max(longest, lane.mean_seconds);
   for (const auto& [deadline, id] : this->by_deadline) {
-    const Lane& lane = this->lanes.at(this->waiting.at(id).request.lane);
+    if (deadline > now + FromSeconds(longest)) break;
+    const AdmissionRequest& request = this->waiting.at(id).request;
+    const Lane& lane = this->lanes.at(request.lane);
     const double needed = lane.running == 0 ? 0 : lane.mean_seconds;
-    if (deadline <= now + FromSeconds(needed)) expired.push_back(id);
+    if (request.start_by <= now || request.deadline <= now + FromSeconds(needed)) {
+      expired.push_back(id);
+    }
   }
   for (AdmissionId id : expired) this->Remove(id);
   return expired;
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -30,6 +30,7 @@
   double cost = 1;  ///< Expected use of capacity, in any unit common to all requests.
   Deadline deadline;
   bool again = false;  ///< A retry or resume: already counted against the team's rate.
+  Deadline start_by = Deadline::max();  ///< Refused unless its turn comes before this.
 
   friend bool operator==(const AdmissionRequest&, const AdmissionRequest&) = default;
 };
@@ -82,7 +83,7 @@
   /** Takes a waiting request out of the queue; returns whether it was waiting. */
   bool Cancel(AdmissionId id);
 
-  /** Takes out and returns waiting requests that can no longer meet their deadline. */
+  /** Takes out and returns waiting requests that can no longer meet a deadline. */
   [[nodiscard]] std::vector<AdmissionId> Expire(TimePoint now);
 
   /** Returns the expected wait of a request that is queued now. */
@@ -149,7 +150,7 @@
   std::map<std::string, Lane> lanes;
   std::unordered_map<AdmissionId, Waiting> waiting;
   std::unordered_map<AdmissionId, Running> in_service;
-  std::set<std::pair<Deadline, AdmissionId>> by_deadline;
+  std::set<std::pair<Deadline, AdmissionId>> by_deadline;  ///< Of the end or of the start.
 };
 
 /** Keeps extra attempts below a share of the requests. */
--- a/src/daemon/admission-gate.cc
+++ b/src/daemon/admission-gate.cc
@@ -18,6 +18,10 @@
 // Capacity also appears without an event here, for example when another node's requests end.
 constexpr Milliseconds kPumpInterval{20};
 
+// Another node may reach what this one cannot, and a rebuild takes longer than this. A resume has
+// nowhere else to go and waits on.
+constexpr Milliseconds kUpstreamWait{1000};
+
 using Wakeup = asio::experimental::concurrent_channel<void(boost::system::error_code)>;
 
 struct Waiter {
@@ -26,6 +30,7 @@
 
   Wakeup wakeup;
   AdmissionGate::TryStart try_start;
+  Deadline wait_for_upstream;           ///< How long it waits while there is no upstream.
   std::optional<Result<void>> outcome;  ///< Guarded by the lock of the gate.
 };
 
@@ -83,6 +88,7 @@
   const std::shared_ptr<AdmissionGate> self = this->shared_from_this();
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
   auto waiter = std::make_shared<Waiter>(executor, std::move(try_start));
+  waiter->wait_for_upstream = request.again ? Deadline::max() : Clock::now() + kUpstreamWait;
   AdmissionId id = 0;
   bool settled = false;
   {
@@ -138,12 +144,17 @@
   }
   std::set<std::string> blocked_lanes;
   while (auto id = this->queue.Next(blocked_lanes, now)) {
-    if (!this->waiters.at(*id)->try_start()) {
+    const Waiter& waiter = *this->waiters.at(*id);
+    const Capacity capacity = waiter.try_start();
+    if (capacity == Capacity::kTaken) {
+      this->queue.Start(*id, now);
+      this->Settle(*id, success());
+    } else if (capacity == Capacity::kNone && waiter.wait_for_upstream <= now) {
+      this->queue.Cancel(*id);
+      this->Settle(*id, NotRun(ErrorCode::kUnavailable, "no upstream can take the request"));
+    } else {
       blocked_lanes.insert(this->queue.LaneOf(*id));
-      continue;
     }
-    this->queue.Start(*id, now);
-    this->Settle(*id, success());
   }
   this->ArmTimer();
 }
--- a/src/daemon/admission-gate.h
+++ b/src/daemon/admission-gate.h
@@ -39,11 +39,21 @@
     bool served = false;
   };
 
+  enum class Capacity {
+    kTaken,  ///< The request has what it needs.
+    kFull,   ///< All upstreams are at their limit.
+    kNone,   ///< No upstream can take the request at all.
+  };
+
+  static Capacity CapacityOf(const Error& error) {
+    return error.code == ErrorCode::kUnavailable ? Capacity::kNone : Capacity::kFull;
+  }
+
   /**
-   * Takes the capacity that a request needs and returns whether that succeeded. It is called under
-   * the lock of the gate, from any thread, until it returns true or the waiting coroutine resumes.
+   * Takes the capacity that a request needs. It is called under the lock of the gate, from any
+   * thread, until it returns `kTaken` or the waiting coroutine resumes.
    */
-  using TryStart = std::function<bool()>;
+  using TryStart = std::function<Capacity()>;
 
   static std::shared_ptr<AdmissionGate> Create(const boost::asio::any_io_executor& executor,
                                                AdmissionOptions options);
--- a/src/daemon/dispatcher-impl.h
+++ b/src/daemon/dispatcher-impl.h
@@ -143,13 +143,13 @@
   // Suspects wait for groups without another suspect, so they have a lane of their own.
   const std::string lane = detail::LaneName(run.request, run.plan) + (run.trial ? "/suspect" : "");
   // A caller without a deadline of its own is refused in time to try elsewhere.
-  const Deadline turn_by =
-      std::min<Deadline>(run.request.deadline, this->time.Now() + this->options.longest_queue_wait);
-  return {run.request.team, lane, run.plan.priority, cost, turn_by, again};
+  const Deadline start_by = this->time.Now() + this->options.longest_queue_wait;
+  return {run.request.team, lane, run.plan.priority, cost, run.request.deadline, again, start_by};
 }
 
 LIMPETFALL_DISPATCHER_TEMPLATE
-bool LIMPETFALL_DISPATCHER::TryAcquire(const Run& run, std::optional<GroupTicket>* ticket) {
+AdmissionGate::Capacity LIMPETFALL_DISPATCHER::TryAcquire(const Run& run,
+                                                          std::optional<GroupTicket>* ticket) {
   RouteRequest route{
       run.request.model, run.plan.version, run.plan.zones,        run.excluded,
       run.prefix_hash,   run.fingerprint,  run.trial.has_value(), run.plan.max_in_flight_per_group};
@@ -160,9 +160,9 @@
     route.excluded.clear();
     acquired = this->parts.groups->Acquire(route, now);
   }
-  if (!acquired) return false;
+  if (!acquired) return AdmissionGate::CapacityOf(acquired.error());
   ticket->emplace(std::move(acquired).value());
-  return true;
+  return AdmissionGate::Capacity::kTaken;
 }
 
 LIMPETFALL_DISPATCHER_TEMPLATE
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -253,7 +253,7 @@
   static boost::asio::awaitable<void> WaitBroken(std::shared_ptr<StreamProgress> progress);
 
   AdmissionRequest Turn(const Run& run, bool again) const;
-  bool TryAcquire(const Run& run, std::optional<GroupTicket>* ticket);
+  AdmissionGate::Capacity TryAcquire(const Run& run, std::optional<GroupTicket>* ticket);
   bool MayRetry(const AttemptError& failure, const Run& run, int attempt);
   AttemptError Classify(const Error& error, const Run& run);
   void Report(const Run& run, const Result<void>& result);
--- a/src/daemon/service-caller.h
+++ b/src/daemon/service-caller.h
@@ -114,9 +114,9 @@
                                                          bool again,
                                                          std::vector<std::string>* excluded) {
     std::optional<ServiceTicket> ticket;
-    const Deadline turn_by = std::min<Deadline>(call.deadline, Clock::now() + kLongestQueueWait);
-    AdmissionRequest turn{call.team, "service/" + call.service.value, plan.priority, 1, turn_by,
-                          again};
+    AdmissionRequest turn{
+        call.team, "service/" + call.service.value, plan.priority, 1, call.deadline,
+        again,     Clock::now() + kLongestQueueWait};
     auto try_start = [&] {
       const TimePoint now = Clock::now();
       const int limit = plan.max_in_flight_per_upstream;
@@ -125,9 +125,9 @@
         // Only upstreams that have failed this call are left.
         acquired = this->services->Acquire(call.service, plan.zones, {}, limit, now);
       }
-      if (!acquired) return false;
+      if (!acquired) return AdmissionGate::CapacityOf(acquired.error());
       ticket.emplace(std::move(acquired).value());
-      return true;
+      return AdmissionGate::Capacity::kTaken;
     };
     Result<AdmissionGate::Slot> slot = co_await this->gate->Wait(turn, try_start);
     if (!slot) co_return std::move(slot).error();
--- /dev/null
+++ b/test/admission-gate-test.cc
@@ -0,0 +1,150 @@
+#include "daemon/admission-gate.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <thread>
+
+namespace limpetfall {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using Capacity = AdmissionGate::Capacity;
+
+/** What the requests of one test share. */
+struct Shared {
+  std::shared_ptr<AdmissionGate> gate;
+  Capacity without_slot = Capacity::kFull;
+  int slots = 0;
+  std::atomic<int> in_service{0};
+  std::atomic<int> most{0};
+  std::atomic<int> served{0};
+  std::atomic<int> refused{0};
+  std::atomic<int> left{0};
+};
+
+/** Ends the count of a request however its coroutine ends. */
+struct Leaving {
+  Shared& shared;
+  ~Leaving() { --this->shared.left; }
+};
+
+asio::awaitable<void> Serve(Shared& shared, milliseconds deadline, bool again) {
+  const Leaving leaving{shared};
+  AdmissionRequest request;
+  request.team = TeamName("a");
+  request.lane = "folds/1";
+  request.deadline = Clock::now() + deadline;
+  request.again = again;
+  const AdmissionGate::TryStart try_start = [&shared] {
+    if (shared.in_service >= shared.slots) return shared.without_slot;
+    const int count = ++shared.in_service;
+    shared.most = std::max(shared.most.load(), count);
+    return Capacity::kTaken;
+  };
+  auto slot = co_await shared.gate->Wait(request, try_start);
+  if (!slot) {
+    ++shared.refused;
+    co_return;
+  }
+  asio::steady_timer timer(co_await asio::this_coro::executor, milliseconds(1));
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  ++shared.served;
+  --shared.in_service;
+}
+
+class AdmissionGateTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdmissionGateTest);
+  CPPUNIT_TEST(EveryWaitingRequestGetsItsTurn);
+  CPPUNIT_TEST(RequestsAreRefusedAtTheirDeadline);
+  CPPUNIT_TEST(RequestsWithoutUpstreamAreRefusedSoon);
+  CPPUNIT_TEST(CancelledRequestsLeaveTheQueue);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against lost wake-ups and overfull upstreams when several threads end requests.
+  void EveryWaitingRequestGetsItsTurn() {
+    this->shared.slots = 3;
+    this->Spawn(400, milliseconds(20000), true);
+    this->Run(4, std::chrono::seconds(20));
+    CPPUNIT_ASSERT_EQUAL(400, this->shared.served.load());
+    CPPUNIT_ASSERT_EQUAL(3, this->shared.most.load());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->shared.gate->queued());
+  }
+
+  // Guards against callers that wait beyond their deadline for capacity that does not come.
+  void RequestsAreRefusedAtTheirDeadline() {
+    this->Spawn(10, milliseconds(100), false);
+    const TimePoint before = Clock::now();
+    this->Run(1, std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(10, this->shared.refused.load());
+    CPPUNIT_ASSERT(Clock::now() - before < milliseconds(1000));
+  }
+
+  // Guards against callers that wait for their whole deadline at a node without upstreams.
+  void RequestsWithoutUpstreamAreRefusedSoon() {
+    this->shared.without_slot = Capacity::kNone;
+    this->Spawn(10, milliseconds(20000), false);
+    this->Run(1, std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(10, this->shared.refused.load());
+  }
+
+  // Guards against turns kept for callers that have gone.
+  void CancelledRequestsLeaveTheQueue() {
+    std::vector<std::unique_ptr<asio::cancellation_signal>> signals;
+    this->shared.left = 10;
+    for (int i = 0; i < 10; ++i) {
+      signals.push_back(std::make_unique<asio::cancellation_signal>());
+      asio::co_spawn(this->io, Serve(this->shared, milliseconds(20000), true),
+                     asio::bind_cancellation_slot(signals.back()->slot(), asio::detached));
+    }
+    asio::steady_timer timer(this->io, milliseconds(50));
+    timer.async_wait([&](boost::system::error_code) {
+      for (auto& signal : signals) signal->emit(asio::cancellation_type::terminal);
+    });
+    this->Run(1, std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(0, this->shared.left.load());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->shared.gate->queued());
+  }
+
+  void setUp() override { this->shared.gate = AdmissionGate::Create(this->io.get_executor(), {}); }
+
+ private:
+  void Spawn(int count, milliseconds deadline, bool again) {
+    this->shared.left = count;
+    for (int i = 0; i < count; ++i) {
+      asio::co_spawn(asio::make_strand(this->io), Serve(this->shared, deadline, again),
+                     asio::detached);
+    }
+  }
+
+  void Run(int threads, std::chrono::seconds limit) {
+    const TimePoint end = Clock::now() + limit;
+    std::vector<std::jthread> pool;
+    pool.reserve(static_cast<std::size_t>(threads));
+    for (int i = 0; i < threads; ++i) {
+      pool.emplace_back([&] {
+        while (this->shared.left > 0 && Clock::now() < end) this->io.run_one_for(milliseconds(20));
+      });
+    }
+  }
+
+  asio::io_context io;
+  Shared shared;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionGateTest);
+
+}  // namespace
+}  // namespace limpetfall
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -109,6 +109,7 @@
   CPPUNIT_TEST(LowPriorityIsNotStarved);
   CPPUNIT_TEST(WorkThatWouldBeLateIsRefusedAtOnce);
   CPPUNIT_TEST(SlowPeriodDoesNotCauseRefusalForever);
+  CPPUNIT_TEST(LongServiceIsNotTakenForALongWait);
   CPPUNIT_TEST(QueueIsBounded);
   CPPUNIT_TEST(CancelledRequestLeavesItsPlace);
   CPPUNIT_TEST(BlockedLaneDoesNotHoldUpOthers);
@@ -228,6 +229,22 @@
     CPPUNIT_ASSERT_EQUAL(40, served);
   }
 
+  // Guards against refusing long completions because the wait for a turn is bounded.
+  void LongServiceIsNotTakenForALongWait() {
+    AdmissionQueue queue({});
+    TimePoint now(seconds(1000));
+    const auto long_one = queue.Enqueue(this->At("a", now), now).value();
+    queue.Start(long_one, now);
+    now += seconds(15);
+    queue.Finish(long_one, true, now);
+    queue.Start(queue.Enqueue(this->At("a", now), now).value(), now);
+    AdmissionRequest request = this->At("a", now);
+    request.start_by = now + seconds(10);
+    CPPUNIT_ASSERT(queue.Enqueue(request, now).has_value());
+    CPPUNIT_ASSERT(queue.Expire(now + seconds(9)).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.Expire(now + seconds(10)).size());
+  }
+
   // Guards against a queue that grows until the node runs out of memory.
   void QueueIsBounded() {
     AdmissionQueue queue({8, milliseconds(1000)});
