Send calls that may not be repeated on a connection of their own

Cause: an order sent on a pooled connection that had gone silent stayed open until its deadline, and its outcome was then unknown for good (SilentConnectionsAreReplaced failed). Change: calls of services other than GET and HEAD open a new connection.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -372,7 +372,8 @@
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(std::max<std::int64_t>(1, this->connect_timeout.count())));
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(kMaxIdleAge.count()));
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, this->IsSilent(request.address) ? 1L : 0L);
+    const bool fresh = request.new_connection || this->IsSilent(request.address);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &CurlLoop::OnConnected);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -26,6 +26,7 @@
   std::string target = "/";
   Headers headers;
   std::string body;
+  bool new_connection = false;  ///< A pooled connection may be silent without anyone knowing yet.
 };
 
 struct HttpResponse {
--- a/src/upstream/service-call.cc
+++ b/src/upstream/service-call.cc
@@ -10,6 +10,8 @@
 HttpRequest RequestOf(std::string address, ServiceCall call, Deadline deadline) {
   HttpRequest request;
   request.method = std::move(call.method);
+  // A call that may not be repeated would be lost on a pooled connection that has gone silent.
+  request.new_connection = request.method != "GET" && request.method != "HEAD";
   request.address = std::move(address);
   request.target = std::move(call.path);
   request.headers["X-Request-Id"] = call.id.value;
