--- a/src/tool/admin-commands.cc
+++ b/src/tool/admin-commands.cc
@@ -21,7 +21,7 @@
 class AdminArgument {
  public:
   explicit AdminArgument(TCLAP::CmdLine& line)
-      : argument("a", "admin", "administration address of a node", true, "", "IP:port", line) {}
+      : argument("n", "node", "administration address of a node", true, "", "IP:port", line) {}
 
   Result<HttpResponse> Send(const std::string& method, const std::string& target, std::string body,
                             Headers headers) {
@@ -113,10 +113,10 @@
 ExitCode ConfigApply(const Arguments& arguments) {
   TCLAP::CmdLine line(
       "Puts a document in force. Refused with exit code 5 if another version than the one named "
-      "by --if-version is in force.",
+      "by --expect is in force.",
       ' ', std::string(kVersion));
   AdminArgument admin(line);
-  TCLAP::ValueArg<std::uint64_t> version("i", "if-version",
+  TCLAP::ValueArg<std::uint64_t> version("e", "expect",
                                          "version that the change was made from; 0 for the first",
                                          true, 0, "VERSION", line);
   TCLAP::UnlabeledValueArg<std::string> file("file", "JSON document", true, "", "FILE", line);
--- a/src/tool/load-command.cc
+++ b/src/tool/load-command.cc
@@ -271,8 +271,8 @@
       "Sends completions at a fixed rate, whether or not earlier ones have ended, and prints a "
       "report as JSON.",
       ' ', std::string(kVersion));
-  TCLAP::MultiArg<std::string> addresses("a", "address", "entry address; may be repeated", true,
-                                         "IP:port", line);
+  TCLAP::MultiArg<std::string> addresses("n", "node", "caller address of a node; may be repeated",
+                                         true, "IP:port", line);
   TCLAP::ValueArg<std::string> branch("b", "branch", "branch", true, "", "BRANCH", line);
   TCLAP::ValueArg<std::string> model("m", "model", "model", true, "", "MODEL", line);
   TCLAP::ValueArg<std::string> teams("t", "teams", "teams and their shares of the requests", true,
@@ -284,7 +284,7 @@
                                   line);
   TCLAP::ValueArg<int> threads("j", "threads", "most requests at a time", false, plan.threads, "N",
                                line);
-  TCLAP::ValueArg<int> tokens("n", "max-tokens", "longest completion", false, plan.max_tokens, "N",
+  TCLAP::ValueArg<int> tokens("x", "max-tokens", "longest completion", false, plan.max_tokens, "N",
                               line);
   TCLAP::ValueArg<int> prefixes("p", "prefixes", "distinct beginnings of prompts", false,
                                 plan.prefixes, "N", line);
--- a/src/tool/request-commands.cc
+++ b/src/tool/request-commands.cc
@@ -12,12 +12,12 @@
 class CallerArguments {
  public:
   explicit CallerArguments(TCLAP::CmdLine& line)
-      : addresses("a", "address", "entry address; may be repeated", true, "IP:port", line),
+      : addresses("n", "node", "caller address of a node; may be repeated", true, "IP:port", line),
         zone("z", "zone", "availability zone of the caller", false, "", "ZONE", line),
         branch("b", "branch", "branch", true, "", "BRANCH", line),
         team("t", "team", "team", true, "", "TEAM", line),
         deadline("d", "deadline-ms", "time for the whole request", false, 60000, "MS", line),
-        only_given("o", "only-given", "send to the given addresses only", line) {}
+        only_given("o", "only-given", "send to the given nodes only", line) {}
 
   Result<std::unique_ptr<Client>> Connect() {
     ClientOptions options;
@@ -45,14 +45,14 @@
 }  // namespace
 
 ExitCode Complete(const Arguments& arguments) {
-  TCLAP::CmdLine line("Runs a completion and prints its tokens as they arrive.", ' ',
-                      std::string(kVersion));
+  TCLAP::CmdLine line("Runs a completion and prints it.", ' ', std::string(kVersion));
   CallerArguments caller(line);
   TCLAP::ValueArg<std::string> model("m", "model", "model", true, "", "MODEL", line);
-  TCLAP::ValueArg<int> max_tokens("n", "max-tokens", "longest completion", false, 64, "N", line);
+  TCLAP::ValueArg<int> max_tokens("x", "max-tokens", "longest completion", false, 64, "N", line);
   TCLAP::ValueArg<std::uint64_t> seed("s", "seed", "seed of the generation", false, 0, "N", line);
   TCLAP::ValueArg<std::string> priority("p", "priority", "high, normal or low", false, "", "CLASS",
                                         line);
+  TCLAP::SwitchArg stream("", "stream", "print tokens as they arrive", line);
   TCLAP::UnlabeledValueArg<std::string> prompt("prompt", "prompt", true, "", "PROMPT", line);
   if (auto done = Parse(line, "complete", arguments)) return *done;
 
@@ -65,10 +65,13 @@
   call.seed = seed.getValue();
   call.priority = priority.getValue();
   call.deadline = caller.RequestDeadline();
-  const auto completion = client.value()->Complete(
-      call, [](std::string_view token) { std::cout << token << std::flush; });
-  std::cout << "\n";
+  const bool at_once = stream.getValue();
+  const auto completion = client.value()->Complete(call, [at_once](std::string_view token) {
+    if (at_once) std::cout << token << std::flush;
+  });
+  if (at_once) std::cout << "\n";
   if (!completion) return Fail(completion.error());
+  if (!at_once) std::cout << completion.value().text << "\n";
   std::cerr << "request " << completion.value().request_id << ", " << completion.value().tokens
             << " tokens, configuration " << completion.value().config_version << "\n";
   return ExitCode::kSuccess;
