--- a/src/tool/load-command.cc
+++ b/src/tool/load-command.cc
@@ -53,9 +53,9 @@
 /** One thread of the load; all threads take arrivals from one list. */
 class Worker {
  public:
-  Worker(const LoadPlan& plan, const std::vector<Arrival>& arrivals, std::atomic<std::size_t>& next,
-         TimePoint start)
-      : plan(plan), arrivals(arrivals), next(next), start(start) {}
+  Worker(std::size_t index, const LoadPlan& plan, const std::vector<Arrival>& arrivals,
+         std::atomic<std::size_t>& next, TimePoint start)
+      : index(index), plan(plan), arrivals(arrivals), next(next), start(start) {}
 
   std::vector<Outcome> Run() {
     for (std::size_t i = this->next++; i < this->arrivals.size(); i = this->next++) {
@@ -73,6 +73,10 @@
     if (!client) {
       ClientOptions options;
       options.addresses = this->plan.addresses;
+      std::rotate(options.addresses.begin(),
+                  options.addresses.begin() +
+                      static_cast<std::ptrdiff_t>(this->index % options.addresses.size()),
+                  options.addresses.end());
       options.branch = this->plan.branch;
       options.team = this->plan.teams[team].first;
       options.ask_for_addresses = false;
@@ -114,6 +118,7 @@
     return outcome;
   }
 
+  std::size_t index;  ///< Threads divide the nodes among themselves.
   const LoadPlan& plan;
   const std::vector<Arrival>& arrivals;
   std::atomic<std::size_t>& next;
@@ -256,8 +261,8 @@
   {
     std::vector<std::jthread> threads;
     threads.reserve(parts.size());
-    for (auto& part : parts) {
-      threads.emplace_back([&] { part = Worker(plan, arrivals, next, start).Run(); });
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+      threads.emplace_back([&, i] { parts[i] = Worker(i, plan, arrivals, next, start).Run(); });
     }
   }
   const double elapsed = std::max(plan.seconds, Seconds(Clock::now() - start));
