--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -149,8 +149,11 @@
   return parsed.ec == std::errc() && parsed.ptr == end && port != 0;
 }
 
-/** Refuses requests that could not be sent exactly as given. */
-Result<void> CheckRequest(const HttpRequest& request) {
+/** Refuses requests that could not be sent exactly as given, or that come too late. */
+Result<void> CheckRequest(const HttpRequest& request, Deadline deadline) {
+  if (Clock::now() >= deadline) {
+    return NotRun(ErrorCode::kDeadlineExceeded, "the deadline passed before the request was sent");
+  }
   if (!IsToken(request.method)) {
     return NotRun(ErrorCode::kInvalidArgument, "the method is not a token");
   }
@@ -775,7 +778,7 @@
       : loop(std::move(curl_loop)), options(client_options) {}
 
   asio::awaitable<Result<HttpResponse>> Fetch(HttpRequest request, Deadline deadline) override {
-    BOOST_OUTCOME_CO_TRY(CheckRequest(request));
+    BOOST_OUTCOME_CO_TRY(CheckRequest(request, deadline));
     OwnedTransfer transfer = this->Begin(std::move(request), true);
     BOOST_OUTCOME_CO_TRY(co_await transfer.Wait(deadline));
     Transfer& state = *transfer;
@@ -786,7 +789,7 @@
 
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(HttpRequest request,
                                                             Deadline deadline) override {
-    BOOST_OUTCOME_CO_TRY(CheckRequest(request));
+    BOOST_OUTCOME_CO_TRY(CheckRequest(request, deadline));
     OwnedTransfer transfer = this->Begin(std::move(request), false);
     BOOST_OUTCOME_CO_TRY(co_await transfer.Wait(deadline));
     int status = 0;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -60,7 +60,10 @@
  * An error carries `kNotRun` only when the connection was never established, otherwise
  * `kMayHaveRun`. A connection goes back to the pool only after a complete answer, and a failed or
  * abandoned transfer closes its connection. A request on a pooled connection that had gone stale is
- * not sent again by the client itself, because its bytes may have been read.
+ * not sent again by the client itself, because its bytes may have been read. An answer that does
+ * not state its length is an error, because a cut one looks the same.
+ *
+ * An io_context whose coroutines wait for the client must live until they have ended.
  *
  *     BOOST_OUTCOME_CO_TRY(auto answer, co_await client->Fetch(request, deadline));
  */
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -177,6 +177,9 @@
  private:
   friend class Exchange;
 
+  /** What comes after a request. */
+  enum class Next { kRequest, kLinger, kClose };
+
   template <typename Body>
   using Message = http::response<Body>;
 
@@ -222,25 +225,30 @@
     }
   }
 
-  /** Reads one request, has it answered, and says whether the connection can take another. */
+  /** Serves one request; says whether the connection can take another. */
   asio::awaitable<bool> ServeNext() {
     if (this->core->stopping && !this->HasBytes()) co_return false;
     if (!co_await this->AwaitBytes()) co_return false;
     this->phase = Phase::kReading;
+    // Counted from the first byte, so that a stopping process does not exit under a request.
+    ++this->core->in_flight;
+    std::shared_ptr<void> counted(nullptr, [core = this->core](void*) { --core->in_flight; });
+    const Next next = co_await this->ServeRequest();
+    counted.reset();
+    if (next == Next::kLinger) co_await this->Linger();
+    if (next != Next::kRequest || !this->socket.is_open()) co_return false;
+    this->phase = Phase::kIdle;
+    co_return true;
+  }
+
+  asio::awaitable<Next> ServeRequest() {
     this->SetDeadline(Clock::now() + this->core->options.request_read_timeout);
     Parser parser;
-    // Reads the rest of the error from the parser, which has the header when only the body failed.
     const error_code error = co_await this->ReadRequest(parser);
     this->SetDeadline(Deadline::max());
-    if (error) {
-      co_await this->AnswerReadError(parser, error);
-      co_return false;
-    }
+    if (error) co_return co_await this->AnswerReadError(parser, error);
     this->phase = Phase::kHandling;
-    const bool reusable = co_await this->Handle(parser);
-    if (!reusable || !this->socket.is_open()) co_return false;
-    this->phase = Phase::kIdle;
-    co_return true;
+    co_return co_await this->Handle(parser);
   }
 
   /** Waits for the first bytes of a request; false when the connection is over. */
@@ -273,10 +281,10 @@
     co_return body_error;
   }
 
-  asio::awaitable<void> AnswerReadError(Parser& parser, error_code error) {
+  asio::awaitable<Next> AnswerReadError(Parser& parser, error_code error) {
     const bool cut = error == http::error::end_of_stream || error == asio::error::connection_reset;
-    if (cut || !this->socket.is_open()) co_return;
-    if (error == asio::error::operation_aborted && !this->timed_out) co_return;
+    if (cut || !this->socket.is_open()) co_return Next::kClose;
+    if (error == asio::error::operation_aborted && !this->timed_out) co_return Next::kClose;
     const HttpServerOptions& options = this->core->options;
     int status = 400;
     std::string message = "the request is malformed: " + error.message();
@@ -300,7 +308,8 @@
     const HttpResponse response =
         ErrorResponse(status, NotRun(ErrorCode::kInvalidArgument, message), request_id);
     const auto answer = this->MakeMessage(response, false);
-    if (co_await this->Write(answer)) co_await this->Linger();
+    const bool written = co_await this->Write(answer);
+    co_return written ? Next::kLinger : Next::kClose;
   }
 
   /** Writes a message within the write timeout; says whether it was written whole. */
@@ -327,7 +336,7 @@
     }
   }
 
-  asio::awaitable<bool> Handle(Parser& parser);
+  asio::awaitable<Next> Handle(Parser& parser);
 
   /** Returns when the peer has closed the connection. Keeps what it reads for the next request. */
   asio::awaitable<void> WatchPeer() {
@@ -506,20 +515,14 @@
   }
 }
 
-asio::awaitable<bool> Connection::Handle(Parser& parser) {
+asio::awaitable<Connection::Next> Connection::Handle(Parser& parser) {
   using asio::experimental::awaitable_operators::operator||;
-  struct Count {
-    explicit Count(std::atomic<std::size_t>& number) : in_flight(number) { ++this->in_flight; }
-    ~Count() { --this->in_flight; }
-    std::atomic<std::size_t>& in_flight;
-  };
-  const Count count(this->core->in_flight);
   error_code ignored;
   const bool keep_alive = parser.get().keep_alive();
   Exchange exchange(*this, TakeRequest(parser, AddressOf(this->socket.remote_endpoint(ignored))),
                     keep_alive);
   co_await (RunHandler(this->core->handler, exchange) || this->WatchPeer());
-  if (this->peer_closed) co_return false;
+  if (this->peer_closed) co_return Next::kClose;
   if (!exchange.answered()) {
     const std::string id = exchange.request().headers.contains("X-Request-Id")
                                ? exchange.request().headers.at("X-Request-Id")
@@ -529,9 +532,8 @@
                       IsRequestId(id) ? id : "");
     [[maybe_unused]] const Result<void> sent = co_await exchange.Send(std::move(failure));
   }
-  if (exchange.reusable()) co_return true;
-  if (exchange.done()) co_await this->Linger();
-  co_return false;
+  if (exchange.reusable()) co_return Next::kRequest;
+  co_return exchange.done() ? Next::kLinger : Next::kClose;
 }
 
 asio::awaitable<void> Accept(CorePtr core, asio::io_context& io) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -36,7 +36,11 @@
   virtual void Abort() {}
 };
 
-/** The coroutine is cancelled (terminal cancellation) when the peer closes the connection. */
+/**
+ * The coroutine is cancelled (terminal cancellation) when the peer closes the connection, or closes
+ * its sending side. Its next `co_await` then throws, so work that must come to its end runs in a
+ * coroutine of its own. The exchange lives as long as the coroutine.
+ */
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
 
 struct HttpServerOptions {
@@ -68,7 +72,7 @@
   /** Closes the listener and idle connections; requests in flight go on, and keep-alive ends. */
   virtual void StopAccepting() = 0;
 
-  /** Returns the number of requests that are being handled. */
+  /** Returns the number of requests that are being read or handled. */
   [[nodiscard]] virtual std::size_t in_flight() const = 0;
 };
 
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(SurplusAnswerIsNotReadByTheNextRequest);
   CPPUNIT_TEST(LateAnswerIsNotReadByTheNextRequest);
   CPPUNIT_TEST(SilenceEndsAtTheDeadline);
+  CPPUNIT_TEST(PassedDeadlineIsNotRun);
   CPPUNIT_TEST(SilentAddressGetsANewConnection);
   CPPUNIT_TEST(CancelledFetchClosesItsConnection);
   CPPUNIT_TEST(StreamThatIsNotReadHoldsUpTheServer);
@@ -214,6 +215,13 @@
     CPPUNIT_ASSERT(Eventually([&] { return closed.load(); }));
   }
 
+  // Guards against work for a caller that no longer waits.
+  void PassedDeadlineIsNotRun() {
+    ScriptedPeer peer([](PeerConnection&) {});
+    this->ExpectError(this->Fetch(Post(peer.address(), "x"), Milliseconds(0)),
+                      ErrorCode::kDeadlineExceeded, Verdict::kNotRun);
+  }
+
   // Guards against losing request after request on pooled connections that have gone silent
   // together while new ones work.
   void SilentAddressGetsANewConnection() {
