Check that a repeat does not wait for an attempt that was given up

A mutation trial, in which a released attempt was not marked as given up, passed all tests. The test now requires that the same node takes the claim over without reading it again. Deeply nested documents are refused in a test as well.

--- a/test/config-document-test.cc
+++ b/test/config-document-test.cc
@@ -110,11 +110,14 @@
     CPPUNIT_ASSERT(faults == std::vector<DocumentFault>({{"/models/1/groups", "occurs twice"}}));
   }
 
-  // Guards against an exception that ends the process on damaged input.
+  // Guards against damaged or deeply nested input that ends the process.
   void TextThatIsNotJsonIsRefused() {
     for (const char* text : {"", "{", "[]", "\xff", "{\"models\":1e999}"}) {
       CPPUNIT_ASSERT(!ParseDocument(text).has_value());
     }
+    const std::string deep(400000, '[');
+    CPPUNIT_ASSERT(!ParseDocument(deep).has_value());
+    CPPUNIT_ASSERT(!ParseDocument(deep + std::string(deep.size(), ']')).has_value());
   }
 
   // Guards against a change of one branch that makes every node fetch the whole document.
--- a/test/order-claims-test.cc
+++ b/test/order-claims-test.cc
@@ -238,6 +238,7 @@
     // The same node knows that its attempt is given up; the other one finds the claim released.
     this->store->swap_faults.clear();
     CPPUNIT_ASSERT_EQUAL(201, Run(this->first).value().status);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the repeat waited for the attempt", 0, this->store->gets);
     CPPUNIT_ASSERT_EQUAL(201, Run(this->second).value().status);
     ExpectRuns(1);
     this->io.run();
