Satisfy the lint rules in the assembly, replay and owner code

Change: names, a const reference, a comparison and a function for the state of a group. Conclusion: no change of behaviour.

--- a/src/core/assembly.cc
+++ b/src/core/assembly.cc
@@ -692,6 +692,14 @@
   this->AddRemovedGroups(output, now);
 }
 
+template <AssemblyPolicy Policy>
+GroupState Assembly<Policy>::StateOf(const GroupView& view) const {
+  if (!view.absent.empty() || view.restarted) return GroupState::kLost;
+  const bool drains = this->plan.drains.contains(view.record.group);
+  if (!view.leaving.empty() || (view.ready && drains)) return GroupState::kDraining;
+  return view.ready ? GroupState::kServing : GroupState::kLoading;
+}
+
 template <AssemblyPolicy Policy>
 void Assembly<Policy>::AddSummary(const GroupView& view, AssemblyOutput& output, TimePoint now) {
   SummaryUpdate update;
@@ -717,19 +725,9 @@
     summary.running = first->second.report->running;
     summary.queued = first->second.report->queued;
   }
-  update.serve_until = now + this->options.summary_lifetime;
-  if (!view.absent.empty() || view.restarted) {
-    summary.state = GroupState::kLost;
-  } else if (!view.leaving.empty()) {
-    summary.state = GroupState::kDraining;
-  } else if (!view.ready) {
-    summary.state = GroupState::kLoading;
-  } else if (this->plan.drains.contains(view.record.group)) {
-    summary.state = GroupState::kDraining;
-  } else {
-    summary.state = GroupState::kServing;
-    update.serve_until = view.oldest_report + this->options.summary_lifetime;
-  }
+  summary.state = this->StateOf(view);
+  update.serve_until = (summary.state == GroupState::kServing ? view.oldest_report : now) +
+                       this->options.summary_lifetime;
   GroupTrack& track = this->group_tracks[view.record.group];
   update.urgent = track.published != summary.state;
   track.published = summary.state;
--- a/src/core/assembly.h
+++ b/src/core/assembly.h
@@ -203,6 +203,7 @@
   Generation NextGeneration();
 
   void AddSummaries(AssemblyOutput& output, TimePoint now);
+  [[nodiscard]] GroupState StateOf(const detail::GroupView& view) const;
   void AddSummary(const detail::GroupView& view, AssemblyOutput& output, TimePoint now);
   void AddRemovedGroups(AssemblyOutput& output, TimePoint now);
   void AddCommands(AssemblyOutput& output, TimePoint now);
--- a/src/core/replay-bound.cc
+++ b/src/core/replay-bound.cc
@@ -2,6 +2,7 @@
 #include <functional>
 #include <limits>
 #include <set>
+#include <tuple>
 
 #include "core/replay-fleet.h"
 #include "core/replay.h"
@@ -16,7 +17,9 @@
   ZoneId zone;
   int vms = 0;
 
-  friend auto operator<=>(const Capacity&, const Capacity&) = default;
+  friend bool operator<(const Capacity& a, const Capacity& b) {
+    return std::tie(a.zone, a.vms) < std::tie(b.zone, b.vms);
+  }
 };
 
 using Counts = std::vector<int>;
@@ -126,6 +129,7 @@
       if (vm.back_since == 0 || from >= vm.back_since + this->quickest_load) ++capacity.vms;
     }
     std::vector<Capacity> key;
+    key.reserve(capacities.size());
     for (const auto& [domain, capacity] : capacities) key.push_back(capacity);
     std::sort(key.begin(), key.end());
     const auto [found, added] = this->packings.try_emplace(key);
--- a/src/core/trace-file.cc
+++ b/src/core/trace-file.cc
@@ -58,7 +58,7 @@
 }
 
 TraceEventKind KindFromText(const std::string& text) {
-  static const std::map<std::string, TraceEventKind> kKinds = {
+  static const std::map<std::string, TraceEventKind> kinds = {
       {"vm_lost", TraceEventKind::kVmLost},
       {"vm_back", TraceEventKind::kVmBack},
       {"vm_leaving", TraceEventKind::kVmLeaving},
@@ -71,8 +71,8 @@
       {"document", TraceEventKind::kDocument},
       {"slots", TraceEventKind::kSlots},
       {"expect", TraceEventKind::kExpect}};
-  const auto found = kKinds.find(text);
-  if (found == kKinds.end()) throw std::invalid_argument("unknown event " + text);
+  const auto found = kinds.find(text);
+  if (found == kinds.end()) throw std::invalid_argument("unknown event " + text);
   return found->second;
 }
 
--- a/src/daemon/domain-owner.h
+++ b/src/daemon/domain-owner.h
@@ -239,8 +239,8 @@
     return this->record_current && this->context->Now() < until;
   }
 
-  void TakeRecord(DomainRecord next, TimePoint confirmed) {
-    this->record = std::move(next);
+  void TakeRecord(const DomainRecord& next, TimePoint confirmed) {
+    this->record = next;
     this->has_record = true;
     this->record_current = true;
     this->command_deadline = confirmed + kCommandFreshness;
@@ -251,7 +251,7 @@
     if (!stored) {
       DomainRecord none;
       none.domain = this->domain;
-      this->TakeRecord(std::move(none), confirmed);
+      this->TakeRecord(none, confirmed);
       return true;
     }
     auto parsed = ParseDomainRecord(stored->value, stored->revision);
@@ -262,7 +262,7 @@
       return false;
     }
     this->writer = parsed.value().writer;
-    this->TakeRecord(std::move(parsed.value().record), confirmed);
+    this->TakeRecord(parsed.value().record, confirmed);
     return true;
   }
 
@@ -319,7 +319,7 @@
     }
     proposal.revision = swapped.value().revision;
     this->writer = token;
-    this->TakeRecord(std::move(proposal), asked);
+    this->TakeRecord(proposal, asked);
     co_return true;
   }
 
