Handle unsent answers and unfreed slots

Change: the stand-in notes answers that could not be sent; freeing slots stops at the first failure and goes on in the next round.

--- a/src/daemon/domain-owner.h
+++ b/src/daemon/domain-owner.h
@@ -208,6 +208,7 @@
     const Deadline deadline = this->context->Now() + Milliseconds(this->settings.report_timeout_ms);
     auto received = std::make_shared<std::map<VmId, ReceivedReport>>();
     std::vector<boost::asio::awaitable<void>> tasks;
+    tasks.reserve(vms.size());
     for (const Vm& vm : vms) {
       tasks.push_back(PollOne(this->engines, this->context, vm, deadline, received));
     }
@@ -377,6 +378,7 @@
     }
     if (this->record.revision != revision) co_return;
     std::vector<boost::asio::awaitable<void>> tasks;
+    tasks.reserve(commands.size());
     for (AssignmentCommand& command : commands) {
       tasks.push_back(
           SendOne(this->engines, this->context, std::move(command), this->command_deadline));
--- a/src/daemon/weight-slots.h
+++ b/src/daemon/weight-slots.h
@@ -45,14 +45,16 @@
     }
   }
 
-  /** Frees slots until `wanted` are held. A slot that cannot be freed ends with its lease. */
+  /** Frees slots until `wanted` are held. A slot that cannot be freed ends with its lease, and the
+   * next call goes on with the others. */
   boost::asio::awaitable<void> Release(int wanted, Deadline deadline) {
     while (static_cast<int>(this->held.size()) > wanted) {
       const auto slot = std::prev(this->held.end());
       const std::string key = slot->first;
       const std::int64_t revision = slot->second.revision;
       this->held.erase(slot);
-      co_await this->store->Swap(key, "", revision, 0, deadline);
+      const auto freed = co_await this->store->Swap(key, "", revision, 0, deadline);
+      if (!freed) co_return;
     }
   }
 
--- a/test/stand-ins/engine-stand-in.cc
+++ b/test/stand-ins/engine-stand-in.cc
@@ -150,7 +150,7 @@
       malformed = true;
     }
     if (malformed) response = Refusal(400, "malformed request");
-    co_await exchange.Send(std::move(response));
+    NoteUnsent(co_await exchange.Send(std::move(response)));
   }
 
  private:
@@ -172,6 +172,10 @@
     ~RunGuard() { this->engine.End(*this->completion); }
   };
 
+  static void NoteUnsent(const Result<void>& sent) {
+    if (!sent) std::cerr << "answer not sent: " << sent.error().message << "\n";
+  }
+
   static HttpResponse JsonResponse(int status, const json& body) {
     return {status, {{"Content-Type", "application/json"}}, body.dump()};
   }
@@ -348,7 +352,7 @@
   awaitable<void> Complete(HttpExchange& exchange, std::shared_ptr<Completion> run) {
     if (std::optional<HttpResponse> refusal = this->RefuseRun(*run)) {
       HttpResponse response = std::move(*refusal);
-      co_await exchange.Send(std::move(response));
+      NoteUnsent(co_await exchange.Send(std::move(response)));
       co_return;
     }
     run->group = this->assignment.group;
@@ -471,7 +475,7 @@
                                                {"usage", {{"completion_tokens", run->tokens}}}});
     for (const auto& [name, value] : this->CompletionHeaders(*run)) response.headers[name] = value;
     run->outcome = "done";
-    co_await exchange.Send(std::move(response));
+    NoteUnsent(co_await exchange.Send(std::move(response)));
   }
 
   void End(Completion& run) {
