--- a/src/daemon/domain-owner.h
+++ b/src/daemon/domain-owner.h
@@ -208,6 +208,7 @@
     const Deadline deadline = this->context->Now() + Milliseconds(this->settings.report_timeout_ms);
     auto received = std::make_shared<std::map<VmId, ReceivedReport>>();
     std::vector<boost::asio::awaitable<void>> tasks;
+    tasks.reserve(vms.size());
     for (const Vm& vm : vms) {
       tasks.push_back(PollOne(this->engines, this->context, vm, deadline, received));
     }
@@ -239,8 +240,8 @@
     return this->record_current && this->context->Now() < until;
   }
 
-  void TakeRecord(DomainRecord next, TimePoint confirmed) {
-    this->record = std::move(next);
+  void TakeRecord(const DomainRecord& next, TimePoint confirmed) {
+    this->record = next;
     this->has_record = true;
     this->record_current = true;
     this->command_deadline = confirmed + kCommandFreshness;
@@ -251,7 +252,7 @@
     if (!stored) {
       DomainRecord none;
       none.domain = this->domain;
-      this->TakeRecord(std::move(none), confirmed);
+      this->TakeRecord(none, confirmed);
       return true;
     }
     auto parsed = ParseDomainRecord(stored->value, stored->revision);
@@ -262,7 +263,7 @@
       return false;
     }
     this->writer = parsed.value().writer;
-    this->TakeRecord(std::move(parsed.value().record), confirmed);
+    this->TakeRecord(parsed.value().record, confirmed);
     return true;
   }
 
@@ -319,7 +320,7 @@
     }
     proposal.revision = swapped.value().revision;
     this->writer = token;
-    this->TakeRecord(std::move(proposal), asked);
+    this->TakeRecord(proposal, asked);
     co_return true;
   }
 
@@ -377,6 +378,7 @@
     }
     if (this->record.revision != revision) co_return;
     std::vector<boost::asio::awaitable<void>> tasks;
+    tasks.reserve(commands.size());
     for (AssignmentCommand& command : commands) {
       tasks.push_back(
           SendOne(this->engines, this->context, std::move(command), this->command_deadline));
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -149,8 +149,11 @@
   return parsed.ec == std::errc() && parsed.ptr == end && port != 0;
 }
 
-/** Refuses requests that could not be sent exactly as given. */
-Result<void> CheckRequest(const HttpRequest& request) {
+/** Refuses requests that could not be sent exactly as given, or that come too late. */
+Result<void> CheckRequest(const HttpRequest& request, Deadline deadline) {
+  if (Clock::now() >= deadline) {
+    return NotRun(ErrorCode::kDeadlineExceeded, "the deadline passed before the request was sent");
+  }
   if (!IsToken(request.method)) {
     return NotRun(ErrorCode::kInvalidArgument, "the method is not a token");
   }
@@ -739,16 +742,18 @@
   [[nodiscard]] const Headers& headers() const override { return this->answer_headers; }
 
   asio::awaitable<Result<std::optional<std::string>>> Read(Deadline deadline) override {
-    for (;;) {
-      if (this->ended) co_return *this->ended;
+    while (!this->ended && !this->failure) {
       if (auto bytes = this->TakeBytes()) co_return std::move(bytes);
-      if (this->ended) co_return *this->ended;
+      if (this->ended || this->failure) break;
       const Result<void> waited = co_await this->transfer.Wait(deadline);
-      if (!waited) this->ended = Result<std::optional<std::string>>(waited.error());
+      if (!waited) this->failure = waited.error();
     }
+    if (this->failure) co_return *this->failure;
+    co_return std::optional<std::string>();
   }
 
  private:
+  /** Returns bytes that have arrived; without any, notes whether the body has ended. */
   std::optional<std::string> TakeBytes() {
     Transfer& state = *this->transfer;
     const std::lock_guard lock(state.mutex);
@@ -756,19 +761,16 @@
       if (std::exchange(state.paused, false)) this->transfer.Resume();
       return std::exchange(state.body, {});
     }
-    if (!state.done) return std::nullopt;
-    if (state.failure) {
-      this->ended = Result<std::optional<std::string>>(*state.failure);
-    } else {
-      this->ended = Result<std::optional<std::string>>(std::optional<std::string>());
-    }
+    this->failure = state.failure;
+    this->ended = state.done;
     return std::nullopt;
   }
 
   OwnedTransfer transfer;
   int answer_status;
   Headers answer_headers;
-  std::optional<Result<std::optional<std::string>>> ended;  ///< What every further read returns.
+  bool ended = false;
+  std::optional<Error> failure;  ///< What every further read returns.
 };
 
 class CurlClient final : public HttpClient {
@@ -777,7 +779,7 @@
       : loop(std::move(curl_loop)), options(client_options) {}
 
   asio::awaitable<Result<HttpResponse>> Fetch(HttpRequest request, Deadline deadline) override {
-    BOOST_OUTCOME_CO_TRY(CheckRequest(request));
+    BOOST_OUTCOME_CO_TRY(CheckRequest(request, deadline));
     OwnedTransfer transfer = this->Begin(std::move(request), true);
     BOOST_OUTCOME_CO_TRY(co_await transfer.Wait(deadline));
     Transfer& state = *transfer;
@@ -788,7 +790,7 @@
 
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(HttpRequest request,
                                                             Deadline deadline) override {
-    BOOST_OUTCOME_CO_TRY(CheckRequest(request));
+    BOOST_OUTCOME_CO_TRY(CheckRequest(request, deadline));
     OwnedTransfer transfer = this->Begin(std::move(request), false);
     BOOST_OUTCOME_CO_TRY(co_await transfer.Wait(deadline));
     int status = 0;
