Keep groups serving when their owner dies while the platform is down

Cause: a new owner published nothing before it had read the domain's record, so with the platform down the summaries lapsed after 8 s and all nodes refused (seen first as a failure of PlatformOutageLeavesServiceUp under load, when a node was taken for dead during the outage). Ruled out: the confirmation of the configuration; the nodes had a majority and accepted work. Change: a new owner goes on with the groups that the former owner published; it writes and commands nothing before the record has been read. Status lists the domains that a node owns. Conclusion: the takeover needs no platform.

--- a/src/daemon/domain-owner.h
+++ b/src/daemon/domain-owner.h
@@ -1,6 +1,7 @@
 #ifndef LIMPETFALL_DAEMON_DOMAIN_OWNER_H_
 #define LIMPETFALL_DAEMON_DOMAIN_OWNER_H_
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,6 +12,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "base/log.h"
@@ -127,6 +129,7 @@
     }
     this->BeginTick();
     std::vector<Vm> vms = VmsOf(*list, this->domain);
+    if (!this->has_record) this->TakeSummaries();
     if (!this->has_record) co_await this->ReadRecord();
     if (!this->has_record) co_return;
     if (!this->RecordIsFresh(this->record_recheck)) co_await this->StartRefresh();
@@ -267,6 +270,26 @@
     return true;
   }
 
+  // A new owner goes on with the groups that the former owner published, so that they keep serving
+  // while the platform does not answer. Nothing is written or commanded before the record is read.
+  void TakeSummaries() {
+    DomainRecord known;
+    known.domain = this->domain;
+    for (const SharedEntry& entry : this->state->List("group/", this->context->Now())) {
+      const auto* group = std::get_if<GroupSummary>(&entry.value);
+      if (group == nullptr || group->domain != this->domain) continue;
+      if (group->state == GroupState::kLost) continue;
+      GroupRecord record{group->group, group->generation, group->model, group->version, {}};
+      for (const GroupMember& member : group->members) record.members.push_back(member.vm);
+      known.last_generation = std::max(known.last_generation, group->generation);
+      known.groups.push_back(std::move(record));
+    }
+    if (known.groups.empty()) return;
+    this->record = std::move(known);
+    this->has_record = true;
+    this->record_current = false;
+  }
+
   boost::asio::awaitable<bool> ReadRecord() {
     const TimePoint asked = this->context->Now();
     const std::uint64_t started_in = this->term;
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -12,6 +12,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -455,8 +456,10 @@
     group_list.push_back(GroupJson(*group, closed_here ? "closed" : StateName(group->state)));
   }
   nlohmann::json vms = nlohmann::json::array();
+  std::set<std::string> owned;
   if (const auto list = this->context->Vms()) {
     for (const Vm& vm : *list) {
+      if (this->context->OwnsDomain(vm.domain)) owned.insert(vm.domain.value);
       vms.push_back({{"vm", vm.id.value},
                      {"zone", vm.zone.value},
                      {"domain", vm.domain.value},
@@ -474,6 +477,7 @@
                          {"queued", this->gate->queued()},
                          {"platform_calls", this->store->calls()},
                          {"nodes", members},
+                         {"owned_domains", owned},
                          {"groups", group_list},
                          {"vms", vms}})
       .dump();
--- a/test/groups-integration-test.cc
+++ b/test/groups-integration-test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(ReturningMemberOfRebuiltGroupStaysOut);
   CPPUNIT_TEST(DarkDomainStopsServingAndOtherDomainGoesOn);
   CPPUNIT_TEST(RecordsNeverBookVmTwiceWhileOwnersFreeze);
+  CPPUNIT_TEST(OwnerLostDuringPlatformOutageLeavesGroupsServing);
   CPPUNIT_TEST(EnginesThatIgnoreGenerationsAnswerForNoOldGroup);
   CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +110,24 @@
     }
   }
 
+  // Guards against a new owner that lets groups lapse because it cannot read their record.
+  void OwnerLostDuringPlatformOutageLeavesGroupsServing() {
+    auto cluster = Cluster::Start({});
+    int owner = 0;
+    while (owner < 3 && cluster->Status(owner)["owned_domains"].empty()) ++owner;
+    CPPUNIT_ASSERT(owner < 3);
+    cluster->ControlPlatform(R"({"outage":"silent","vm_outage":"silent"})");
+    cluster->node(owner).Kill();
+    // Longer than summary_lifetime_ms plus the time to detect the loss of a node.
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(13);
+    for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+      const int node = (owner + 1 + i % 2) % 3;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(cluster->Status(node).dump(), 4, cluster->ServingGroups(node));
+      const Reply reply = cluster->Complete(node, "ownerless " + std::to_string(i));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(reply.body, 200, reply.status);
+    }
+  }
+
   // Guards against trusting engines to refuse an old fencing number.
   void EnginesThatIgnoreGenerationsAnswerForNoOldGroup() {
     ClusterOptions options{.vms_per_domain = 5};
