--- a/src/http/server.h
+++ b/src/http/server.h
@@ -31,9 +31,16 @@
 
   /** Ends the chunked body. A stream that is destroyed without this closes the connection. */
   virtual boost::asio::awaitable<Result<void>> FinishStream() = 0;
+
+  /** Closes the connection without an answer, or without the rest of one. For stand-ins. */
+  virtual void Abort() {}
 };
 
-/** The coroutine is cancelled (terminal cancellation) when the peer closes the connection. */
+/**
+ * The coroutine is cancelled (terminal cancellation) when the peer closes the connection, or closes
+ * its sending side. Its next `co_await` then throws, so work that must come to its end runs in a
+ * coroutine of its own. The exchange lives as long as the coroutine.
+ */
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
 
 struct HttpServerOptions {
@@ -65,7 +72,7 @@
   /** Closes the listener and idle connections; requests in flight go on, and keep-alive ends. */
   virtual void StopAccepting() = 0;
 
-  /** Returns the number of requests that are being handled. */
+  /** Returns the number of requests that are being read or handled. */
   [[nodiscard]] virtual std::size_t in_flight() const = 0;
 };
 
