Hold commands also after taking over from summaries

Cause: an owner that takes its groups from summaries, because the platform is down, has a record without a revision, so the core did not expect commands of its predecessor under way. Change: a record with groups counts as inherited. Figures: assembly-test 16 of 16 pass; without the change the new test fails.

--- a/src/core/assembly.cc
+++ b/src/core/assembly.cc
@@ -51,7 +51,8 @@
   this->input = &step_input;
   if (!this->first_step) {
     this->first_step = now;
-    this->inherited_record = step_input.record.revision != 0;
+    // A record that was put together from summaries has groups but no revision.
+    this->inherited_record = step_input.record.revision != 0 || !step_input.record.groups.empty();
   }
   // After a pause of this process all reports look old although the VMs may be well.
   if (this->last_step && now - *this->last_step > this->options.report_lost) {
--- a/test/assembly-test.cc
+++ b/test/assembly-test.cc
@@ -233,6 +233,7 @@
   CPPUNIT_TEST(LeavingMemberDrainsTheGroup);
   CPPUNIT_TEST(MovedVmWaitsForOldCommands);
   CPPUNIT_TEST(CheckingEngineIsMovedAtOnce);
+  CPPUNIT_TEST(NewOwnerWaitsForItsPredecessorsCommands);
   CPPUNIT_TEST(WrongGenerationIsCommandedAgain);
   CPPUNIT_TEST(ProtectedGroupIsNotBrokenUp);
   CPPUNIT_TEST(LowPriorityGroupIsBrokenUp);
@@ -349,6 +350,10 @@
     document.policy.engines_check_generation = checks_generation;
     Scene scene(10, document);
     scene.Run(seconds(1));  // Commands for the first groups have just been sent.
+    return TimeUntilMoved(scene);
+  }
+
+  static milliseconds TimeUntilMoved(Scene& scene) {
     const VmId moved = scene.Group("reply").members[0];
     scene.record.groups.clear();
     GroupRecord group{GroupId("ennis-1/other"),
@@ -378,6 +383,20 @@
   // Guards against needless waiting where engines refuse old generations themselves.
   void CheckingEngineIsMovedAtOnce() { CPPUNIT_ASSERT(TimeUntilMoved(true) == milliseconds(0)); }
 
+  // Guards against a former owner's command that arrives after the new owner's.
+  void NewOwnerWaitsForItsPredecessorsCommands() {
+    for (const bool record_is_read : {true, false}) {
+      Scene scene(10);
+      scene.Run(seconds(20));
+      scene.core = Assembly<CostPolicy>::Create(Scene::Options(), CostPolicy{});
+      AssemblyInput input = scene.Input();
+      // Without the platform the record is put together from summaries and has no revision.
+      if (!record_is_read) input.record.revision = 0;
+      scene.core.Step(input, scene.Now());
+      CPPUNIT_ASSERT(TimeUntilMoved(scene) >= milliseconds(5250));
+    }
+  }
+
   // Guards against an engine that obeyed an old command and then serves with another group.
   void WrongGenerationIsCommandedAgain() {
     Scene scene(10);
