Measure what an entry node adds in latency and processor time

Cause: no figure said what a node costs, or how it decides under load. The load command spreads its threads over the entry addresses, because a client stays with its first address while that works, and reports how long refusals took.

--- a/src/tool/load-command.cc
+++ b/src/tool/load-command.cc
@@ -54,8 +54,12 @@
 class Worker {
  public:
   Worker(const LoadPlan& plan, const std::vector<Arrival>& arrivals, std::atomic<std::size_t>& next,
-         TimePoint start)
-      : plan(plan), arrivals(arrivals), next(next), start(start) {}
+         TimePoint start, std::size_t number)
+      : plan(plan), arrivals(arrivals), next(next), start(start), addresses(plan.addresses) {
+    // A client stays with its first address while that works; this spreads them over all.
+    const auto first = static_cast<std::ptrdiff_t>(number % this->addresses.size());
+    std::rotate(this->addresses.begin(), this->addresses.begin() + first, this->addresses.end());
+  }
 
   std::vector<Outcome> Run() {
     for (std::size_t i = this->next++; i < this->arrivals.size(); i = this->next++) {
@@ -72,7 +76,7 @@
     auto& client = this->clients[team];
     if (!client) {
       ClientOptions options;
-      options.addresses = this->plan.addresses;
+      options.addresses = this->addresses;
       options.branch = this->plan.branch;
       options.team = this->plan.teams[team].first;
       options.ask_for_addresses = false;
@@ -118,6 +122,7 @@
   const std::vector<Arrival>& arrivals;
   std::atomic<std::size_t>& next;
   TimePoint start;
+  std::vector<std::string> addresses;
   std::map<std::size_t, std::unique_ptr<Client>> clients;
   std::vector<Outcome> outcomes;
 };
@@ -153,6 +158,7 @@
   std::vector<double> first_tokens;
   std::vector<double> totals;
   std::vector<double> gaps;
+  std::vector<double> refusals;
   std::map<std::string, int> by_verdict;
   std::map<std::string, int> by_code;
   double useful = 0;
@@ -163,6 +169,7 @@
     if (!outcome.useful) {
       ++by_verdict[std::string(ToString(outcome.verdict))];
       ++by_code[std::string(ToString(outcome.code))];
+      if (outcome.verdict == Verdict::kNotRun) refusals.push_back(outcome.total);
       continue;
     }
     ++useful;
@@ -182,6 +189,7 @@
           {"first_token_seconds", Percentiles(std::move(first_tokens))},
           {"longest_gap_seconds", Percentiles(std::move(gaps))},
           {"total_seconds", Percentiles(std::move(totals))},
+          {"refusal_seconds", Percentiles(std::move(refusals))},
           {"teams", TeamReport(plan, outcomes, useful)},
           {"errors_by_verdict", by_verdict},
           {"errors_by_code", by_code}};
@@ -204,6 +212,7 @@
     return wrong("prefixes, tokens and attempts must be at least 1");
   }
   if (plan.teams.empty()) return wrong("the mix names no team");
+  if (plan.addresses.empty()) return wrong("no entry address");
   return success();
 }
 
@@ -256,8 +265,8 @@
   {
     std::vector<std::jthread> threads;
     threads.reserve(parts.size());
-    for (auto& part : parts) {
-      threads.emplace_back([&] { part = Worker(plan, arrivals, next, start).Run(); });
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+      threads.emplace_back([&, i] { parts[i] = Worker(plan, arrivals, next, start, i).Run(); });
     }
   }
   const double elapsed = std::max(plan.seconds, Seconds(Clock::now() - start));
