--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -46,6 +46,9 @@
     TimingField{"order_delay_bound_ms", &Settings::order_delay_bound_ms, 0, 10 * kMinuteMs},
 };
 
+constexpr std::array<std::string_view, 5> kSections = {"node", "platform", "timing", "routing",
+                                                       "log"};
+
 constexpr std::size_t kMaxNameLength = 64;
 constexpr int kMaxThreads = 256;
 
@@ -84,6 +87,7 @@
     this->ReadNode();
     this->ReadPlatform();
     this->ReadTiming();
+    this->ReadRouting();
     this->ReadLog();
     this->CheckTimingCombinations();
     this->CheckAddressCombinations();
@@ -119,7 +123,7 @@
     for (const auto& [key, value] : this->root) {
       const std::string_view section = key.str();
       const std::uint32_t line = key.source().begin.line;
-      if (section != "node" && section != "platform" && section != "timing" && section != "log") {
+      if (std::find(kSections.begin(), kSections.end(), section) == kSections.end()) {
         this->AddFault(line, std::string(section), "unknown section");
       } else if (!value.is_table()) {
         this->AddFault(line, std::string(section), "must be a section");
@@ -274,6 +278,21 @@
     this->CheckKeys("timing", known);
   }
 
+  void ReadRouting() {
+    this->CheckKeys("routing", std::array<std::string_view, 1>{"policy"});
+    auto name = this->ReadText("routing", "policy", false);
+    if (!name) return;
+    if (const auto policy = RoutingPolicyOf(*name)) {
+      this->settings.routing_policy = *policy;
+      return;
+    }
+    std::string known;
+    for (const auto& [text, policy] : kRoutingPolicies) {
+      known += (known.empty() ? "" : ", ") + std::string(text);
+    }
+    this->AddFault(this->LineOf("routing", "policy"), "routing.policy", "must be one of " + known);
+  }
+
   void ReadLog() {
     this->CheckKeys("log", std::array<std::string_view, 1>{"level"});
     auto level = this->ReadText("log", "level", false);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "base/routing-policy.h"
 #include "limpetfall/result.h"
 
 namespace limpetfall {
@@ -13,9 +14,12 @@
 /**
  * Settings of one entry node, read from a TOML file.
  *
- *     [node]      id, zone, caller_address, admin_address, metrics_address, node_address, seeds,
- * threads [platform]  store (list of "IP:port"), vm_list ("IP:port") [timing]    the `_ms` fields
- * below [log]       level
+ *     [node]      id, zone, caller_address, admin_address, metrics_address, node_address,
+ *                 advertised_address, seeds, threads
+ *     [platform]  store (list of "IP:port"), vm_list ("IP:port")
+ *     [timing]    the `_ms` fields below
+ *     [routing]   policy
+ *     [log]       level
  */
 struct Settings {
   NodeId node;
@@ -50,6 +54,8 @@
   std::int64_t order_delay_bound_ms =
       5000;  ///< Longest time an order to an engine can be under way.
 
+  RoutingPolicy routing_policy = RoutingPolicy::kPrefixAndLoad;
+
   std::string log_level = "info";
 
   friend bool operator==(const Settings&, const Settings&) = default;
--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -66,9 +66,9 @@
                                                                             : candidates[first];
 }
 
-const std::shared_ptr<detail::GroupEntry>& Choose(const Entries& candidates,
-                                                  const RouteRequest& request,
-                                                  std::mt19937_64& random) {
+const std::shared_ptr<detail::GroupEntry>& ByPrefixAndLoad(const Entries& candidates,
+                                                           const RouteRequest& request,
+                                                           std::mt19937_64& random) {
   for (const auto& candidate : candidates) {
     if (request.fingerprint != 0 && candidate->fingerprints.contains(request.fingerprint)) {
       return candidate;
@@ -83,6 +83,22 @@
   return LessLoadedOfTwo(candidates, random);
 }
 
+const std::shared_ptr<detail::GroupEntry>& Choose(RoutingPolicy policy, const Entries& candidates,
+                                                  const RouteRequest& request,
+                                                  detail::GroupShard& shard) {
+  switch (policy) {
+    case RoutingPolicy::kRoundRobin:
+      return candidates[shard.choices++ % candidates.size()];
+    case RoutingPolicy::kLeastInFlight:
+      return *std::min_element(
+          candidates.begin(), candidates.end(),
+          [](const auto& left, const auto& right) { return left->load.own() < right->load.own(); });
+    case RoutingPolicy::kPrefixAndLoad:
+      break;
+  }
+  return ByPrefixAndLoad(candidates, request, shard.random);
+}
+
 }  // namespace
 
 std::uint64_t PrefixHash(const ModelName& model, std::string_view prompt) {
@@ -150,7 +166,7 @@
   this->entry.reset();
 }
 
-GroupTable::GroupTable(std::uint64_t seed) {
+GroupTable::GroupTable(std::uint64_t seed, RoutingPolicy policy) : policy(policy) {
   for (auto& shard : this->shards) {
     shard = std::make_shared<detail::GroupShard>();
     shard->random.seed(seed++);
@@ -227,7 +243,7 @@
     return NotRun(ErrorCode::kResourceExhausted,
                   "all groups of model " + request.model.value + " are at their in-flight limit");
   }
-  return GroupTicket(shard, Choose(candidates, request, shard->random), request);
+  return GroupTicket(shard, Choose(this->policy, candidates, request, *shard), request);
 }
 
 int GroupTable::in_flight() const {
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -12,6 +12,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "base/routing-policy.h"
 #include "core/document.h"
 #include "core/types.h"
 #include "limpetfall/result.h"
@@ -82,6 +83,7 @@
 struct GroupShard {
   std::mutex mutex;
   std::mt19937_64 random;
+  std::uint64_t choices = 0;  ///< Position of round robin.
   std::map<GroupKey, std::shared_ptr<GroupEntry>> groups;
 };
 
@@ -133,7 +135,7 @@
 class GroupTable {
  public:
   /** `seed` determines the random candidates of later choices. */
-  explicit GroupTable(std::uint64_t seed);
+  explicit GroupTable(std::uint64_t seed, RoutingPolicy policy = RoutingPolicy::kPrefixAndLoad);
 
   /** Takes a summary; one of an older generation is ignored. */
   void Update(const GroupSummary& summary, Deadline serve_until, TimePoint now);
@@ -159,6 +161,7 @@
   [[nodiscard]] const std::shared_ptr<detail::GroupShard>& ShardOf(const ModelName& model) const;
   void ForgetOtherModel(const GroupSummary& summary);
 
+  RoutingPolicy policy;
   std::array<std::shared_ptr<detail::GroupShard>, kShards> shards;
   std::mutex index_mutex;
   std::map<GroupKey, ModelName> index;  ///< Shard of each group; a group can change its model.
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -282,7 +282,7 @@
 
 void EntryNodeImpl::BuildDispatcher() {
   const std::uint64_t seed = std::random_device{}();
-  this->groups = std::make_shared<GroupTable>(seed);
+  this->groups = std::make_shared<GroupTable>(seed, this->settings.routing_policy);
   this->services = std::make_shared<ServiceTable>(seed + 1);
   this->quarantine = std::make_shared<QuarantineTable>(this->settings.node);
   this->gate = AdmissionGate::Create(this->io.get_executor(), AdmissionOptions{});
--- a/test/routing-test.cc
+++ b/test/routing-test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(EqualPrefixesShareAGroup);
   CPPUNIT_TEST(OverloadedPreferredGroupIsRelieved);
   CPPUNIT_TEST(EqualRequestsShareAGroupWhenOverloaded);
+  CPPUNIT_TEST(BaselinePoliciesIgnoreThePrefix);
   CPPUNIT_TEST(OneSuspectAtATimeOnAGroup);
   CPPUNIT_TEST(LeavingAndUnreachableUpstreamsGetNoCalls);
   CPPUNIT_TEST(UpstreamLimitHolds);
@@ -255,6 +256,23 @@
     this->services.SetUpstreams(spec);
   }
 
+  // Guards against measurements that compare the default policy with itself.
+  void BaselinePoliciesIgnoreThePrefix() {
+    for (RoutingPolicy policy : {RoutingPolicy::kRoundRobin, RoutingPolicy::kLeastInFlight}) {
+      GroupTable baseline(kSeed, policy);
+      for (const char* name : {"g1", "g2", "g3"}) {
+        baseline.Update(Summary(name), this->now + seconds(8), this->now);
+      }
+      std::vector<GroupTicket> tickets;
+      std::set<std::string> chosen;
+      for (int i = 0; i < 3; ++i) {
+        tickets.push_back(baseline.Acquire(this->request, this->now).value());
+        chosen.insert(tickets.back().group().group.value);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t(3), chosen.size());
+    }
+  }
+
  private:
   static GroupSummary Summary(const std::string& name) {
     GroupSummary group;
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(WrongTypesAreRefused);
   CPPUNIT_TEST(BadAddressesAreRefused);
   CPPUNIT_TEST(ImpossibleCombinationsAreRefused);
+  CPPUNIT_TEST(UnknownRoutingPolicyIsRefused);
   CPPUNIT_TEST(SyntaxErrorNamesItsLine);
   CPPUNIT_TEST(MissingFileIsReported);
   CPPUNIT_TEST_SUITE_END();
@@ -77,6 +78,14 @@
     AssertFault("t.toml:1: node.zone: missing", "[node]\nid = \"n\"\n");
   }
 
+  // Guards against a misspelt policy that silently runs as the default.
+  void UnknownRoutingPolicyIsRefused() {
+    AssertFault("t.toml:18: routing.policy: must be one of prefix-and-load, round-robin",
+                kValid + "[routing]\npolicy = \"random\"\n");
+    const auto settings = ParseSettings(kValid + "[routing]\npolicy = \"round-robin\"\n", "t.toml");
+    CPPUNIT_ASSERT(settings.value().routing_policy == RoutingPolicy::kRoundRobin);
+  }
+
   // Guards against a quoted number or a float that is silently converted.
   void WrongTypesAreRefused() {
     AssertFault("t.toml:15: timing.probe_interval_ms: must be an integer",
