--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -15,6 +15,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "base/routing-policy.h"
 #include "core/document.h"
 #include "core/types.h"
 #include "limpetfall/result.h"
@@ -86,6 +87,7 @@
 struct GroupShard {
   std::mutex mutex;
   std::mt19937_64 random;
+  std::uint64_t choices = 0;  ///< Position of round robin.
   std::map<GroupKey, std::shared_ptr<GroupEntry>> groups;
 };
 
@@ -137,7 +139,7 @@
 class GroupTable {
  public:
   /** `seed` determines the random candidates of later choices. */
-  explicit GroupTable(std::uint64_t seed);
+  explicit GroupTable(std::uint64_t seed, RoutingPolicy policy = RoutingPolicy::kPrefixAndLoad);
 
   /** Takes a summary; one of an older generation is ignored. */
   void Update(const GroupSummary& summary, Deadline serve_until, TimePoint now);
@@ -169,6 +171,7 @@
   [[nodiscard]] const std::shared_ptr<detail::GroupShard>& ShardOf(const ModelName& model) const;
   void ForgetOtherModel(const GroupSummary& summary);
 
+  RoutingPolicy policy;
   std::array<std::shared_ptr<detail::GroupShard>, kShards> shards;
   std::atomic<int> nodes{std::numeric_limits<int>::max()};  ///< Until known, assumes many.
   std::mutex index_mutex;
--- a/src/tool/load-command.cc
+++ b/src/tool/load-command.cc
@@ -53,9 +53,13 @@
 /** One thread of the load; all threads take arrivals from one list. */
 class Worker {
  public:
-  Worker(std::size_t index, const LoadPlan& plan, const std::vector<Arrival>& arrivals,
-         std::atomic<std::size_t>& next, TimePoint start)
-      : index(index), plan(plan), arrivals(arrivals), next(next), start(start) {}
+  Worker(const LoadPlan& plan, const std::vector<Arrival>& arrivals, std::atomic<std::size_t>& next,
+         TimePoint start, std::size_t number)
+      : plan(plan), arrivals(arrivals), next(next), start(start), addresses(plan.addresses) {
+    // A client stays with its first address while that works; this spreads them over all.
+    const auto first = static_cast<std::ptrdiff_t>(number % this->addresses.size());
+    std::rotate(this->addresses.begin(), this->addresses.begin() + first, this->addresses.end());
+  }
 
   std::vector<Outcome> Run() {
     for (std::size_t i = this->next++; i < this->arrivals.size(); i = this->next++) {
@@ -72,11 +76,7 @@
     auto& client = this->clients[team];
     if (!client) {
       ClientOptions options;
-      options.addresses = this->plan.addresses;
-      std::rotate(options.addresses.begin(),
-                  options.addresses.begin() +
-                      static_cast<std::ptrdiff_t>(this->index % options.addresses.size()),
-                  options.addresses.end());
+      options.addresses = this->addresses;
       options.branch = this->plan.branch;
       options.team = this->plan.teams[team].first;
       options.ask_for_addresses = false;
@@ -118,11 +118,11 @@
     return outcome;
   }
 
-  std::size_t index;  ///< Threads divide the nodes among themselves.
   const LoadPlan& plan;
   const std::vector<Arrival>& arrivals;
   std::atomic<std::size_t>& next;
   TimePoint start;
+  std::vector<std::string> addresses;
   std::map<std::size_t, std::unique_ptr<Client>> clients;
   std::vector<Outcome> outcomes;
 };
@@ -158,6 +158,7 @@
   std::vector<double> first_tokens;
   std::vector<double> totals;
   std::vector<double> gaps;
+  std::vector<double> refusals;
   std::map<std::string, int> by_verdict;
   std::map<std::string, int> by_code;
   double useful = 0;
@@ -168,6 +169,7 @@
     if (!outcome.useful) {
       ++by_verdict[std::string(ToString(outcome.verdict))];
       ++by_code[std::string(ToString(outcome.code))];
+      if (outcome.verdict == Verdict::kNotRun) refusals.push_back(outcome.total);
       continue;
     }
     ++useful;
@@ -187,6 +189,7 @@
           {"first_token_seconds", Percentiles(std::move(first_tokens))},
           {"longest_gap_seconds", Percentiles(std::move(gaps))},
           {"total_seconds", Percentiles(std::move(totals))},
+          {"refusal_seconds", Percentiles(std::move(refusals))},
           {"teams", TeamReport(plan, outcomes, useful)},
           {"errors_by_verdict", by_verdict},
           {"errors_by_code", by_code}};
@@ -209,6 +212,7 @@
     return wrong("prefixes, tokens and attempts must be at least 1");
   }
   if (plan.teams.empty()) return wrong("the mix names no team");
+  if (plan.addresses.empty()) return wrong("no entry address");
   return success();
 }
 
@@ -262,7 +266,7 @@
     std::vector<std::jthread> threads;
     threads.reserve(parts.size());
     for (std::size_t i = 0; i < parts.size(); ++i) {
-      threads.emplace_back([&, i] { parts[i] = Worker(i, plan, arrivals, next, start).Run(); });
+      threads.emplace_back([&, i] { parts[i] = Worker(plan, arrivals, next, start, i).Run(); });
     }
   }
   const double elapsed = std::max(plan.seconds, Seconds(Clock::now() - start));
@@ -276,8 +280,8 @@
       "Sends completions at a fixed rate, whether or not earlier ones have ended, and prints a "
       "report as JSON.",
       ' ', std::string(kVersion));
-  TCLAP::MultiArg<std::string> addresses("n", "node", "caller address of a node; may be repeated",
-                                         true, "IP:port", line);
+  TCLAP::MultiArg<std::string> addresses("a", "address", "entry address; may be repeated", true,
+                                         "IP:port", line);
   TCLAP::ValueArg<std::string> branch("b", "branch", "branch", true, "", "BRANCH", line);
   TCLAP::ValueArg<std::string> model("m", "model", "model", true, "", "MODEL", line);
   TCLAP::ValueArg<std::string> teams("t", "teams", "teams and their shares of the requests", true,
@@ -289,7 +293,7 @@
                                   line);
   TCLAP::ValueArg<int> threads("j", "threads", "most requests at a time", false, plan.threads, "N",
                                line);
-  TCLAP::ValueArg<int> tokens("x", "max-tokens", "longest completion", false, plan.max_tokens, "N",
+  TCLAP::ValueArg<int> tokens("n", "max-tokens", "longest completion", false, plan.max_tokens, "N",
                               line);
   TCLAP::ValueArg<int> prefixes("p", "prefixes", "distinct beginnings of prompts", false,
                                 plan.prefixes, "N", line);
