Compare a preferred group with the other groups' load

Cause: the mean that a preferred group is compared with included its own load, so a slow group raised its own threshold above the in-flight limit and kept its prefixes until it was full; two nodes then queued requests in its engine. Change: the mean is that of the other candidates, and the margin is 1.25 times that mean plus 1, before 1.5 times plus 2. Test: SlowPreferredGroupIsRelievedBelowItsLimit.

--- a/src/core/routing.cc
+++ b/src/core/routing.cc
@@ -11,9 +11,10 @@
 // Prompts of one team share instructions at their beginning; the caller's own text follows.
 constexpr std::size_t kPrefixBytes = 256;
 
-// A preferred group may carry this much more than the mean before load decides instead.
-constexpr double kAffinityLoadFactor = 1.5;
-constexpr double kAffinityLoadSlack = 2;
+// A preferred group may carry this much more than the mean of the others before load decides
+// instead.
+constexpr double kAffinityLoadFactor = 1.25;
+constexpr double kAffinityLoadSlack = 1;
 
 std::uint64_t Hash(std::string_view text, std::uint64_t seed) {
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
@@ -47,10 +48,13 @@
   return Hash(entry.summary.group.value, Hash(entry.summary.domain.value, prefix_hash));
 }
 
+// The mean is that of the other candidates. With its own load in it, a slow group raises its
+// threshold above the in-flight limit and keeps its prefixes while the others have room.
 bool Overloaded(const detail::GroupEntry& entry, const Entries& candidates) {
-  double sum = 0;
+  if (candidates.size() == 1) return false;
+  double sum = -entry.load.total();
   for (const auto& candidate : candidates) sum += candidate->load.total();
-  const double mean = sum / static_cast<double>(candidates.size());
+  const double mean = sum / static_cast<double>(candidates.size() - 1);
   return entry.load.total() > kAffinityLoadFactor * mean + kAffinityLoadSlack;
 }
 
--- a/test/routing-test.cc
+++ b/test/routing-test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(OwnRequestsAreNotCountedTwice);
   CPPUNIT_TEST(EqualPrefixesShareAGroup);
   CPPUNIT_TEST(OverloadedPreferredGroupIsRelieved);
+  CPPUNIT_TEST(SlowPreferredGroupIsRelievedBelowItsLimit);
   CPPUNIT_TEST(EqualRequestsShareAGroupWhenOverloaded);
   CPPUNIT_TEST(BaselinePoliciesIgnoreThePrefix);
   CPPUNIT_TEST(OneSuspectAtATimeOnAGroup);
@@ -197,6 +198,16 @@
     for (const auto& [group, count] : load) CPPUNIT_ASSERT(count <= 19);
   }
 
+  // Guards against a slow group that keeps its prefixes until it is full, because its own load
+  // raises the mean that it is compared with.
+  void SlowPreferredGroupIsRelievedBelowItsLimit() {
+    for (const char* name : {"g1", "g2", "g3", "g4"}) this->Add(name);
+    const std::string preferred = this->Chosen();
+    this->Add(preferred);  // The next report no longer covers the request of the choice above.
+    for (const char* name : {"g1", "g2", "g3", "g4"}) this->Add(name, name == preferred ? 5 : 3);
+    for (int i = 0; i < 20; ++i) CPPUNIT_ASSERT(this->Chosen() != preferred);
+  }
+
   // Guards against one request that crashes several groups at the same time.
   void EqualRequestsShareAGroupWhenOverloaded() {
     for (const char* name : {"g1", "g2", "g3"}) this->Add(name);
