--- a/test/groups-integration-test.cc
+++ b/test/groups-integration-test.cc
@@ -181,7 +181,7 @@
     for (int i = 0; i < 10; ++i) {
       const Reply reply = cluster->Complete(0, "after loss " + std::to_string(i));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(reply.body, 200, reply.status);
-      CPPUNIT_ASSERT(!AnsweredBy(*cluster, group, reply));
+      CPPUNIT_ASSERT(!AnsweredBy(*cluster, group, reply, group.back()));
     }
   }
 
@@ -223,11 +223,13 @@
   }
 
   // Says whether the request of this reply ran to its end on a member of `group` only.
-  static bool AnsweredBy(const Cluster& cluster, const std::vector<int>& group,
-                         const Reply& reply) {
+  // A frozen member is skipped: it would only let the request for its journal time out.
+  static bool AnsweredBy(const Cluster& cluster, const std::vector<int>& group, const Reply& reply,
+                         int frozen = -1) {
     const std::string id = reply.headers.at("x-request-id");
     std::set<int> ran;
     for (int vm = 0; vm < 8; ++vm) {
+      if (vm == frozen) continue;
       for (const json& run : cluster.EngineJournal(vm)) {
         if (run.value("id", "") == id) ran.insert(vm);
       }
