Tell the repeat of an order in a platform outage that it may have run

Cause: with the platform down an order was refused with "not run" although an earlier attempt with its key may have run; the claim, which knows, could not be read. Ruled out: asking the other nodes, because the node that ran it may be dead. Change: "not run" is told only for a first attempt (X-Attempt: 1); any other attempt whose claim cannot be read may have run. Three tests of the claim now state which attempt they mean, and the first also checks the other case. The subcommand "drain vm", which no node served, is removed.

Conclusion: "not run" is true of the order, not only of the attempt.

--- a/src/caller/caller-api.cc
+++ b/src/caller/caller-api.cc
@@ -282,6 +282,7 @@
   if (request.headers.contains("Idempotency-Key")) {
     call.idempotency_key = RequiredName(request, "Idempotency-Key", faults);
   }
+  call.first_attempt = HeaderOf(request, "X-Attempt") == "1";
   static constexpr std::array<std::string_view, 7> kMethods = {"GET",   "HEAD",   "POST",   "PUT",
                                                                "PATCH", "DELETE", "OPTIONS"};
   if (std::find(kMethods.begin(), kMethods.end(), request.method) == kMethods.end()) {
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -54,6 +54,7 @@
   std::string body;
   std::string idempotency_key;  ///< Empty when the caller sent none.
   Deadline deadline;
+  bool first_attempt = false;  ///< The caller has not sent this key before.
 
   friend bool operator==(const ServiceCall&, const ServiceCall&) = default;
 };
--- a/src/daemon/order-runner.h
+++ b/src/daemon/order-runner.h
@@ -134,6 +134,7 @@
     Deadline claim_by;
     Deadline answer_by;
     std::int64_t expected = 0;  ///< Revision that the claim replaces; 0 when there is none.
+    bool first_attempt = false;
     bool may_be_written = false;
   };
 
@@ -178,6 +179,7 @@
     claiming.value = SerializeClaim(claiming.own);
     claiming.claim_by = std::min(call.deadline, start + self->options.claim_timeout);
     claiming.answer_by = call.deadline;
+    claiming.first_attempt = call.first_attempt;
 
     const Claimed claimed = co_await self->Claim(claiming);
     if (claimed.reply) {
@@ -211,7 +213,8 @@
     for (;;) {
       const Deadline write_by = claiming.claim_by;
       if (Clock::now() >= write_by) {
-        co_return Refusal(NotRun(ErrorCode::kDeadlineExceeded, "the deadline has passed"));
+        const Error late = NotRun(ErrorCode::kDeadlineExceeded, "the deadline has passed");
+        co_return Refusal(claiming, late);
       }
       auto outcome = co_await this->store->Swap(claiming.key, claiming.value, claiming.expected,
                                                 kClaimLeaseSeconds, write_by);
@@ -220,7 +223,7 @@
         const TimePoint next = Clock::now() + this->options.first_pause;
         // Without a write that may be under way there is nothing to wait for.
         if (!claiming.may_be_written || next >= claiming.claim_by) {
-          co_return Refusal(outcome.error());
+          co_return Refusal(claiming, outcome.error());
         }
         co_await detail::PauseUntil(next);
         continue;
@@ -233,10 +236,12 @@
     }
   }
 
-  static Claimed Refusal(const Error& error) {
+  // Without the claim, nobody knows whether an earlier attempt with this key has run.
+  static Claimed Refusal(const Claiming& claiming, const Error& error) {
     const ErrorCode code =
         error.code == ErrorCode::kDeadlineExceeded ? error.code : ErrorCode::kUnavailable;
-    return {0, NotRun(code, "the order could not be claimed: " + error.message)};
+    const Verdict verdict = claiming.first_attempt ? Verdict::kNotRun : Verdict::kMayHaveRun;
+    return {0, Error{code, "the order could not be claimed: " + error.message, verdict}};
   }
 
   // Deals with a claim that is in the store already. Returns nothing when the claim is to be
--- a/src/tool/admin-commands.cc
+++ b/src/tool/admin-commands.cc
@@ -172,13 +172,4 @@
   return Print(admin.Send("POST", "/admin/drain", "", {}));
 }
 
-ExitCode DrainVm(const Arguments& arguments) {
-  TCLAP::CmdLine line("Moves the work of a VM elsewhere before it is stopped.", ' ',
-                      std::string(kVersion));
-  AdminArgument admin(line);
-  TCLAP::UnlabeledValueArg<std::string> vm("vm", "id in the VM list", true, "", "VM", line);
-  if (auto done = Parse(line, "drain vm", arguments)) return *done;
-  return Print(admin.Send("POST", "/admin/vms/" + vm.getValue() + "/drain", "", {}));
-}
-
 }  // namespace limpetfall
--- a/src/tool/admin-commands.h
+++ b/src/tool/admin-commands.h
@@ -14,7 +14,6 @@
 ExitCode ConfigDiff(const Arguments& arguments);
 ExitCode Status(const Arguments& arguments);
 ExitCode DrainNode(const Arguments& arguments);
-ExitCode DrainVm(const Arguments& arguments);
 
 }  // namespace limpetfall
 
--- a/src/tool/main.cc
+++ b/src/tool/main.cc
@@ -35,7 +35,6 @@
       {"config diff", "list what a document would change", ConfigDiff},
       {"status", "print the state of a node", Status},
       {"drain node", "start the planned stop of a node", DrainNode},
-      {"drain vm", "move the work of a VM elsewhere", DrainVm},
       {"complete", "run a completion", Complete},
       {"order", "place an order that runs at most once", Order},
       {"replay", "replay traces and compare policies", Replay},
--- a/test/harness/cluster.h
+++ b/test/harness/cluster.h
@@ -23,7 +23,7 @@
   bool proxy_platform = false;  ///< Puts a fault proxy between each node and the store.
   bool proxy_service = false;   ///< Puts a fault proxy before the plain service.
   bool proxy_nodes = false;     ///< Puts a fault proxy before the RPC port of each node.
-  std::string extra_timing{};     ///< Lines added to the [timing] table of each node's settings.
+  std::string extra_timing{};   ///< Lines added to the [timing] table of each node's settings.
 };
 
 /**
--- a/test/order-claims-test.cc
+++ b/test/order-claims-test.cc
@@ -57,6 +57,12 @@
   return call;
 }
 
+ServiceCall FirstAttempt() {
+  ServiceCall call = Order();
+  call.first_attempt = true;
+  return call;
+}
+
 std::string KeyOf(const ServiceCall& call) {
   return ClaimKey(call.service, call.idempotency_key).value();
 }
@@ -202,9 +208,11 @@
   // Guards against an order that is dispatched without a claim.
   void PlatformDownRefusesAsNotRun() {
     this->store->down = true;
-    const auto answer = Run(this->first);
+    const auto answer = Run(this->first, FirstAttempt());
     CPPUNIT_ASSERT(answer.error().code == ErrorCode::kUnavailable);
     CPPUNIT_ASSERT(answer.error().verdict == Verdict::kNotRun);
+    // A call that does not say so may be a repeat of one that ran.
+    CPPUNIT_ASSERT(Run(this->first).error().verdict == Verdict::kMayHaveRun);
     ExpectRuns(0);
   }
 
@@ -231,7 +239,7 @@
   void UnconfirmedClaimIsNeverDispatched() {
     this->store->swap_faults.assign(40, Fault::kRefuse);
     this->store->swap_faults.push_front(Fault::kLoseReply);
-    const auto answer = Run(this->first);
+    const auto answer = Run(this->first, FirstAttempt());
     CPPUNIT_ASSERT(answer.error().verdict == Verdict::kNotRun);
     ExpectRuns(0);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->first->unsettled());
@@ -249,7 +257,7 @@
   void LateClaimWriteCannotBlockTheOrder() {
     this->store->swap_faults.assign(40, Fault::kRefuse);
     this->store->swap_faults.push_front(Fault::kDelay);
-    CPPUNIT_ASSERT(Run(this->first).error().verdict == Verdict::kNotRun);
+    CPPUNIT_ASSERT(Run(this->first, FirstAttempt()).error().verdict == Verdict::kNotRun);
     this->store->swap_faults.clear();
     this->io.run();
     this->store->DeliverDelayed();
--- a/test/orders-integration-test.cc
+++ b/test/orders-integration-test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(NodeKilledAfterDispatchRunsOnce);
   CPPUNIT_TEST(LostClaimReplyRunsOnce);
   CPPUNIT_TEST(PlatformDownIsNotRun);
+  CPPUNIT_TEST(RepeatOfOrderThatRanIsNeverNotRunInOutage);
   CPPUNIT_TEST(SilentServiceMayHaveRun);
   CPPUNIT_TEST(RefusedByServiceIsNotRunAndMayBeSentAgain);
   CPPUNIT_TEST(UnreachableServiceIsNotRun);
@@ -113,7 +114,13 @@
   void PlatformDownIsNotRun() {
     auto cluster = Cluster::Start(kSmall);
     cluster->ControlPlatform(R"({"outage":"silent"})");
-    const Reply refused = cluster->Order(0, "job-6", R"({"job":"outage-6"})");
+    const Reply refused = Fetch("POST", cluster->caller_url(0) + "/v1/services/order-book/orders",
+                                R"({"job":"outage-6"})",
+                                {{"X-Branch", "ennis"},
+                                 {"X-Team", "councils"},
+                                 {"Idempotency-Key", "job-6"},
+                                 {"X-Attempt", "1"}},
+                                milliseconds(30000));
     CPPUNIT_ASSERT_EQUAL_MESSAGE(refused.body, std::string("not-run"), VerdictOf(refused));
     CPPUNIT_ASSERT_EQUAL(0, cluster->OrdersRun("outage-6"));
     cluster->ControlPlatform(R"({"outage":"none"})");
@@ -127,6 +134,18 @@
     CPPUNIT_ASSERT_EQUAL(1, cluster->OrdersRun("outage-6"));
   }
 
+  // Guards against "not run" for a repeat whose first attempt ran, when the claim cannot be read.
+  void RepeatOfOrderThatRanIsNeverNotRunInOutage() {
+    auto cluster = Cluster::Start(kSmall);
+    cluster->ControlService(R"({"drop_after":1})");
+    (void)cluster->Order(0, "job-11", R"({"job":"ran-11"})");
+    CPPUNIT_ASSERT_EQUAL(1, cluster->OrdersRun("ran-11"));
+    cluster->ControlPlatform(R"({"outage":"refuse"})");
+    const Reply repeat = cluster->Order(1, "job-11", R"({"job":"ran-11"})");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(repeat.body, std::string("may-have-run"), VerdictOf(repeat));
+    CPPUNIT_ASSERT_EQUAL(1, cluster->OrdersRun("ran-11"));
+  }
+
   // Guards against calling an order "not run" because its service went silent after the effect.
   void SilentServiceMayHaveRun() {
     auto cluster = Cluster::Start(kSmall);
