--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -74,12 +74,10 @@
  public:
   explicit EngineOpener(std::shared_ptr<HttpClient> http) : client(std::move(http)) {}
 
-  net::awaitable<Result<std::unique_ptr<TokenStream>>> Open(GroupSummary group,
-                                                            CompletionRequest request,
-                                                            std::vector<std::string> resume_tokens,
-                                                            Deadline deadline) {
-    return OpenCompletion(*this->client, std::move(group), std::move(request),
-                          std::move(resume_tokens), deadline);
+  net::awaitable<Result<std::unique_ptr<TokenStream>>> Open(
+      const GroupSummary& group, const CompletionRequest& request,
+      const std::vector<std::string>& resume_tokens, Deadline deadline) {
+    return OpenCompletion(*this->client, group, request, resume_tokens, deadline);
   }
 
  private:
