--- a/test/answers-integration-test.cc
+++ b/test/answers-integration-test.cc
@@ -98,6 +98,7 @@
     std::atomic<int> dropped{0};
     const auto end = std::chrono::steady_clock::now() + kDuration;
     std::vector<std::jthread> clients;
+    clients.reserve(kClients);
     for (int client = 0; client < kClients; ++client) {
       clients.emplace_back([&, client] {
         std::mt19937 random(static_cast<unsigned>(client));
--- a/test/config-integration-test.cc
+++ b/test/config-integration-test.cc
@@ -54,6 +54,7 @@
     std::atomic<int> accepted{0};
     std::atomic<int> conflicts{0};
     std::vector<std::jthread> operators;
+    operators.reserve(6);
     for (int i = 0; i < 6; ++i) {
       operators.emplace_back([&, i] {
         json document = cluster->document();
--- a/test/harness/process.cc
+++ b/test/harness/process.cc
@@ -129,9 +129,9 @@
 
 Easy MakeRequest(const std::string& method, const std::string& url, const std::string& body,
                  const HeaderLines& lines, std::chrono::milliseconds longest) {
-  static const CURLcode kGlobal = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static const CURLcode global = curl_global_init(CURL_GLOBAL_DEFAULT);
   Easy easy(curl_easy_init(), &curl_easy_cleanup);
-  if (kGlobal != CURLE_OK || easy == nullptr) throw std::runtime_error("libcurl does not start");
+  if (global != CURLE_OK || easy == nullptr) throw std::runtime_error("libcurl does not start");
   curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
   curl_easy_setopt(easy.get(), CURLOPT_CUSTOMREQUEST, method.c_str());
   curl_easy_setopt(easy.get(), CURLOPT_HTTPHEADER, lines.get());
@@ -147,7 +147,9 @@
 HeaderLines MakeHeaders(const std::map<std::string, std::string>& headers) {
   curl_slist* lines = curl_slist_append(nullptr, "Expect:");
   for (const auto& [name, value] : headers) {
-    const std::string line = name + ": " + value;
+    std::string line = name;
+    line += ": ";
+    line += value;
     lines = curl_slist_append(lines, line.c_str());
   }
   return {lines, &curl_slist_free_all};
--- a/test/orders-integration-test.cc
+++ b/test/orders-integration-test.cc
@@ -65,6 +65,7 @@
     cluster->ControlService(R"({"delay_ms":300})");
     std::vector<Reply> replies(6);
     std::vector<std::jthread> callers;
+    callers.reserve(6);
     for (int i = 0; i < 6; ++i) {
       callers.emplace_back([&, i] {
         replies[static_cast<std::size_t>(i)] =
--- a/test/stand-ins/fault-proxy.cc
+++ b/test/stand-ins/fault-proxy.cc
@@ -67,14 +67,14 @@
   }
 
   bool SetMode(const std::string& name, int delay) {
-    static const std::map<std::string, Mode> kModes = {{"pass", Mode::kPass},
-                                                       {"cut", Mode::kCut},
-                                                       {"silence", Mode::kSilence},
-                                                       {"silence_existing", Mode::kPass},
-                                                       {"silence_replies", Mode::kSilenceReplies},
-                                                       {"drop_replies", Mode::kDropReplies}};
-    auto found = kModes.find(name);
-    if (found == kModes.end()) return false;
+    static const std::map<std::string, Mode> modes = {{"pass", Mode::kPass},
+                                                      {"cut", Mode::kCut},
+                                                      {"silence", Mode::kSilence},
+                                                      {"silence_existing", Mode::kPass},
+                                                      {"silence_replies", Mode::kSilenceReplies},
+                                                      {"drop_replies", Mode::kDropReplies}};
+    auto found = modes.find(name);
+    if (found == modes.end()) return false;
     this->mode = found->second;
     this->delay_ms = delay;
     if (name == "silence_existing") {
