Start stand-ins in one way and name priorities in one place

Cause: two classes started child processes for tests, under two namespaces, and three functions gave the name of a priority. Change: Process::StartListening replaces ChildProcess; the harness is in limpetfall::testing; ToString(Priority) is in core/document.h. Conclusion: behaviour and assertions are unchanged.

--- a/src/core/config-document.cc
+++ b/src/core/config-document.cc
@@ -537,18 +537,6 @@
   std::vector<Frame> frames;
 };
 
-std::string_view ToText(Priority priority) {
-  switch (priority) {
-    case Priority::kHigh:
-      return "high";
-    case Priority::kNormal:
-      return "normal";
-    case Priority::kLow:
-      return "low";
-  }
-  return "normal";
-}
-
 template <typename Tag>
 Json ToJson(const std::vector<Id<Tag>>& ids) {
   Json list = Json::array();
@@ -562,7 +550,7 @@
           {"vms_per_group", model.vms_per_group},
           {"groups", model.groups},
           {"min_groups", model.min_groups},
-          {"priority", ToText(model.priority)},
+          {"priority", ToString(model.priority)},
           {"max_in_flight_per_group", model.max_in_flight_per_group},
           {"zones", ToJson(model.zones)}};
 }
@@ -570,7 +558,7 @@
 Json ToJson(const TeamSpec& team) {
   return {{"name", team.name.value},
           {"weight", team.weight},
-          {"priority", ToText(team.priority)},
+          {"priority", ToString(team.priority)},
           {"requests_per_second", team.requests_per_second},
           {"max_queued_per_node", team.max_queued_per_node}};
 }
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/ids.h"
@@ -12,6 +13,19 @@
 /** Order in which waiting requests are served; a lower value is served first. */
 enum class Priority { kHigh = 0, kNormal = 1, kLow = 2 };
 
+/** Returns the form in documents, on the wire and in metrics: `high`, `normal` or `low`. */
+constexpr std::string_view ToString(Priority priority) {
+  switch (priority) {
+    case Priority::kHigh:
+      return "high";
+    case Priority::kNormal:
+      return "normal";
+    case Priority::kLow:
+      return "low";
+  }
+  return "normal";
+}
+
 /** A model that the deployment serves. */
 struct ModelSpec {
   ModelName name;
--- a/src/daemon/dispatcher-impl.h
+++ b/src/daemon/dispatcher-impl.h
@@ -15,20 +15,8 @@
 // Generating a token keeps an engine busy for longer than reading one of the prompt.
 constexpr double kPromptBytesPerCost = 64;
 
-inline std::string_view ClassName(Priority priority) {
-  switch (priority) {
-    case Priority::kHigh:
-      return "high";
-    case Priority::kNormal:
-      return "normal";
-    case Priority::kLow:
-      return "low";
-  }
-  return "normal";
-}
-
 inline Labels TeamLabels(const TeamName& team, Priority priority) {
-  return {{"team", team.value}, {"class", std::string(ClassName(priority))}};
+  return {{"team", team.value}, {"class", std::string(ToString(priority))}};
 }
 
 inline std::string LaneName(const CompletionRequest& request, const CompletionPlan& plan) {
--- a/src/upstream/completion.cc
+++ b/src/upstream/completion.cc
@@ -89,18 +89,6 @@
   bool has_data = false;
 };
 
-std::string_view ToString(Priority priority) {
-  switch (priority) {
-    case Priority::kHigh:
-      return "high";
-    case Priority::kNormal:
-      return "normal";
-    case Priority::kLow:
-      return "low";
-  }
-  return "normal";
-}
-
 HttpRequest RequestOf(const GroupSummary& group, const CompletionRequest& completion,
                       const std::vector<std::string>& resume_tokens) {
   const json body = {{"model", completion.model.value},
--- a/test/admin-api-test.cc
+++ b/test/admin-api-test.cc
@@ -164,7 +164,7 @@
     HttpRequest request{method, server->address(), target, {}, body};
     if (!if_match.empty()) request.headers["If-Match"] = if_match;
     const Deadline deadline = Clock::now() + std::chrono::seconds(5);
-    return test::RunUntilDone(io, client->Fetch(std::move(request), deadline)).value();
+    return testing::RunUntilDone(io, client->Fetch(std::move(request), deadline)).value();
   }
 
   std::shared_ptr<FakeNode> node = std::make_shared<FakeNode>();
--- a/test/bench/http-bench.cc
+++ b/test/bench/http-bench.cc
@@ -52,11 +52,11 @@
 
 /** The least that two threads on loopback need: blocking sockets, no HTTP. */
 void MeasureSockets(int requests) {
-  test::ScriptedPeer peer([](test::PeerConnection& connection) {
+  testing::ScriptedPeer peer([](testing::PeerConnection& connection) {
     const std::string answer(kAnswerBytes, 'a');
     while (!connection.ReadRequest().empty()) connection.Write(answer + ".");
   });
-  test::RawClient client(peer.address());
+  testing::RawClient client(peer.address());
   const std::string request = "GET / HTTP/1.1\r\nContent-Length: " + std::to_string(kRequestBytes) +
                               "\r\n\r\n" + std::string(kRequestBytes, 'a');
   std::vector<double> latencies;
@@ -126,8 +126,8 @@
 void Measure(int requests) {
   std::printf("%-34s %9s %9s %11s %12s\n", "each operation", "p50 us", "p99 us", "cpu us", "per s");
   MeasureSockets(requests);
-  test::IoThreads threads(2);
-  test::IoThreads server_threads(2);
+  testing::IoThreads threads(2);
+  testing::IoThreads server_threads(2);
   const auto server = HttpServer::Create(server_threads.io(), "127.0.0.1:0", &Answer, {}).value();
   const auto client = HttpClient::Create({}).value();
   const std::string address = server->address();
--- a/test/caller-api-test.cc
+++ b/test/caller-api-test.cc
@@ -14,8 +14,8 @@
 
 namespace asio = boost::asio;
 using nlohmann::json;
-using test::IoThreads;
-using test::RawClient;
+using testing::IoThreads;
+using testing::RawClient;
 
 constexpr Milliseconds kLong{5000};
 
--- a/test/completion-test.cc
+++ b/test/completion-test.cc
@@ -18,8 +18,8 @@
 namespace {
 
 namespace asio = boost::asio;
-using test::Eventually;
-using test::IoThreads;
+using testing::Eventually;
+using testing::IoThreads;
 
 constexpr Milliseconds kLong{5000};
 
--- a/test/config-service-test.cc
+++ b/test/config-service-test.cc
@@ -14,8 +14,8 @@
 namespace {
 
 using Json = nlohmann::json;
-using test::Fault;
-using Service = ConfigService<test::FakeStore>;
+using testing::Fault;
+using Service = ConfigService<testing::FakeStore>;
 
 Json Example() {
   const char* source = std::getenv("LIMPETFALL_SOURCE");
@@ -189,7 +189,7 @@
     const std::string key(kManifestKey);
     this->store->Apply(key, SerializeManifest({2, split.sections, "w", {}}),
                        this->store->Newest(key)->revision, 0);
-    const auto loaded = test::RunUntilDone(this->io, this->other->Load(In(Milliseconds(1000))));
+    const auto loaded = testing::RunUntilDone(this->io, this->other->Load(In(Milliseconds(1000))));
     CPPUNIT_ASSERT(loaded.error().code == ErrorCode::kUnavailable);
     CPPUNIT_ASSERT_EQUAL(ConfigVersion{1}, this->other_state->version());
     CPPUNIT_ASSERT_EQUAL(ConfigVersion{2}, this->other_state->newest_known());
@@ -200,7 +200,7 @@
 
   Result<AcceptOutcome> Try(const std::string& json, ConfigVersion expected,
                             Milliseconds time = Milliseconds(5000)) {
-    return test::RunUntilDone(this->io, this->service->Accept(json, expected, In(time)));
+    return testing::RunUntilDone(this->io, this->service->Accept(json, expected, In(time)));
   }
 
   AcceptOutcome Accept(const std::string& json, ConfigVersion expected) {
@@ -211,12 +211,13 @@
               const std::shared_ptr<Service>& through) {
     boost::asio::io_context own;
     const Deadline deadline = In(Milliseconds(5000));
-    const auto outcome = test::RunUntilDone(own, through->Accept(json, expected, deadline)).value();
+    const auto outcome =
+        testing::RunUntilDone(own, through->Accept(json, expected, deadline)).value();
     CPPUNIT_ASSERT(outcome.accepted);
   }
 
   ConfigVersion Load(const std::shared_ptr<Service>& through) {
-    return test::RunUntilDone(this->io, through->Load(In(Milliseconds(1000)))).value();
+    return testing::RunUntilDone(this->io, through->Load(In(Milliseconds(1000)))).value();
   }
 
   // The next write of the manifest meets `fault`; `after` runs before the one that follows it.
@@ -231,14 +232,14 @@
     };
   }
 
-  static std::shared_ptr<Service> Make(const std::shared_ptr<test::FakeStore>& store,
+  static std::shared_ptr<Service> Make(const std::shared_ptr<testing::FakeStore>& store,
                                        const std::shared_ptr<ConfigState>& state,
                                        const char* node) {
     return std::make_shared<Service>(store, state, NodeId(node), Milliseconds(5000));
   }
 
   boost::asio::io_context io;
-  std::shared_ptr<test::FakeStore> store = std::make_shared<test::FakeStore>();
+  std::shared_ptr<testing::FakeStore> store = std::make_shared<testing::FakeStore>();
   std::shared_ptr<ConfigState> state = std::make_shared<ConfigState>();
   std::shared_ptr<ConfigState> other_state = std::make_shared<ConfigState>();
   std::shared_ptr<Service> service = Make(store, state, "node-1");
--- a/test/etcd-store-integration-test.cc
+++ b/test/etcd-store-integration-test.cc
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "daemon/config-service.h"
-#include "harness/child-process.h"
+#include "harness/process.h"
 #include "harness/run.h"
 #include "platform/etcd-store.h"
 #include "platform/vm-list.h"
@@ -15,7 +15,7 @@
 namespace {
 
 using Json = nlohmann::json;
-using test::ChildProcess;
+using testing::Process;
 
 class EtcdStoreIntegrationTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EtcdStoreIntegrationTest);
@@ -214,9 +214,9 @@
   }
 
  private:
-  static std::unique_ptr<ChildProcess> StartPlatform() {
-    return ChildProcess::Start("platform-stand-in",
-                               {"--listen", "127.0.0.1:0", "--vm-listen", "127.0.0.1:0"}, 2);
+  static std::unique_ptr<Process> StartPlatform() {
+    return Process::StartListening("platform-stand-in",
+                                   {"--listen", "127.0.0.1:0", "--vm-listen", "127.0.0.1:0"}, 2);
   }
 
   std::shared_ptr<EtcdStore> MakeStore(std::vector<std::string> addresses) {
@@ -227,7 +227,7 @@
 
   template <typename T>
   T RunNow(boost::asio::awaitable<T> coroutine) {
-    return test::RunUntilDone(this->io, std::move(coroutine));
+    return testing::RunUntilDone(this->io, std::move(coroutine));
   }
 
   std::optional<StoredValue> Get(const std::string& key) {
@@ -253,7 +253,7 @@
   Json Stats() { return Send("GET", "/stats", ""); }
 
   boost::asio::io_context io;
-  std::unique_ptr<ChildProcess> platform;
+  std::unique_ptr<Process> platform;
   std::shared_ptr<HttpClient> client;
   std::shared_ptr<EtcdStore> store;
 };
--- a/test/harness/fake-store.h
+++ b/test/harness/fake-store.h
@@ -16,7 +16,7 @@
 
 #include "platform/store.h"
 
-namespace limpetfall::test {
+namespace limpetfall::testing {
 
 /** What happens to one call of the fake store. */
 enum class Fault {
@@ -142,6 +142,6 @@
 
 static_assert(Store<FakeStore>);
 
-}  // namespace limpetfall::test
+}  // namespace limpetfall::testing
 
 #endif  // LIMPETFALL_TEST_HARNESS_FAKE_STORE_H_
--- a/test/harness/net.cc
+++ b/test/harness/net.cc
@@ -8,7 +8,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
 
-namespace limpetfall::test {
+namespace limpetfall::testing {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -133,4 +133,4 @@
   for (std::thread& thread : this->threads) thread.join();
 }
 
-}  // namespace limpetfall::test
+}  // namespace limpetfall::testing
--- a/test/harness/net.h
+++ b/test/harness/net.h
@@ -19,7 +19,7 @@
 #include <utility>
 #include <vector>
 
-namespace limpetfall::test {
+namespace limpetfall::testing {
 
 /** An io_context that threads run until this is destroyed. */
 class IoThreads {
@@ -126,6 +126,6 @@
   std::thread accept_thread;
 };
 
-}  // namespace limpetfall::test
+}  // namespace limpetfall::testing
 
 #endif  // LIMPETFALL_TEST_HARNESS_NET_H_
--- a/test/harness/process.cc
+++ b/test/harness/process.cc
@@ -9,16 +9,20 @@
 
 #include <cctype>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <stdexcept>
+#include <string_view>
 #include <thread>
 
 namespace limpetfall::testing {
 namespace {
 
+constexpr std::chrono::milliseconds kStartLimit{10000};
+
 std::string ProgramPath(const std::string& program) {
   const char* folder = std::getenv("LIMPETFALL_BIN");
   return (folder == nullptr ? std::string("build") : std::string(folder)) + "/" + program;
@@ -74,7 +78,34 @@
   return std::unique_ptr<Process>(new Process(child, log_path));
 }
 
-Process::~Process() { this->Kill(); }
+std::unique_ptr<Process> Process::StartListening(const std::string& program,
+                                                 const std::vector<std::string>& arguments,
+                                                 std::size_t count) {
+  std::string path = (std::filesystem::temp_directory_path() / "limpetfall-XXXXXX").string();
+  const int file = mkstemp(path.data());
+  if (file < 0) throw std::runtime_error("cannot make " + path);
+  close(file);
+  auto process = Start(program, arguments, path);
+  process->owns_log = true;
+  const auto printed = [&] { return process->addresses().size() >= count; };
+  if (WaitFor(printed, kStartLimit)) return process;
+  throw std::runtime_error(program + " did not print its addresses: " + process->log());
+}
+
+Process::~Process() {
+  this->Kill();
+  if (this->owns_log) std::filesystem::remove(this->log_path);
+}
+
+std::vector<std::string> Process::addresses() const {
+  constexpr std::string_view kMark = "listening ";
+  std::vector<std::string> found;
+  std::istringstream lines(this->log());
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(kMark) && !lines.eof()) found.push_back(line.substr(kMark.size()));
+  }
+  return found;
+}
 
 void Process::Signal(int signal) const {
   if (!this->exited) kill(this->child, signal);
--- a/test/harness/process.h
+++ b/test/harness/process.h
@@ -22,6 +22,11 @@
                                         const std::vector<std::string>& arguments,
                                         const std::string& log_path);
 
+  /** Starts a stand-in and waits until it has printed `count` lines "listening IP:PORT". */
+  static std::unique_ptr<Process> StartListening(const std::string& program,
+                                                 const std::vector<std::string>& arguments,
+                                                 std::size_t count);
+
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
   ~Process();
@@ -36,6 +41,9 @@
   [[nodiscard]] pid_t pid() const { return this->child; }
   [[nodiscard]] std::string log() const;  ///< All output so far.
 
+  /** The addresses that the program has printed, in order. */
+  [[nodiscard]] std::vector<std::string> addresses() const;
+
  private:
   Process(pid_t child, std::string log_path) : child(child), log_path(std::move(log_path)) {}
   void Collect(int status);
@@ -44,6 +52,7 @@
   bool exited = false;
   int code = 0;
   std::string log_path;
+  bool owns_log = false;
 };
 
 /** Polls `condition` every 10 ms; returns whether it became true within `longest`. */
--- a/test/harness/run.h
+++ b/test/harness/run.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <utility>
 
-namespace limpetfall::test {
+namespace limpetfall::testing {
 
 namespace detail {
 
@@ -38,6 +38,6 @@
   return std::move(value).value();
 }
 
-}  // namespace limpetfall::test
+}  // namespace limpetfall::testing
 
 #endif  // LIMPETFALL_TEST_HARNESS_RUN_H_
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -19,10 +19,10 @@
 namespace {
 
 namespace asio = boost::asio;
-using test::Eventually;
-using test::IoThreads;
-using test::PeerConnection;
-using test::ScriptedPeer;
+using testing::Eventually;
+using testing::IoThreads;
+using testing::PeerConnection;
+using testing::ScriptedPeer;
 
 constexpr std::string_view kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 constexpr Milliseconds kLong{5000};
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -16,9 +16,9 @@
 namespace {
 
 namespace asio = boost::asio;
-using test::Eventually;
-using test::IoThreads;
-using test::RawClient;
+using testing::Eventually;
+using testing::IoThreads;
+using testing::RawClient;
 
 constexpr std::string_view kGet = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
 
--- a/test/order-claims-test.cc
+++ b/test/order-claims-test.cc
@@ -16,7 +16,7 @@
 
 namespace asio = boost::asio;
 using asio::awaitable;
-using test::Fault;
+using testing::Fault;
 
 /** A service that counts how often it ran each order. */
 struct FakeService {
@@ -43,7 +43,7 @@
   }
 };
 
-using Runner = OrderRunner<test::FakeStore, Dispatch>;
+using Runner = OrderRunner<testing::FakeStore, Dispatch>;
 
 ServiceCall Order(const std::string& key = "k1", const std::string& body = "two pallets") {
   ServiceCall call;
@@ -168,7 +168,7 @@
     ServiceCall repeat = Order();
     repeat.deadline = Clock::now() + Milliseconds(150);
     Spawn(this->first, Order());
-    const auto answer = test::RunUntilDone(this->io, RunAfter(Milliseconds(30), repeat));
+    const auto answer = testing::RunUntilDone(this->io, RunAfter(Milliseconds(30), repeat));
     CPPUNIT_ASSERT(answer.error().verdict == Verdict::kMayHaveRun);
     this->io.run();
     ExpectRuns(1);
@@ -422,7 +422,7 @@
   }
 
   Result<ServiceAnswer> Run(const std::shared_ptr<Runner>& runner, ServiceCall call = Order()) {
-    return test::RunUntilDone(this->io, runner->Run(std::move(call)));
+    return testing::RunUntilDone(this->io, runner->Run(std::move(call)));
   }
 
   void Spawn(const std::shared_ptr<Runner>& runner, ServiceCall call) {
@@ -442,7 +442,7 @@
   std::pair<Result<ServiceAnswer>, Result<ServiceAnswer>> RunBoth(Milliseconds delay) {
     std::optional<Result<ServiceAnswer>> one;
     asio::co_spawn(this->io, RunInto(one), asio::detached);
-    auto two = test::RunUntilDone(this->io, RunAfter(delay, Order()));
+    auto two = testing::RunUntilDone(this->io, RunAfter(delay, Order()));
     this->io.run();
     return {*one, two};
   }
@@ -454,7 +454,7 @@
   void ExpectRuns(int count) { CPPUNIT_ASSERT_EQUAL(count, this->service->runs["k1"]); }
 
   asio::io_context io;
-  std::shared_ptr<test::FakeStore> store = std::make_shared<test::FakeStore>();
+  std::shared_ptr<testing::FakeStore> store = std::make_shared<testing::FakeStore>();
   std::shared_ptr<FakeService> service = std::make_shared<FakeService>();
   std::shared_ptr<Runner> first = Make("n1");
   std::shared_ptr<Runner> second = Make("n2");
