Use the drain core in the entry node; report group downtime and stranded VMs

Change: DrainAndStop drives the core and counts unsettled orders; core/capacity-measures feeds the metrics. Conclusion: the stages of a stop stand in one place.

--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -22,7 +23,8 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "caller/caller-api.h"
-#include "core/config-document.h"
+#include "core/capacity-measures.h"
+#include "core/drain.h"
 #include "daemon/config-sync.h"
 #include "daemon/dispatcher.h"
 #include "daemon/domain-owner.h"
@@ -47,6 +49,7 @@
 // Demand that a node has not reported for this time no longer counts against a team's limit.
 constexpr Milliseconds kDemandLifetime{5000};
 constexpr Milliseconds kDemandInterval{1000};
+constexpr Milliseconds kMeasureInterval{1000};
 constexpr Milliseconds kAdminTimeout{20000};
 
 // Entries that nobody refreshes are removed from memory this often.
@@ -208,6 +211,7 @@
   net::awaitable<void> PollServices();
   net::awaitable<void> PollService(ServiceName service, std::string address);
   net::awaitable<void> ShareDemand();
+  net::awaitable<void> ReportCapacity();
   net::awaitable<void> CleanUp();
   net::awaitable<void> DrainAndStop();
 
@@ -225,6 +229,7 @@
   std::shared_ptr<ServiceTable> services;
   std::shared_ptr<QuarantineTable> quarantine;
   std::shared_ptr<AdmissionGate> gate;
+  std::shared_ptr<NodeOrderRunner> orders;
   std::shared_ptr<NodeDispatcher> dispatcher;
   std::shared_ptr<NodeOwners> owners;
   std::unique_ptr<HttpServer> caller_server;
@@ -300,7 +305,8 @@
   parts.opener = std::make_shared<EngineOpener>(this->upstream_client);
   parts.check = ReleaseCheck::Create(this->control_client);
   parts.pusher = std::make_shared<NodeMarkPusher>(this->state, this->nodes.get());
-  parts.orders = NodeOrderRunner::Create(this->store, OrderDispatch{caller}, order_options);
+  this->orders = NodeOrderRunner::Create(this->store, OrderDispatch{caller}, order_options);
+  parts.orders = this->orders;
   parts.services = caller;
   parts.groups = this->groups;
   parts.quarantine = this->quarantine;
@@ -429,6 +435,30 @@
   }
 }
 
+// Group downtime and stranded VMs as this node sees them; every node reports the same deployment.
+net::awaitable<void> EntryNodeImpl::ReportCapacity() {
+  TimePoint last = Clock::now();
+  for (;;) {
+    co_await detail::PauseUntil(last + kMeasureInterval);
+    const TimePoint now = Clock::now();
+    const double seconds = std::chrono::duration<double>(now - last).count();
+    last = now;
+    const auto document = this->context->ActiveDocument();
+    const auto vms = this->context->Vms();
+    if (!document || !vms) continue;
+    const auto measures = MeasureCapacity(document->document, *vms, this->groups->Serving(now));
+    for (const ModelCapacity& model : measures.models) {
+      const Labels labels = {{"model", model.model.value}};
+      this->metrics->Set("groups_wanted", labels, model.wanted);
+      this->metrics->Set("groups_serving", labels, model.serving);
+      const int missing = std::max(0, model.wanted - model.serving);
+      this->metrics->Add("group_downtime_seconds_total", labels, missing * seconds);
+    }
+    this->metrics->Set("stranded_vms", {}, measures.stranded_vms);
+    this->metrics->Add("stranded_vm_seconds_total", {}, measures.stranded_vms * seconds);
+  }
+}
+
 net::awaitable<void> EntryNodeImpl::CleanUp() {
   for (;;) {
     const TimePoint now = Clock::now();
@@ -492,21 +522,34 @@
   this->Spawn(this->DrainAndStop());
 }
 
-// Addresses are withdrawn first; work is accepted until the last answer that names this node has
-// expired.
 net::awaitable<void> EntryNodeImpl::DrainAndStop() {
-  this->nodes->SetLeaving();
+  DrainOptions options;
+  options.address_ttl = Milliseconds(this->settings.address_ttl_ms);
+  auto created = limpetfall::Drain::Create(options);
+  if (!created) co_return;
+  limpetfall::Drain drain = std::move(created).value();
+  const TimePoint start = Clock::now();
+  drain.Start(start);
   this->owners->Stop();
-  // Other nodes may have told callers of this one until the news reached them.
-  const Milliseconds spread(2 * this->settings.probe_interval_ms);
-  co_await detail::PauseUntil(Clock::now() + spread + Milliseconds(this->settings.address_ttl_ms));
-  this->dispatcher->StopNewWork();
-  this->caller_server->StopAccepting();
-  const Deadline limit = Clock::now() + Milliseconds(this->settings.request_timeout_ms);
-  while (this->caller_server->in_flight() > 0 && Clock::now() < limit) {
+  const int told = co_await this->nodes->AnnounceLeaving(start + options.announce_bound);
+  if (told >= static_cast<int>(this->context->ReachableNodes().size())) {
+    drain.OnAnnounced(Clock::now());
+  }
+  // An order whose outcome is not recorded yet is in flight too.
+  const auto in_flight = [this] {
+    return this->caller_server->in_flight() + this->orders->unsettled();
+  };
+  std::optional<Deadline> limit;
+  while (drain.Tick(in_flight(), Clock::now()) != DrainStage::kFinished) {
+    if (!drain.AcceptsWork() && !limit) {
+      this->dispatcher->StopNewWork();
+      this->caller_server->StopAccepting();
+      limit = Clock::now() + Milliseconds(this->settings.request_timeout_ms);
+    }
+    if (limit && Clock::now() >= *limit) break;
     co_await detail::PauseUntil(Clock::now() + kDrainPoll);
   }
-  Log(LogLevel::kInfo, "drain_ended", {{"in_flight", this->caller_server->in_flight()}});
+  Log(LogLevel::kInfo, "drain_ended", {{"in_flight", in_flight()}});
   this->sync->Stop();
   this->io.stop();
 }
@@ -516,6 +559,7 @@
   this->Spawn(this->PollVms());
   this->Spawn(this->PollServices());
   this->Spawn(this->ShareDemand());
+  this->Spawn(this->ReportCapacity());
   this->Spawn(this->CleanUp());
   net::co_spawn(this->io, this->owners->Run(), net::detached);
   net::signal_set signals(this->io, SIGTERM, SIGINT);
