Build the routing tables before peers can send entries

Cause: found by reading. The service between nodes opened before the tables that its entries go to were built, and at exit the tables were destroyed before its thread ended; an entry at that moment would use a null or freed table. Ruled out: nothing; the crash was not reproduced in 8 restarts among peers, before or after. Change: the tables are built first and destroyed last; a test restarts a node 8 times among its peers. Conclusion: the order of construction no longer depends on luck.

--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -201,6 +201,7 @@
  private:
   Result<void> OpenClients();
   Result<void> OpenNodeService();
+  void BuildTables();
   void BuildDispatcher();
   Result<void> OpenServers();
   void AddListeners();
@@ -224,11 +225,12 @@
   std::shared_ptr<HttpClient> control_client;
   std::shared_ptr<EtcdStore> store;
   std::shared_ptr<ConfigSync> sync;
-  std::unique_ptr<NodeService> nodes;
   std::shared_ptr<GroupTable> groups;
   std::shared_ptr<ServiceTable> services;
   std::shared_ptr<QuarantineTable> quarantine;
   std::shared_ptr<AdmissionGate> gate;
+  // The service's thread hands entries to the tables above, so it ends before they do.
+  std::unique_ptr<NodeService> nodes;
   std::shared_ptr<NodeOrderRunner> orders;
   std::shared_ptr<NodeDispatcher> dispatcher;
   std::shared_ptr<NodeOwners> owners;
@@ -242,6 +244,7 @@
   BOOST_OUTCOME_TRYV(this->OpenClients());
   this->sync =
       std::make_shared<ConfigSync>(this->settings, this->store, this->context, this->state);
+  this->BuildTables();
   BOOST_OUTCOME_TRYV(this->OpenNodeService());
   this->BuildDispatcher();
   this->sync->on_change = [this](const VersionedDocument& document) { this->Apply(document); };
@@ -284,12 +287,16 @@
   return success();
 }
 
-void EntryNodeImpl::BuildDispatcher() {
+// Entries of other nodes can arrive as soon as the service between nodes is open.
+void EntryNodeImpl::BuildTables() {
   const std::uint64_t seed = std::random_device{}();
   this->groups = std::make_shared<GroupTable>(seed, this->settings.routing_policy);
   this->services = std::make_shared<ServiceTable>(seed + 1);
   this->quarantine = std::make_shared<QuarantineTable>(this->settings.node);
   this->gate = AdmissionGate::Create(this->io.get_executor(), AdmissionOptions{});
+}
+
+void EntryNodeImpl::BuildDispatcher() {
   auto retries = std::make_shared<SharedRetryBudget>();
   auto upstream = std::make_shared<ServiceUpstreamClient>(this->upstream_client);
   auto caller = std::make_shared<NodeServiceCaller>(this->context, upstream, this->services,
--- a/test/config-integration-test.cc
+++ b/test/config-integration-test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(PlatformOutageLeavesServiceUp);
   CPPUNIT_TEST(StaleReadsNeverRevertVersion);
   CPPUNIT_TEST(NodeStartedInOutageTakesVersionOfPeers);
+  CPPUNIT_TEST(RestartedNodeTakesEntriesBeforeItServes);
   CPPUNIT_TEST(NodeCutOffAloneRefusesWithNotRun);
   CPPUNIT_TEST(HalfWithPlatformChangesAndOtherHalfServesNoOldVersion);
   CPPUNIT_TEST_SUITE_END();
@@ -143,6 +144,16 @@
     CPPUNIT_ASSERT(WaitFor([&] { return ServedVersion(*cluster, 2) == 2; }, kLimit));
   }
 
+  // Guards against a node that crashes on entries which peers send before all its parts are built.
+  void RestartedNodeTakesEntriesBeforeItServes() {
+    auto cluster = Cluster::Start(kSmall);
+    for (int round = 0; round < 8; ++round) {
+      cluster->RestartNode(2);
+      CPPUNIT_ASSERT(WaitFor([&] { return ServedVersion(*cluster, 2) == 1; }, kLimit));
+      CPPUNIT_ASSERT_MESSAGE(cluster->node(2).log(), cluster->node(2).running());
+    }
+  }
+
   // Guards against a node that serves an old document because nobody can tell it of the new one.
   void NodeCutOffAloneRefusesWithNotRun() {
     ClusterOptions options = kSmall;
