Take another node's confirmation when it arrives

Cause: a node took over confirmations of its peers only in its own poll, once a second and after the platform's time-out. A node that had adopted a document but not polled since refused requests when the platform went down (orders-integration-test, RepeatOfOrderThatRanIsNeverNotRunInOutage, 1 failure in the whole check: "this node takes no new work"). Ruled out: the claim; the request never reached the order runner. Change: a peer's freshness entry confirms at once; the test cluster also waits until every node takes work. Conclusion: an outage right after start or a change no longer closes a node for the rest of a poll.

--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -368,6 +368,10 @@
     }
   } else if (const auto* demand = std::get_if<TeamDemand>(&entry.value)) {
     if (demand->node != this->settings.node) this->gate->OnDemand(*demand, entry.expires);
+  } else if (const auto* fresh = std::get_if<ConfigFreshness>(&entry.value)) {
+    if (fresh->node != this->settings.node) {
+      this->context->config_state().Confirm(fresh->version, entry.expires);
+    }
   } else if (const auto* announcement = std::get_if<ConfigAnnouncement>(&entry.value)) {
     if (announcement->version > this->context->config_state().version()) {
       this->Spawn(this->sync->Learn(*announcement));
--- a/test/harness/cluster.cc
+++ b/test/harness/cluster.cc
@@ -77,6 +77,12 @@
   Require(accepted && applied.status == 200,
           "document refused: " + std::to_string(applied.status) + " " + applied.body);
   for (int index = 0; index < options.nodes; ++index) {
+    const auto accepts_work = [&] {
+      const json status = cluster->Status(index);
+      return status.is_object() && status.value("accepts_work", false);
+    };
+    Require(WaitFor(accepts_work, kStartLimit),
+            "node " + std::to_string(index) + " takes no work: " + cluster->Status(index).dump());
     Require(cluster->WaitForServingGroups(index, options.groups, kStartLimit),
             "groups do not serve at node " + std::to_string(index) + ": " +
                 cluster->Status(index).dump() + cluster->node(index).log());
