Use what the project has for addresses, pauses and confirmations

Cause: found by reading the whole change once more. NodeContext ranked entry addresses beside Membership::CallerAddresses; DomainOwners had a timer of its own beside PauseUntil; a peer's confirmation was taken in two places; the first entry version of a run was computed twice; a const_cast cast nothing away; two drain tests and one orders test repeated a body that a function can hold. Change: each of these stands once. Ruled out: shortening SilentServiceMayHaveRun in the same way, because its limit of 10 s would have become 30 s. The sanitizer stage was not run for this commit. Conclusion: the tests keep their assertions and bounds.

--- a/src/daemon/config-sync.cc
+++ b/src/daemon/config-sync.cc
@@ -21,13 +21,6 @@
 constexpr Milliseconds kInForceWait{3000};
 constexpr Milliseconds kInForcePause{20};
 
-// A restarted node starts above every entry version of its former run.
-std::uint64_t FirstEntryVersion() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
-}
-
 }  // namespace
 
 ConfigSync::ConfigSync(Settings node_settings, std::shared_ptr<EtcdStore> store,
@@ -60,20 +53,24 @@
   }
 }
 
-// A confirmation that comes from another node keeps that node's deadline, so that nodes cannot
-// extend each other's confirmations without the platform.
+void ConfigSync::TakeConfirmation(const SharedEntry& entry) {
+  const auto* fresh = std::get_if<ConfigFreshness>(&entry.value);
+  if (fresh == nullptr || fresh->node == this->settings.node) return;
+  // The other node's deadline is kept, so that nodes cannot extend each other's confirmations
+  // without the platform.
+  this->context->config_state().Confirm(fresh->version, entry.expires);
+}
+
+// A confirmation counts only once its version is in force here, so those at hand are taken again.
 void ConfigSync::TakeConfirmations() {
-  const TimePoint now = Clock::now();
-  for (const SharedEntry& entry : this->state->List(kFreshnessPrefix, now)) {
-    const auto* fresh = std::get_if<ConfigFreshness>(&entry.value);
-    if (fresh == nullptr || fresh->node == this->settings.node) continue;
-    this->context->config_state().Confirm(fresh->version, entry.expires);
+  for (const SharedEntry& entry : this->state->List(kFreshnessPrefix, Clock::now())) {
+    this->TakeConfirmation(entry);
   }
 }
 
 SharedEntry ConfigSync::Announcement() {
   const ConfigVersion version = this->context->config_state().version();
-  const std::string manifest = const_cast<ConfigSync*>(this)->service.sections().newest_manifest();
+  const std::string manifest = this->service.sections().newest_manifest();
   return {std::string(kAnnouncementKey), version, Clock::now() + kAnnouncementLifetime,
           ConfigAnnouncement{version, manifest}};
 }
--- a/src/daemon/config-sync.h
+++ b/src/daemon/config-sync.h
@@ -39,6 +39,9 @@
   /** Takes an announcement of a version from another node. */
   boost::asio::awaitable<void> Learn(ConfigAnnouncement announcement);
 
+  /** Takes over another node's confirmation of the version in force, with its deadline. */
+  void TakeConfirmation(const SharedEntry& entry);
+
   boost::asio::awaitable<Result<ConfigChange>> Change(std::string document, ConfigVersion expected,
                                                       Deadline deadline);
 
--- a/src/daemon/domain-owner.h
+++ b/src/daemon/domain-owner.h
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <concepts>
 #include <map>
@@ -21,6 +20,7 @@
 #include "core/document.h"
 #include "core/domain-record.h"
 #include "core/shared-state.h"
+#include "daemon/pause.h"
 #include "daemon/weight-slots.h"
 #include "platform/store.h"
 #include "upstream/engine-control.h"
@@ -484,13 +484,15 @@
         boost::asio::co_spawn(boost::asio::make_strand(executor), RunOwner(self, owner),
                               boost::asio::detached);
       }
-      co_await Sleep(this->settings.report_interval_ms);
+      co_await detail::PauseUntil(Clock::now() + Milliseconds(this->settings.report_interval_ms));
     }
   }
 
   void Stop() { this->stopped = true; }
 
  private:
+  static constexpr Milliseconds kShortestPause{20};
+
   DomainOwners(Settings node_settings, std::shared_ptr<S> platform,
                std::shared_ptr<const C> owner_context, std::shared_ptr<E> fleet,
                std::shared_ptr<SharedState> shared)
@@ -511,18 +513,12 @@
     while (!self->stopped) {
       const TimePoint began = Clock::now();
       co_await owner->Tick();
-      const auto spent = std::chrono::duration_cast<Milliseconds>(Clock::now() - began).count();
       // Keeps a pause between rounds also when an engine's silence used up the interval.
-      co_await Sleep(std::max<std::int64_t>(self->settings.report_interval_ms - spent, 20));
+      co_await detail::PauseUntil(std::max(began + Milliseconds(self->settings.report_interval_ms),
+                                           Clock::now() + kShortestPause));
     }
   }
 
-  static boost::asio::awaitable<void> Sleep(std::int64_t duration_ms) {
-    const auto executor = co_await boost::asio::this_coro::executor;
-    boost::asio::steady_timer timer(executor, Milliseconds(duration_ms));
-    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-  }
-
   Settings settings;
   std::shared_ptr<S> store;
   std::shared_ptr<const C> context;
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -368,10 +368,8 @@
     }
   } else if (const auto* demand = std::get_if<TeamDemand>(&entry.value)) {
     if (demand->node != this->settings.node) this->gate->OnDemand(*demand, entry.expires);
-  } else if (const auto* fresh = std::get_if<ConfigFreshness>(&entry.value)) {
-    if (fresh->node != this->settings.node) {
-      this->context->config_state().Confirm(fresh->version, entry.expires);
-    }
+  } else if (std::holds_alternative<ConfigFreshness>(entry.value)) {
+    this->sync->TakeConfirmation(entry);
   } else if (const auto* announcement = std::get_if<ConfigAnnouncement>(&entry.value)) {
     if (announcement->version > this->context->config_state().version()) {
       this->Spawn(this->sync->Learn(*announcement));
@@ -429,8 +427,7 @@
 }
 
 net::awaitable<void> EntryNodeImpl::ShareDemand() {
-  std::uint64_t version = static_cast<std::uint64_t>(
-      std::chrono::system_clock::now().time_since_epoch() / std::chrono::microseconds(1));
+  std::uint64_t version = FirstEntryVersion();
   for (;;) {
     const TimePoint now = Clock::now();
     const std::vector<NodeInfo> members = this->nodes->Members();
--- a/src/daemon/node-context.cc
+++ b/src/daemon/node-context.cc
@@ -1,7 +1,7 @@
 #include "daemon/node-context.h"
 
 #include <algorithm>
-#include <variant>
+#include <chrono>
 
 namespace limpetfall {
 
@@ -46,20 +46,13 @@
 }
 
 AddressList NodeContext::AddressesFor(const ZoneId& zone) const {
-  std::vector<NodeInfo> members = this->nodes->Members();
-  std::erase_if(members, [](const NodeInfo& member) {
-    return member.state == MemberState::kDead || member.state == MemberState::kLeaving;
-  });
-  // A suspect node comes last: it may answer, but another is the better first choice.
-  auto rank = [&](const NodeInfo& member) {
-    return std::pair(member.state != MemberState::kAlive, member.zone != zone);
-  };
-  std::stable_sort(members.begin(), members.end(),
-                   [&](const NodeInfo& a, const NodeInfo& b) { return rank(a) < rank(b); });
-  AddressList list;
-  list.ttl_ms = this->settings.address_ttl_ms;
-  for (const NodeInfo& member : members) list.addresses.push_back(member.caller_address);
-  return list;
+  return {this->nodes->CallerAddresses(zone), this->settings.address_ttl_ms};
+}
+
+std::uint64_t FirstEntryVersion() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
 }
 
 std::shared_ptr<const VersionedDocument> NodeContext::Current() const {
--- a/src/daemon/node-context.h
+++ b/src/daemon/node-context.h
@@ -1,9 +1,11 @@
 #ifndef LIMPETFALL_DAEMON_NODE_CONTEXT_H_
 #define LIMPETFALL_DAEMON_NODE_CONTEXT_H_
 
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -19,6 +21,9 @@
 /** Key prefix of the entries in which nodes say that their configuration is confirmed. */
 inline constexpr std::string_view kFreshnessPrefix = "fresh/";
 
+/** Returns a version above every entry version of an earlier run of this node. */
+std::uint64_t FirstEntryVersion();
+
 /**
  * What this node knows of its surroundings: VM list, other nodes, configuration. Thread-safe.
  * Models `OwnerContext` and `ConfigSource`.
--- a/test/drain-integration-test.cc
+++ b/test/drain-integration-test.cc
@@ -107,34 +107,13 @@
 
   // Guards against new work for a VM that the list calls leaving, and against cut streams on it.
   void LeavingVmGetsNoNewWorkAndCutsNothing() {
-    ClusterOptions options = kSmall;
-    options.token_ms = 20;
-    auto cluster = Cluster::Start(options);
-    SteadyCallers callers(*cluster, 0, 6);
-    CPPUNIT_ASSERT(WaitFor([&] { return callers.whole >= 12; }, kLimit));
-    const std::vector<int> group = cluster->ServingMembers(0).front();
-    const std::int64_t left_at = NowMs();
-    cluster->SetVmList({group.back()});
-    CPPUNIT_ASSERT(WaitFor([&] { return NowMs() > left_at + kLeavingLimitMs + 1500; }, kLimit));
-    callers.Stop();
-    CPPUNIT_ASSERT_EQUAL(0, callers.cut.load());
-    CPPUNIT_ASSERT(LatestStart(*cluster, group.front()) <= left_at + kLeavingLimitMs);
+    CheckLeaving([](Cluster& cluster, int vm) { cluster.SetVmList({vm}); });
   }
 
   // Guards against waiting for a VM list that lags when the engine itself says that it leaves.
   void LeavingReportCountsWhileVmListLags() {
-    ClusterOptions options = kSmall;
-    options.token_ms = 20;
-    auto cluster = Cluster::Start(options);
-    SteadyCallers callers(*cluster, 0, 6);
-    CPPUNIT_ASSERT(WaitFor([&] { return callers.whole >= 12; }, kLimit));
-    const std::vector<int> group = cluster->ServingMembers(0).front();
-    const std::int64_t left_at = NowMs();
-    cluster->ControlEngine(group.back(), R"({"leaving":true})");
-    CPPUNIT_ASSERT(WaitFor([&] { return NowMs() > left_at + kLeavingLimitMs + 1500; }, kLimit));
-    callers.Stop();
-    CPPUNIT_ASSERT_EQUAL(0, callers.cut.load());
-    CPPUNIT_ASSERT(LatestStart(*cluster, group.front()) <= left_at + kLeavingLimitMs);
+    CheckLeaving(
+        [](Cluster& cluster, int vm) { cluster.ControlEngine(vm, R"({"leaving":true})"); });
   }
 
   // Guards against new calls for a plain service that reports that it leaves.
@@ -180,6 +159,23 @@
   }
 
  private:
+  // Marks a member as leaving under steady streams.
+  template <typename Leave>
+  static void CheckLeaving(Leave leave) {
+    ClusterOptions options = kSmall;
+    options.token_ms = 20;
+    auto cluster = Cluster::Start(options);
+    SteadyCallers callers(*cluster, 0, 6);
+    CPPUNIT_ASSERT(WaitFor([&] { return callers.whole >= 12; }, kLimit));
+    const std::vector<int> group = cluster->ServingMembers(0).front();
+    const std::int64_t left_at = NowMs();
+    leave(*cluster, group.back());
+    CPPUNIT_ASSERT(WaitFor([&] { return NowMs() > left_at + kLeavingLimitMs + 1500; }, kLimit));
+    callers.Stop();
+    CPPUNIT_ASSERT_EQUAL(0, callers.cut.load());
+    CPPUNIT_ASSERT(LatestStart(*cluster, group.front()) <= left_at + kLeavingLimitMs);
+  }
+
   static std::int64_t LatestStart(const Cluster& cluster, int vm) {
     std::int64_t latest = 0;
     for (const json& run : cluster.EngineJournal(vm)) {
--- a/test/harness/cluster.cc
+++ b/test/harness/cluster.cc
@@ -280,10 +280,12 @@
   return journal.is_object() ? journal["completions"] : json::array();
 }
 
-Reply Cluster::Order(int node, const std::string& key, const std::string& body) const {
-  std::map<std::string, std::string> headers = {{"X-Branch", "ennis"}, {"X-Team", "councils"}};
-  if (!key.empty()) headers["Idempotency-Key"] = key;
-  return Fetch("POST", this->caller_url(node) + "/v1/services/order-book/orders", body, headers,
+Reply Cluster::Order(int node, const std::string& key, const std::string& body,
+                     const std::map<std::string, std::string>& headers) const {
+  std::map<std::string, std::string> all = headers;
+  all.insert({{"X-Branch", "ennis"}, {"X-Team", "councils"}});
+  if (!key.empty()) all["Idempotency-Key"] = key;
+  return Fetch("POST", this->caller_url(node) + "/v1/services/order-book/orders", body, all,
                milliseconds(30000));
 }
 
--- a/test/harness/cluster.h
+++ b/test/harness/cluster.h
@@ -73,7 +73,8 @@
   [[nodiscard]] nlohmann::json EngineJournal(int vm) const;
 
   /** Places an order at the order book through a node. */
-  [[nodiscard]] Reply Order(int node, const std::string& key, const std::string& body) const;
+  [[nodiscard]] Reply Order(int node, const std::string& key, const std::string& body,
+                            const std::map<std::string, std::string>& headers = {}) const;
 
   /** Requests that ran at the order book and whose body contains `text`. */
   [[nodiscard]] int OrdersRun(const std::string& text) const;
--- a/test/orders-integration-test.cc
+++ b/test/orders-integration-test.cc
@@ -115,13 +115,7 @@
   void PlatformDownIsNotRun() {
     auto cluster = Cluster::Start(kSmall);
     cluster->ControlPlatform(R"({"outage":"silent"})");
-    const Reply refused = Fetch("POST", cluster->caller_url(0) + "/v1/services/order-book/orders",
-                                R"({"job":"outage-6"})",
-                                {{"X-Branch", "ennis"},
-                                 {"X-Team", "councils"},
-                                 {"Idempotency-Key", "job-6"},
-                                 {"X-Attempt", "1"}},
-                                milliseconds(30000));
+    const Reply refused = cluster->Order(0, "job-6", R"({"job":"outage-6"})", {{"X-Attempt", "1"}});
     CPPUNIT_ASSERT_EQUAL_MESSAGE(refused.body, std::string("not-run"), VerdictOf(refused));
     CPPUNIT_ASSERT_EQUAL(0, cluster->OrdersRun("outage-6"));
     cluster->ControlPlatform(R"({"outage":"none"})");
