--- /dev/null
+++ b/schema/peer.capnp
@@ -0,0 +1,40 @@
+@0xd3b0a6c51f7e4c29;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("limpetfall::wire");
+
+# One datagram that a gateway node sends to every other node several times a second.
+struct PeerStatus {
+  node @0 :Text;
+  zone @1 :Text;
+  callerAddress @2 :Text;    # Where callers connect, "IP:port".
+  peerAddress @3 :Text;      # Where nodes exchange state, "IP:port", UDP and TCP.
+  ready @4 :Bool;            # Takes requests of callers.
+  sentAtNs @5 :UInt64;       # The sender's clock, echoed by the receiver.
+  echoAtNs @6 :UInt64;       # The receiver's clock, as last heard from it; 0 before.
+  proofAgeMs @7 :Int64;      # Age of the sender's proof of currency; -1 without one.
+  mirrorRevision @8 :Int64;  # Store revision up to which the sender's copy is complete.
+  loads @9 :List(Load);
+  suspended @10 :List(UInt64);  # Upstreams that the sender takes for lost.
+
+  struct Load {
+    upstream @0 :UInt64;     # Hash of the upstream's id.
+    inFlight @1 :UInt16;
+  }
+}
+
+# Changes of the platform's store, sent to a node that cannot read them there.
+struct MirrorChanges {
+  revision @0 :Int64;
+  snapshot @1 :Bool;
+  proofAgeMs @2 :Int64;      # -1 without a proof.
+  items @3 :List(Item);
+
+  struct Item {
+    key @0 :Text;
+    value @1 :Data;
+    removed @2 :Bool;
+    revision @3 :Int64;
+    createdRevision @4 :Int64;
+  }
+}
--- /dev/null
+++ b/src/core/dispatch.cc
@@ -0,0 +1,221 @@
+#include "core/dispatch.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace limpetfall {
+namespace {
+
+using detail::DispatchTarget;
+
+bool IsMember(const Runner& runner, const PlannedGroup& group) {
+  return runner.membership && runner.membership->group == group.group &&
+         runner.membership->epoch == group.epoch &&
+         runner.membership->stage != MembershipStage::kJoining;
+}
+
+}  // namespace
+
+DispatchTicket::DispatchTicket(std::shared_ptr<DispatchTarget> chosen, LossListener* told)
+    : target(std::move(chosen)), listener(told) {
+  ++this->target->in_flight;
+  if (this->listener != nullptr) this->target->listeners.insert(this->listener);
+}
+
+DispatchTicket::DispatchTicket(DispatchTicket&& other) noexcept
+    : target(std::move(other.target)), listener(std::exchange(other.listener, nullptr)) {}
+
+DispatchTicket& DispatchTicket::operator=(DispatchTicket&& other) noexcept {
+  if (this == &other) return *this;
+  this->Release();
+  this->target = std::move(other.target);
+  this->listener = std::exchange(other.listener, nullptr);
+  return *this;
+}
+
+DispatchTicket::~DispatchTicket() { this->Release(); }
+
+void DispatchTicket::Release() {
+  if (!this->target) return;
+  --this->target->in_flight;
+  this->target->listeners.erase(this->listener);
+  this->target->trial = false;
+  this->target.reset();
+}
+
+void DispatchTable::Refresh(const Runner& runner, const PlannedGroup* group, int slots) {
+  auto& target = this->targets[runner.id];
+  // A new life of a runner shares nothing with the old one, neither load nor suspicion.
+  if (!target || target->started_ms != runner.started_ms || target->address != runner.address) {
+    target = std::make_shared<DispatchTarget>();
+    target->next_suspension = this->options.first_suspension;
+  }
+  target->id = runner.id;
+  target->address = runner.address;
+  target->zone = runner.zone;
+  target->service = runner.service;
+  target->started_ms = runner.started_ms;
+  target->slots = slots;
+  target->model = group != nullptr ? group->model : ModelName();
+  target->group = group != nullptr ? group->group : GroupId();
+  target->eligible = true;
+}
+
+void DispatchTable::Update(const std::map<VmId, Runner>& runners, const GroupPlan& plan,
+                           const std::map<ServiceName, int>& engine_slots, TimePoint now) {
+  for (const auto& [id, runner] : this->remembered) {
+    if (!runners.contains(id)) this->vanished.try_emplace(id, now);
+  }
+  for (const auto& [id, runner] : runners) {
+    this->vanished.erase(id);
+    this->remembered.insert_or_assign(id, runner);
+  }
+  std::erase_if(this->vanished, [&](const auto& entry) {
+    if (now < entry.second + this->options.vanished_grace) return false;
+    this->remembered.erase(entry.first);
+    return true;
+  });
+
+  for (auto& [id, target] : this->targets) target->eligible = false;
+  const auto find = [this](const VmId& id) -> const Runner* {
+    const auto found = this->remembered.find(id);
+    return found == this->remembered.end() || found->second.leaving ? nullptr : &found->second;
+  };
+  for (const PlannedGroup& group : plan.groups) {
+    if (group.dissolving || group.members.empty()) continue;
+    const Runner* head = find(group.members.front());
+    if (head == nullptr || !head->membership) continue;
+    if (head->membership->stage != MembershipStage::kOpen) continue;
+    const bool whole =
+        std::all_of(group.members.begin(), group.members.end(), [&](const VmId& member) {
+          const Runner* runner = find(member);
+          return runner != nullptr && IsMember(*runner, group);
+        });
+    const auto slots = engine_slots.find(head->service);
+    if (whole && slots != engine_slots.end()) this->Refresh(*head, &group, slots->second);
+  }
+  for (const auto& [id, runner] : this->remembered) {
+    if (runner.leaving || engine_slots.contains(runner.service)) continue;
+    this->Refresh(runner, nullptr, runner.slots);
+  }
+  std::erase_if(this->targets, [&](const auto& entry) {
+    return !entry.second->eligible && !this->remembered.contains(entry.first);
+  });
+}
+
+int DispatchTable::LoadOf(const DispatchTarget& target, TimePoint now) const {
+  int load = target.in_flight;
+  for (const auto& [node, peer] : this->peers) {
+    if (peer.expires <= now) continue;
+    if (const auto found = peer.in_flight.find(target.id); found != peer.in_flight.end()) {
+      load += found->second;
+    }
+  }
+  return load;
+}
+
+bool DispatchTable::Matches(const DispatchTarget& target, const DispatchRequest& request,
+                            TimePoint now) const {
+  if (!target.eligible || target.service != request.service) return false;
+  if (target.model != request.model) return false;
+  if (now < target.suspended_until || target.trial) return false;
+  return std::find(request.excluded.begin(), request.excluded.end(), target.id) ==
+         request.excluded.end();
+}
+
+std::optional<DispatchTicket> DispatchTable::Choose(const DispatchRequest& request,
+                                                    LossListener* listener, TimePoint now) {
+  std::vector<const std::shared_ptr<DispatchTarget>*> best;
+  double best_cost = std::numeric_limits<double>::max();
+  for (const auto& [id, target] : this->targets) {
+    if (!this->Matches(*target, request, now)) continue;
+    const double load = static_cast<double>(this->LoadOf(*target, now)) / target->slots;
+    if (load >= request.fill) continue;
+    const double distance = target->zone == this->options.zone ? 0 : this->options.zone_preference;
+    const double cost = load + distance + target->slowness;
+    constexpr double kEqual = 1e-3;
+    if (cost < best_cost - kEqual) best.clear();
+    if (cost < best_cost + kEqual) {
+      best.push_back(&target);
+      best_cost = std::min(best_cost, cost);
+    }
+  }
+  if (best.empty()) return std::nullopt;
+  const auto& chosen = *best[this->choices++ % best.size()];
+  // The first request after a suspension goes alone; others follow when it has made progress.
+  if (chosen->suspended_until != Deadline() && chosen->last_progress < chosen->suspended_until) {
+    chosen->trial = true;
+  }
+  return DispatchTicket(chosen, listener);
+}
+
+bool DispatchTable::HasEligible(const DispatchRequest& request, TimePoint now) const {
+  return std::any_of(this->targets.begin(), this->targets.end(), [&](const auto& entry) {
+    return this->Matches(*entry.second, request, now);
+  });
+}
+
+void DispatchTable::OnProgress(const DispatchTicket& ticket, TimePoint now) {
+  DispatchTarget& target = *ticket.target;
+  target.last_progress = now;
+  target.trial = false;
+  if (target.suspended_until != Deadline() && target.suspended_until <= now) {
+    target.suspended_until = Deadline();
+    target.next_suspension = this->options.first_suspension;
+  }
+}
+
+void DispatchTable::OnFirstAnswer(const DispatchTicket& ticket, double parts_of_objective) {
+  constexpr double kSmoothing = 0.2;
+  constexpr double kLongest = 2;
+  const double excess = std::clamp(parts_of_objective - 1, 0.0, kLongest);
+  double& slowness = ticket.target->slowness;
+  slowness += kSmoothing * (excess - slowness);
+}
+
+void DispatchTable::OnLost(const VmId& upstream, TimePoint now) {
+  const auto found = this->targets.find(upstream);
+  if (found == this->targets.end()) return;
+  DispatchTarget& target = *found->second;
+  if (target.suspended_until <= now) {
+    target.suspended_until = now + target.next_suspension;
+    target.next_suspension =
+        std::min(2 * target.next_suspension, this->options.longest_suspension);
+  }
+  for (LossListener* listener : std::set<LossListener*>(target.listeners)) {
+    listener->OnUpstreamLost();
+  }
+}
+
+void DispatchTable::SetPeerLoad(const NodeId& node, std::map<VmId, int> in_flight, TimePoint now) {
+  this->peers[node] = {std::move(in_flight), now + this->options.peer_load_lifetime};
+}
+
+std::map<VmId, int> DispatchTable::OwnLoad() const {
+  std::map<VmId, int> load;
+  for (const auto& [id, target] : this->targets) {
+    if (target->in_flight > 0) load.emplace(id, target->in_flight);
+  }
+  return load;
+}
+
+std::vector<VmId> DispatchTable::Suspended(TimePoint now) const {
+  std::vector<VmId> suspended;
+  for (const auto& [id, target] : this->targets) {
+    if (now < target->suspended_until) suspended.push_back(id);
+  }
+  return suspended;
+}
+
+std::pair<int, int> DispatchTable::SlotsAndLoad(const ServiceName& service, const ModelName& model,
+                                                TimePoint now) const {
+  std::pair<int, int> sum{0, 0};
+  for (const auto& [id, target] : this->targets) {
+    if (!target->eligible || target->service != service || target->model != model) continue;
+    sum.first += target->slots;
+    sum.second += this->LoadOf(*target, now);
+  }
+  return sum;
+}
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/core/dispatch.h
@@ -0,0 +1,163 @@
+#ifndef LIMPETFALL_CORE_DISPATCH_H_
+#define LIMPETFALL_CORE_DISPATCH_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "core/group-planner.h"
+#include "core/runner.h"
+#include "limpetfall/time.h"
+
+namespace limpetfall {
+
+/** Told when the upstream that a request was sent to is taken for lost. */
+class LossListener {
+ public:
+  virtual ~LossListener() = default;
+  virtual void OnUpstreamLost() = 0;
+};
+
+struct DispatchOptions {
+  ZoneId zone;  ///< Of this node.
+  /** Load that an upstream in another zone must have less to be chosen, in parts of its slots. */
+  double zone_preference = 0.06;
+  /** An upstream whose entry vanished is still used for this long; entries lapse with the store. */
+  Milliseconds vanished_grace{1000};
+  /** A load told by another node counts for this long. */
+  Milliseconds peer_load_lifetime{1500};
+  /** First suspension of an upstream that was taken for lost; each further one is twice as long. */
+  Milliseconds first_suspension{1000};
+  Milliseconds longest_suspension{8000};
+};
+
+/** What a request needs from its upstream. */
+struct DispatchRequest {
+  ServiceName service;
+  ModelName model;             ///< Empty for a plain service.
+  std::vector<VmId> excluded;  ///< Upstreams that failed this request.
+  double fill = 1;  ///< Most load after which a request is placed, in parts of the slots.
+
+  friend bool operator==(const DispatchRequest&, const DispatchRequest&) = default;
+};
+
+namespace detail {
+
+/** One upstream that takes requests: the head of an open group, or one of a plain service. */
+struct DispatchTarget {
+  VmId id;
+  std::string address;
+  ZoneId zone;
+  ServiceName service;
+  ModelName model;
+  GroupId group;
+  int slots = 1;
+  std::int64_t started_ms = 0;
+  bool eligible = false;
+  int in_flight = 0;        ///< Requests of this node.
+  TimePoint last_progress;  ///< When a request of this node last received bytes.
+  Deadline suspended_until;
+  Milliseconds next_suspension{0};
+  bool trial = false;  ///< A first request after a suspension is in flight.
+  double slowness = 0;  ///< Smoothed excess of first-answer times, in parts of the objective.
+  std::set<LossListener*> listeners;
+};
+
+}  // namespace detail
+
+/** A request that is counted against its upstream until the ticket is destroyed. */
+class DispatchTicket {
+ public:
+  DispatchTicket(std::shared_ptr<detail::DispatchTarget> chosen, LossListener* listener);
+  DispatchTicket(DispatchTicket&& other) noexcept;
+  DispatchTicket& operator=(DispatchTicket&& other) noexcept;
+  DispatchTicket(const DispatchTicket&) = delete;
+  DispatchTicket& operator=(const DispatchTicket&) = delete;
+  ~DispatchTicket();
+
+  [[nodiscard]] const VmId& upstream() const { return this->target->id; }
+  [[nodiscard]] const std::string& address() const { return this->target->address; }
+  [[nodiscard]] TimePoint last_progress() const { return this->target->last_progress; }
+
+ private:
+  friend class DispatchTable;
+  void Release();
+
+  std::shared_ptr<detail::DispatchTarget> target;
+  LossListener* listener = nullptr;
+};
+
+/**
+ * Upstreams that this node may send requests to, with their load as known from this node and from
+ * the others. Not thread-safe.
+ *
+ *     table.Update(runners, plan, now);
+ *     if (auto ticket = table.Choose(request, &listener, now)) Send(ticket->address());
+ */
+class DispatchTable {
+ public:
+  explicit DispatchTable(DispatchOptions settings) : options(std::move(settings)) {}
+
+  /**
+   * Takes over what the store says. The head of a group is eligible while it is open, the plan
+   * keeps the group, and every member's entry shows it as a member.
+   */
+  void Update(const std::map<VmId, Runner>& runners, const GroupPlan& plan,
+              const std::map<ServiceName, int>& engine_slots, TimePoint now);
+
+  /** Chooses the least loaded upstream; nothing when none is eligible and below `fill`. */
+  [[nodiscard]] std::optional<DispatchTicket> Choose(const DispatchRequest& request,
+                                                     LossListener* listener, TimePoint now);
+
+  /** Says whether any upstream is eligible, whatever its load. */
+  [[nodiscard]] bool HasEligible(const DispatchRequest& request, TimePoint now) const;
+
+  void OnProgress(const DispatchTicket& ticket, TimePoint now);
+
+  /** Smooths how long requests wait for their first bytes, to pass over slow upstreams. */
+  void OnFirstAnswer(const DispatchTicket& ticket, double parts_of_objective);
+
+  /** Takes an upstream for lost: suspends it and tells the requests that were sent there. */
+  void OnLost(const VmId& upstream, TimePoint now);
+
+  /** Replaces what another node has in flight. */
+  void SetPeerLoad(const NodeId& node, std::map<VmId, int> in_flight, TimePoint now);
+
+  /** Returns the requests of this node in flight, by upstream. */
+  [[nodiscard]] std::map<VmId, int> OwnLoad() const;
+
+  [[nodiscard]] std::vector<VmId> Suspended(TimePoint now) const;
+
+  /** Returns the slots of eligible upstreams of a model and the requests there, over all nodes. */
+  [[nodiscard]] std::pair<int, int> SlotsAndLoad(const ServiceName& service, const ModelName& model,
+                                                 TimePoint now) const;
+
+ private:
+  struct PeerLoad {
+    std::map<VmId, int> in_flight;
+    Deadline expires;
+  };
+
+  [[nodiscard]] int LoadOf(const detail::DispatchTarget& target, TimePoint now) const;
+  [[nodiscard]] bool Matches(const detail::DispatchTarget& target, const DispatchRequest& request,
+                             TimePoint now) const;
+  void Refresh(const Runner& runner, const PlannedGroup* group, int slots);
+
+  DispatchOptions options;
+  std::map<VmId, std::shared_ptr<detail::DispatchTarget>> targets;
+  std::map<VmId, TimePoint> vanished;
+  std::map<VmId, Runner> remembered;  ///< Last entry of upstreams that vanished a moment ago.
+  std::map<NodeId, PeerLoad> peers;
+  std::uint64_t choices = 0;  ///< Varies the choice among equals.
+};
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_CORE_DISPATCH_H_
--- /dev/null
+++ b/src/core/group-planner.cc
@@ -0,0 +1,341 @@
+#include "core/group-planner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetfall {
+namespace {
+
+// Loads that may begin at once on top of the rate. A new owner starts without any, because the one
+// before it may have used up the rate of the current window.
+constexpr double kLoadBurst = 2;
+
+// How much less a group counts whose members must first load weights.
+constexpr double kLoadPenalty = 0.4;
+
+bool InGroup(const Runner& runner, const PlannedGroup& group) {
+  return runner.membership && runner.membership->group == group.group &&
+         runner.membership->epoch == group.epoch;
+}
+
+bool Has(const std::vector<ModelName>& models, const ModelName& model) {
+  return std::find(models.begin(), models.end(), model) != models.end();
+}
+
+}  // namespace
+
+/** One step of the planner with its inputs. */
+struct GroupPlanner::Step {
+  GroupPlanner& planner;
+  const std::map<VmId, Runner>& runners;
+  const GatewayConfig& config;
+  const std::map<ModelName, double>& demand;
+  TimePoint now;
+  GroupPlan next;
+  PlannerOutput output;
+  bool changed = false;
+
+  [[nodiscard]] const Runner* Find(const VmId& id) const {
+    const auto found = this->runners.find(id);
+    return found == this->runners.end() ? nullptr : &found->second;
+  }
+
+  [[nodiscard]] bool IsSilent(const VmId& id) const {
+    const auto seen = this->planner.sightings.find(id);
+    if (seen == this->planner.sightings.end()) return false;
+    if (seen->second.kind == RunnerSighting::kAlive) return false;
+    return seen->second.since + this->planner.options.silent_grace <= this->now;
+  }
+
+  /** Says whether the member still runs in the life in which it was chosen. */
+  [[nodiscard]] bool IsLost(const PlannedGroup& group, std::size_t rank) const {
+    const VmId& id = group.members[rank];
+    const Runner* runner = this->Find(id);
+    if (runner != nullptr) {
+      return runner->started_ms != group.started_ms[rank] || this->IsSilent(id);
+    }
+    const auto missing = this->planner.vanished.find(id);
+    if (this->IsSilent(id)) return true;
+    return missing == this->planner.vanished.end() ||
+           missing->second + this->planner.options.vanished_grace <= this->now;
+  }
+
+  [[nodiscard]] bool IsLeaving(const VmId& id) const {
+    const Runner* runner = this->Find(id);
+    return runner != nullptr && runner->leaving;
+  }
+
+  [[nodiscard]] const ServedModel* ModelOf(const PlannedGroup& group) const {
+    const auto service = this->config.services.find(group.service);
+    if (service == this->config.services.end() || !service->second.engine) return nullptr;
+    for (const ServedModel& model : service->second.engine->models) {
+      if (model.name == group.model) return &model;
+    }
+    return nullptr;
+  }
+
+  /** Emits an order unless one to this runner is still under way. */
+  void Order(RunnerOrderKind kind, const Runner& runner, const PlannedGroup& group) {
+    Deadline& allowed = this->planner.next_order[runner.id];
+    if (this->now < allowed) return;
+    allowed = this->now + this->planner.options.order_retry;
+    this->output.orders.push_back({kind, runner.id, runner.address, runner.orders, group});
+  }
+
+  [[nodiscard]] bool NeedsLoad(const Runner& runner, const ModelName& model) const {
+    if (Has(runner.staged, model)) return false;
+    const auto last = this->planner.last_model.find(runner.id);
+    return last == this->planner.last_model.end() || last->second != model ||
+           this->planner.last_start.at(runner.id) != runner.started_ms;
+  }
+
+  [[nodiscard]] bool TakeLoad() {
+    if (this->planner.loads.tokens < 1) return false;
+    this->planner.loads.tokens -= 1;
+    return true;
+  }
+
+  /** Assembles a group, opens it, and marks it when it can no longer serve. */
+  void Advance(PlannedGroup& group) {
+    bool lost = this->ModelOf(group) == nullptr;
+    bool broken = false;
+    for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
+      const Runner* runner = this->Find(group.members[rank]);
+      lost = lost || this->IsLost(group, rank) || this->IsLeaving(group.members[rank]);
+      if (runner == nullptr || !runner->membership) continue;
+      broken = broken || (InGroup(*runner, group) &&
+                          runner->membership->stage == MembershipStage::kBroken);
+      // A later group took the runner, which only an owner of a later plan can have ordered.
+      lost = lost || runner->membership->epoch > group.epoch;
+    }
+    if (lost || broken) {
+      group.dissolving = true;
+      this->changed = true;
+      return;
+    }
+    bool all_ready = true;
+    for (const VmId& member : group.members) {
+      const Runner* runner = this->Find(member);
+      if (runner == nullptr) {
+        all_ready = false;
+        continue;
+      }
+      if (!InGroup(*runner, group)) {
+        all_ready = false;
+        this->OrderJoin(*runner, group);
+      } else if (runner->membership->stage == MembershipStage::kJoining) {
+        all_ready = false;
+      }
+    }
+    if (!all_ready) return;
+    const Runner& head = *this->Find(group.members.front());
+    if (head.membership->stage == MembershipStage::kReady) {
+      this->Order(RunnerOrderKind::kOpen, head, group);
+    }
+  }
+
+  void OrderJoin(const Runner& runner, const PlannedGroup& group) {
+    if (this->now < this->planner.next_order[runner.id]) return;
+    if (this->NeedsLoad(runner, group.model) && !this->TakeLoad()) return;
+    this->Order(RunnerOrderKind::kJoin, runner, group);
+  }
+
+  /** Takes a group apart; returns true when its members may be used again. */
+  bool Dissolve(const PlannedGroup& group) {
+    const VmId& head_id = group.members.front();
+    const Runner* head = this->Find(head_id);
+    const bool head_restarted = head != nullptr && head->started_ms != group.started_ms.front();
+    if (head_restarted) return true;
+    if (head != nullptr && !InGroup(*head, group) && !this->IsSilent(head_id)) {
+      // A join that was ordered before may still arrive, and is void for a later epoch.
+      return true;
+    }
+    if (head == nullptr || this->IsSilent(head_id)) return this->DissolveUnreachable(group, head_id);
+    bool lost = false;
+    for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
+      lost = lost || this->IsLost(group, rank);
+    }
+    const MembershipStage stage = head->membership->stage;
+    if (!lost && stage == MembershipStage::kOpen) {
+      this->Order(RunnerOrderKind::kClose, *head, group);
+    } else if (lost || stage != MembershipStage::kClosing) {
+      this->Order(RunnerOrderKind::kLeave, *head, group);
+    }
+    return false;
+  }
+
+  /**
+   * A head that cannot be reached from here may still serve others. It certainly stops once another
+   * member has left and the stall bound has passed.
+   */
+  bool DissolveUnreachable(const PlannedGroup& group, const VmId& head_id) {
+    const auto seen = this->planner.sightings.find(head_id);
+    if (seen != this->planner.sightings.end() && seen->second.kind == RunnerSighting::kGone) {
+      return true;
+    }
+    if (const Runner* head = this->Find(head_id); head != nullptr) {
+      this->Order(RunnerOrderKind::kProbe, *head, group);
+    }
+    bool left = group.members.size() > 1;
+    bool any_alive = false;
+    for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
+      const Runner* member = this->Find(group.members[rank]);
+      if (member == nullptr || this->IsLost(group, rank)) continue;
+      any_alive = true;
+      if (InGroup(*member, group)) {
+        left = false;
+        this->Order(RunnerOrderKind::kLeave, *member, group);
+      }
+    }
+    if (!any_alive) return true;
+    if (!left) return false;
+    const auto [entry, added] = this->planner.broken_by.try_emplace(
+        group.group, this->now + this->planner.options.stall_bound);
+    return entry->second <= this->now;
+  }
+
+  /** Runners that are in no group of the plan and may join one, by domain. */
+  [[nodiscard]] std::map<DomainId, std::vector<const Runner*>> FreeRunners() const {
+    std::set<VmId> taken;
+    for (const PlannedGroup& group : this->next.groups) {
+      taken.insert(group.members.begin(), group.members.end());
+    }
+    std::map<DomainId, std::vector<const Runner*>> free;
+    for (const auto& [id, runner] : this->runners) {
+      const auto service = this->config.services.find(runner.service);
+      if (service == this->config.services.end() || !service->second.engine) continue;
+      if (taken.contains(id) || runner.leaving || this->IsSilent(id)) continue;
+      free[runner.domain].push_back(&runner);
+    }
+    return free;
+  }
+
+  /** A way to form one more group. */
+  struct Candidate {
+    const ServedModel* model = nullptr;
+    ServiceName service;
+    DomainId domain;
+    std::vector<const Runner*> members;
+    double value = 0;
+  };
+
+  /** Orders the free runners by how soon they can join a group of the model. */
+  [[nodiscard]] std::vector<const Runner*> BestMembers(const std::vector<const Runner*>& free,
+                                                       const ServedModel& model) const {
+    std::vector<const Runner*> members = free;
+    const auto rank = [&](const Runner* runner) { return this->NeedsLoad(*runner, model.name); };
+    std::stable_sort(members.begin(), members.end(),
+                     [&](const Runner* a, const Runner* b) { return rank(a) < rank(b); });
+    members.resize(static_cast<std::size_t>(model.group_size));
+    return members;
+  }
+
+  [[nodiscard]] std::optional<Candidate> BestCandidate(
+      const std::map<DomainId, std::vector<const Runner*>>& free) const {
+    std::map<ModelName, int> have;
+    std::map<std::pair<ZoneId, ModelName>, int> by_zone;
+    for (const PlannedGroup& group : this->next.groups) {
+      if (group.dissolving) continue;
+      ++have[group.model];
+      if (const Runner* head = this->Find(group.members.front())) {
+        ++by_zone[{head->zone, group.model}];
+      }
+    }
+    std::optional<Candidate> best;
+    for (const auto& [domain, runners_there] : free) {
+      const ServiceName& service = runners_there.front()->service;
+      for (const ServedModel& model : this->config.services.at(service).engine->models) {
+        if (runners_there.size() < static_cast<std::size_t>(model.group_size)) continue;
+        Candidate candidate{&model, service, domain, this->BestMembers(runners_there, model)};
+        const auto wanted = this->demand.find(model.name);
+        const double need = wanted == this->demand.end() ? 0 : wanted->second;
+        candidate.value = need / (have[model.name] + 0.5);
+        const bool load = std::any_of(
+            candidate.members.begin(), candidate.members.end(),
+            [&](const Runner* runner) { return this->NeedsLoad(*runner, model.name); });
+        if (load) candidate.value *= kLoadPenalty;
+        // Spreads each model over zones, and fills the emptiest domain first.
+        constexpr double kSpread = 0.02;
+        candidate.value *= 1 - kSpread * by_zone[{runners_there.front()->zone, model.name}];
+        candidate.value *= 1 + kSpread * static_cast<double>(runners_there.size()) / 10;
+        if (!best || candidate.value > best->value) best = std::move(candidate);
+      }
+    }
+    return best;
+  }
+
+  void Form() {
+    // The revision of the plan only grows, so no two writes share an epoch.
+    const auto epoch = static_cast<Generation>(this->next.revision + 1);
+    int number = 0;
+    for (;;) {
+      auto free = this->FreeRunners();
+      const auto candidate = this->BestCandidate(free);
+      if (!candidate) return;
+      PlannedGroup group;
+      group.group = GroupId("g" + std::to_string(epoch) + "-" + std::to_string(++number));
+      group.epoch = epoch;
+      group.service = candidate->service;
+      group.model = candidate->model->name;
+      group.domain = candidate->domain;
+      for (const Runner* runner : candidate->members) {
+        group.members.push_back(runner->id);
+        group.started_ms.push_back(runner->started_ms);
+      }
+      this->next.groups.push_back(std::move(group));
+      this->changed = true;
+    }
+  }
+};
+
+PlannerOutput GroupPlanner::Step(const std::map<VmId, Runner>& runners, const GroupPlan& plan,
+                                 const GatewayConfig& config,
+                                 const std::map<ModelName, double>& demand, TimePoint now) {
+  double loads_per_second = 0;
+  for (const auto& [name, service] : config.services) {
+    if (service.engine) loads_per_second += service.engine->loads_per_second;
+  }
+  if (this->loads.updated != TimePoint()) {
+    const std::chrono::duration<double> passed = now - this->loads.updated;
+    this->loads.tokens =
+        std::min(kLoadBurst, this->loads.tokens + passed.count() * loads_per_second);
+  }
+  this->loads.updated = now;
+
+  struct Step step{*this, runners, config, demand, now, plan, {}, false};
+  for (const PlannedGroup& group : plan.groups) {
+    for (const VmId& member : group.members) {
+      const Runner* runner = step.Find(member);
+      if (runner == nullptr) {
+        this->vanished.try_emplace(member, now);
+        continue;
+      }
+      this->vanished.erase(member);
+      if (InGroup(*runner, group)) {
+        this->last_model[member] = group.model;
+        this->last_start[member] = runner->started_ms;
+      }
+    }
+  }
+  std::erase_if(step.next.groups, [&](const PlannedGroup& group) {
+    if (!group.dissolving || !step.Dissolve(group)) return false;
+    this->broken_by.erase(group.group);
+    step.changed = true;
+    return true;
+  });
+  for (PlannedGroup& group : step.next.groups) {
+    if (!group.dissolving) step.Advance(group);
+  }
+  step.Form();
+  if (step.changed) step.output.proposal = std::move(step.next);
+  return std::move(step.output);
+}
+
+void GroupPlanner::OnSighting(const VmId& runner, RunnerSighting sighting, TimePoint now) {
+  const auto [entry, added] = this->sightings.try_emplace(runner, Sighting{sighting, now});
+  if (!added && entry->second.kind != sighting) entry->second = {sighting, now};
+}
+
+void GroupPlanner::OnOrderDone(const VmId& runner) { this->next_order.erase(runner); }
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/core/group-planner.h
@@ -0,0 +1,125 @@
+#ifndef LIMPETFALL_CORE_GROUP_PLANNER_H_
+#define LIMPETFALL_CORE_GROUP_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/gateway-config.h"
+#include "core/runner.h"
+#include "limpetfall/time.h"
+
+namespace limpetfall {
+
+/** A runner in a group, and the life in which it was chosen. */
+struct PlannedGroup {
+  GroupId group;
+  Generation epoch = 0;
+  ServiceName service;
+  ModelName model;
+  DomainId domain;
+  std::vector<VmId> members;                ///< The first is the head, which serves requests.
+  std::vector<std::int64_t> started_ms;     ///< Start of each member when it was chosen.
+  bool dissolving = false;  ///< Its members are free once the head certainly serves no more.
+
+  friend bool operator==(const PlannedGroup&, const PlannedGroup&) = default;
+};
+
+/** All groups; one key of the platform's store, written under a condition on its revision. */
+struct GroupPlan {
+  std::int64_t revision = 0;  ///< 0 when the key does not exist.
+  std::vector<PlannedGroup> groups;
+
+  friend bool operator==(const GroupPlan&, const GroupPlan&) = default;
+};
+
+enum class RunnerOrderKind {
+  kJoin,
+  kOpen,
+  kClose,  ///< The head finishes what it has.
+  kLeave,
+  kProbe,  ///< Asks an upstream whose entry is missing whether it still runs.
+};
+
+/** An order to one runner. */
+struct RunnerOrder {
+  RunnerOrderKind kind = RunnerOrderKind::kProbe;
+  VmId runner;
+  std::string address;
+  std::int64_t expected_orders = 0;  ///< Orders that the runner has accepted so far.
+  PlannedGroup group;
+
+  friend bool operator==(const RunnerOrder&, const RunnerOrder&) = default;
+};
+
+/** What a probe or an order showed about a runner. */
+enum class RunnerSighting {
+  kAlive,
+  kGone,    ///< Nothing listens at the address, or another process does.
+  kSilent,  ///< No answer: crashed in the dark, or cut off.
+};
+
+struct PlannerOptions {
+  Milliseconds vanished_grace{2200};  ///< Entries that lapsed with the store return within 2 s.
+  Milliseconds silent_grace{300};     ///< An entry in the store says less than a silent runner.
+  Milliseconds order_retry{1000};
+  Milliseconds stall_bound{6000};  ///< A head that lost a member is broken after this.
+
+  friend bool operator==(const PlannerOptions&, const PlannerOptions&) = default;
+};
+
+struct PlannerOutput {
+  std::optional<GroupPlan> proposal;  ///< To be written if the plan still has its revision.
+  std::vector<RunnerOrder> orders;    ///< Follow from the plan that was passed in.
+};
+
+/**
+ * Assembles runners into groups, and takes groups apart that lost a member or are about to. Pure:
+ * no group that the written plan does not hold is ever ordered.
+ *
+ *     PlannerOutput output = planner.Step(runners, plan, config, demand, now);
+ */
+class GroupPlanner {
+ public:
+  explicit GroupPlanner(PlannerOptions settings) : options(settings) {}
+
+  /** `demand` holds for each model the groups' worth of requests that callers send now. */
+  PlannerOutput Step(const std::map<VmId, Runner>& runners, const GroupPlan& plan,
+                     const GatewayConfig& config, const std::map<ModelName, double>& demand,
+                     TimePoint now);
+
+  void OnSighting(const VmId& runner, RunnerSighting sighting, TimePoint now);
+
+  /** Allows the next order to a runner at once, after it has answered the last one. */
+  void OnOrderDone(const VmId& runner);
+
+ private:
+  struct Sighting {
+    RunnerSighting kind = RunnerSighting::kAlive;
+    TimePoint since;
+  };
+
+  struct LoadBudget {
+    double tokens = 0;
+    TimePoint updated;
+  };
+
+  struct Step;
+  friend struct Step;
+
+  PlannerOptions options;
+  std::map<VmId, TimePoint> vanished;
+  std::map<VmId, Sighting> sightings;
+  std::map<VmId, Deadline> next_order;
+  std::map<VmId, ModelName> last_model;     ///< Model of the last group in this life.
+  std::map<VmId, std::int64_t> last_start;  ///< The life that `last_model` belongs to.
+  std::map<GroupId, Deadline> broken_by;    ///< When a head that cannot be asked must be broken.
+  LoadBudget loads;
+};
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_CORE_GROUP_PLANNER_H_
--- /dev/null
+++ b/src/core/shared-retry-budget.h
@@ -0,0 +1,71 @@
+#ifndef LIMPETFALL_CORE_SHARED_RETRY_BUDGET_H_
+#define LIMPETFALL_CORE_SHARED_RETRY_BUDGET_H_
+
+#include <algorithm>
+#include <deque>
+#include <map>
+
+#include "base/ids.h"
+#include "limpetfall/time.h"
+
+namespace limpetfall {
+
+struct RetryBudgetOptions {
+  double share = 0.2;  ///< Extra attempts for each request, over all nodes.
+  double slack = 100;  ///< Extra attempts in a window beside those, over all nodes.
+  Milliseconds window{10000};
+
+  friend bool operator==(const RetryBudgetOptions&, const RetryBudgetOptions&) = default;
+};
+
+/**
+ * Bounds the attempts beyond the first that reach each service in any window, over all nodes
+ * together: each node may use what its own requests earn and an equal part of the slack.
+ *
+ *     budget.OnRequest(service, now);
+ *     if (budget.TryTake(service, now)) SendAgain();
+ */
+class SharedRetryBudget {
+ public:
+  explicit SharedRetryBudget(RetryBudgetOptions settings) : options(settings) {}
+
+  /** Takes over the most nodes that may share the budget. */
+  void SetNodes(int count) { this->nodes = std::max(1, count); }
+
+  void OnRequest(const ServiceName& service, TimePoint now) {
+    Usage& usage = this->services[service];
+    this->DropOld(usage, now);
+    usage.requests.push_back(now);
+  }
+
+  /** Takes one extra attempt; false when none is left. */
+  [[nodiscard]] bool TryTake(const ServiceName& service, TimePoint now) {
+    Usage& usage = this->services[service];
+    this->DropOld(usage, now);
+    const double allowed = this->options.share * static_cast<double>(usage.requests.size()) +
+                           this->options.slack / this->nodes;
+    if (static_cast<double>(usage.extra.size()) + 1 > allowed) return false;
+    usage.extra.push_back(now);
+    return true;
+  }
+
+ private:
+  struct Usage {
+    std::deque<TimePoint> requests;
+    std::deque<TimePoint> extra;
+  };
+
+  void DropOld(Usage& usage, TimePoint now) const {
+    for (auto* times : {&usage.requests, &usage.extra}) {
+      while (!times->empty() && times->front() + this->options.window < now) times->pop_front();
+    }
+  }
+
+  RetryBudgetOptions options;
+  int nodes = 1;
+  std::map<ServiceName, Usage> services;
+};
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_CORE_SHARED_RETRY_BUDGET_H_
--- /dev/null
+++ b/src/core/stall-rule.h
@@ -0,0 +1,39 @@
+#ifndef LIMPETFALL_CORE_STALL_RULE_H_
+#define LIMPETFALL_CORE_STALL_RULE_H_
+
+#include <algorithm>
+
+#include "limpetfall/time.h"
+
+namespace limpetfall {
+
+/** What is known about a request that waits for bytes from its upstream. */
+struct StallState {
+  TimePoint last_bytes;         ///< Last bytes of this request, or when it was sent.
+  TimePoint upstream_progress;  ///< Last bytes of any request of this node at that upstream.
+  Milliseconds group_silence{0};   ///< An upstream that is silent to all for this long is lost.
+  Milliseconds single_silence{0};  ///< A request that is silent for this long is stuck by itself.
+
+  friend bool operator==(const StallState&, const StallState&) = default;
+};
+
+enum class StallVerdict { kWaiting, kRequestStuck, kUpstreamLost };
+
+/** Judges a silent request: an engine that batches serves all its requests in one pass, so silence
+ * of all of them shows a lost member long before the platform does. */
+constexpr StallVerdict JudgeStall(const StallState& state, TimePoint now) {
+  const TimePoint heard = std::max(state.last_bytes, state.upstream_progress);
+  if (heard + state.group_silence <= now) return StallVerdict::kUpstreamLost;
+  if (state.last_bytes + state.single_silence <= now) return StallVerdict::kRequestStuck;
+  return StallVerdict::kWaiting;
+}
+
+/** Returns when the verdict may change next without further bytes. */
+constexpr Deadline NextStallCheck(const StallState& state) {
+  const TimePoint heard = std::max(state.last_bytes, state.upstream_progress);
+  return std::min(heard + state.group_silence, state.last_bytes + state.single_silence);
+}
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_CORE_STALL_RULE_H_
--- /dev/null
+++ b/src/gateway/gateway-node-impl.h
@@ -0,0 +1,533 @@
+#ifndef LIMPETFALL_GATEWAY_GATEWAY_NODE_IMPL_H_
+#define LIMPETFALL_GATEWAY_GATEWAY_NODE_IMPL_H_
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/lexical_cast.hpp>
+#include <utility>
+
+#include "base/log.h"
+#include "gateway/gateway-node.h"
+#include "gateway/plan-codec.h"
+#include "http/address.h"
+#include "http/error-response.h"
+
+namespace limpetfall {
+
+namespace gateway_detail {
+
+inline constexpr auto kNoThrow = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+// A watch that answers without a change renews the proof that the configuration is in force.
+inline constexpr Milliseconds kWatchTime{1200};
+
+// Changes that come in close succession are fetched with one call.
+inline constexpr Milliseconds kWatchPause{40};
+
+inline constexpr Milliseconds kCallTimeout{1500};
+inline constexpr Milliseconds kStoreRetry{250};
+
+// Length of the lease that holds a node's keys. A leader that died is replaced after it.
+inline constexpr Milliseconds kLeaseTime{3000};
+inline constexpr Milliseconds kLeaseRenewal{900};
+
+// A leader stops this long before its lease may end: its last orders must have arrived by then.
+inline constexpr Milliseconds kLeaseMargin{500};
+
+inline constexpr Milliseconds kPeerInterval{200};
+inline constexpr Milliseconds kOwnerInterval{100};
+inline constexpr Milliseconds kTickInterval{50};
+inline constexpr Milliseconds kOrderTimeout{800};
+
+// A node whose own proof is older than this asks another node.
+inline constexpr Milliseconds kFallbackAge{2200};
+inline constexpr Milliseconds kFallbackInterval{300};
+
+// An upstream that is suspected is asked again after this.
+inline constexpr Milliseconds kProbeInterval{400};
+inline constexpr Milliseconds kProbeTimeout{350};
+
+// Time of the stop grace that is left for the process to end by itself.
+inline constexpr Milliseconds kStopMargin{600};
+
+inline constexpr std::size_t kMaxDatagram = 64 << 10;
+
+}  // namespace gateway_detail
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+GatewayNode<Store, Adapter>::GatewayNode(boost::asio::io_context& context, GatewayOptions settings,
+                                         Store& platform_store, Adapter& deployment,
+                                         std::shared_ptr<Metrics> counters)
+    : io(context),
+      shared(context, std::move(settings), std::move(counters)),
+      store(platform_store),
+      adapter(deployment),
+      mirror([this](const StateItem& item) { this->OnItem(item); }),
+      planner(this->shared.options.planner),
+      // Callers may use an answer for three times its lifetime.
+      drain(Drain::Create({3 * this->shared.options.address_lifetime, Milliseconds(400)}).value()),
+      peer_socket(context),
+      random(std::random_device{}()) {}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+Result<void> GatewayNode<Store, Adapter>::Start() {
+  namespace asio = boost::asio;
+  BOOST_OUTCOME_TRY(this->caller_server,
+                    HttpServer::Create(
+                        this->io, this->shared.options.caller_address,
+                        [this](HttpExchange& exchange) {
+                          return this->shared.relay.Handle(exchange);
+                        },
+                        {.max_body_bytes = 8 << 20}));
+  BOOST_OUTCOME_TRY(
+      this->peer_server,
+      HttpServer::Create(
+          this->io, this->shared.options.peer_address,
+          [this](HttpExchange& exchange) { return this->ServePeer(exchange); }, {}));
+  BOOST_OUTCOME_TRY(const auto endpoint, ParseEndpoint(this->shared.options.peer_address));
+  boost::system::error_code error;
+  const asio::ip::udp::endpoint udp_endpoint(endpoint.address(), endpoint.port());
+  this->peer_socket.open(udp_endpoint.protocol(), error);
+  if (!error) this->peer_socket.bind(udp_endpoint, error);
+  if (error) {
+    return NotRun(ErrorCode::kUnavailable,
+                  "cannot use " + this->shared.options.peer_address + ": " + error.message());
+  }
+  asio::co_spawn(this->io, this->MirrorLoop(), asio::detached);
+  asio::co_spawn(this->io, this->FallbackLoop(), asio::detached);
+  asio::co_spawn(this->io, this->LeaseLoop(), asio::detached);
+  asio::co_spawn(this->io, this->OwnerLoop(), asio::detached);
+  asio::co_spawn(this->io, this->TickLoop(), asio::detached);
+  asio::co_spawn(this->io, this->SendPeersLoop(), asio::detached);
+  asio::co_spawn(this->io, this->ReceivePeersLoop(), asio::detached);
+  return success();
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::Pause(Milliseconds time) {
+  boost::asio::steady_timer timer(this->io, Clock::now() + time);
+  co_await timer.async_wait(gateway_detail::kNoThrow);
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+void GatewayNode<Store, Adapter>::OnItem(const StateItem& item) {
+  if (item.key.starts_with(gateway_keys::kPrefix)) return this->shared.ApplyOwn(item);
+  auto change = this->adapter.Decode(item);
+  if (change) return this->shared.Apply(std::move(change.value()));
+  Log(LogLevel::kWarning, "entry_unreadable",
+      {{"key", item.key}, {"detail", change.error().message}});
+  this->shared.metrics->Add("unreadable_entries_total", {});
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+void GatewayNode<Store, Adapter>::Take(const StateUpdate& update) {
+  this->mirror.Apply(update);
+  this->shared.Confirm(this->mirror.confirmed());
+  this->shared.Refresh();
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<Result<StateUpdate>> GatewayNode<Store, Adapter>::NextUpdate() {
+  using namespace gateway_detail;
+  if (this->snapshot_needed) return this->store.Snapshot(Clock::now() + kCallTimeout);
+  return this->store.Watch(this->mirror.revision(), kWatchTime);
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<Result<LeaseGrant>> GatewayNode<Store, Adapter>::RenewLease() {
+  using namespace gateway_detail;
+  const Deadline deadline = Clock::now() + kCallTimeout;
+  if (this->lease) return this->store.KeepLease(this->lease->id, kLeaseTime, deadline);
+  return this->store.GrantLease(kLeaseTime, deadline);
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::MirrorLoop() {
+  using namespace gateway_detail;
+  for (;;) {
+    auto update = co_await this->NextUpdate();
+    if (update) {
+      if (!this->store_ok) Log(LogLevel::kInfo, "store_regained");
+      this->store_ok = true;
+      this->snapshot_needed = false;
+      this->Take(update.value());
+      if (!update.value().items.empty()) co_await this->Pause(kWatchPause);
+      continue;
+    }
+    if (update.error().code == ErrorCode::kNotFound) {
+      Log(LogLevel::kWarning, "store_history_lost", {{"revision", this->mirror.revision()}});
+      this->snapshot_needed = true;
+      continue;
+    }
+    if (this->store_ok) {
+      Log(LogLevel::kWarning, "store_lost", {{"detail", update.error().message}});
+    }
+    this->store_ok = false;
+    co_await this->Pause(kStoreRetry);
+  }
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::FallbackLoop() {
+  using namespace gateway_detail;
+  for (;;) {
+    co_await this->Pause(kFallbackInterval);
+    const BootTime old = BootClock::now() - kFallbackAge;
+    if (this->mirror.revision() > 0 && this->shared.confirmed > old) continue;
+    if (const Peer* peer = this->shared.peers.Freshest(Clock::now())) {
+      if (peer->confirmed <= this->shared.confirmed) continue;
+      co_await this->FetchFromPeer(peer->status.peer_address);
+    }
+  }
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::FetchFromPeer(
+    const std::string& address) {
+  using namespace gateway_detail;
+  const BootTime asked = BootClock::now();
+  const Deadline deadline = Clock::now() + kCallTimeout;
+  auto connection = co_await this->shared.pool.Acquire(address, deadline);
+  if (!connection) {
+    Log(LogLevel::kWarning, "peer_unreachable", {{"detail", connection.error().message}});
+    co_return;
+  }
+  HttpRequest request;
+  request.target = "/v1/changes?after=" + std::to_string(this->mirror.revision());
+  request.headers["Host"] = address;
+  const auto response = co_await connection.value()->Call(request, deadline);
+  if (!response || response.value().status != 200) {
+    Log(LogLevel::kWarning, "peer_changes_missing",
+        {{"peer", address},
+         {"detail", response ? std::to_string(response.value().status)
+                             : response.error().message}});
+    co_return;
+  }
+  this->shared.pool.Release(connection.value());
+  auto update = DecodeChanges(response.value().body, asked);
+  if (!update) {
+    Log(LogLevel::kWarning, "peer_changes_unreadable", {{"detail", update.error().message}});
+    co_return;
+  }
+  this->Take(update.value());
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::ServePeer(HttpExchange& exchange) {
+  constexpr std::string_view kChanges = "/v1/changes?after=";
+  const std::string& target = exchange.request().target;
+  std::int64_t after = -1;
+  if (target.starts_with(kChanges)) {
+    boost::conversion::try_lexical_convert(target.substr(kChanges.size()), after);
+  }
+  HttpResponse response;
+  if (after < 0 || this->mirror.revision() == 0) {
+    response = ErrorResponse(after < 0 ? 404 : 503,
+                             NotRun(ErrorCode::kUnavailable, "no such state here"), "");
+  } else {
+    response.status = 200;
+    response.headers["Content-Type"] = "application/octet-stream";
+    response.body = EncodeChanges(this->mirror.Since(after), BootClock::now());
+  }
+  [[maybe_unused]] const auto sent = co_await exchange.Send(std::move(response));
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::LeaseLoop() {
+  using namespace gateway_detail;
+  for (;;) {
+    if (this->shared.stopping) co_return;
+    const auto grant = co_await this->RenewLease();
+    if (grant) {
+      this->lease = grant.value();
+      if (!this->registered) co_await this->WriteRegistration();
+      if (this->mirror.revision() > 0 && !this->shared.leader) co_await this->TryLead();
+    } else if (grant.error().code == ErrorCode::kNotFound) {
+      Log(LogLevel::kWarning, "lease_ended", {{"lease", this->lease ? this->lease->id : 0}});
+      this->lease.reset();
+      this->registered = false;
+      continue;
+    }
+    // While nobody leads, the election is tried again soon, at a random time of each node.
+    const bool lead_soon = !this->shared.leader;
+    const Milliseconds pause =
+        lead_soon ? Milliseconds(100 + static_cast<int>(this->random() % 150)) : kLeaseRenewal;
+    co_await this->Pause(pause);
+  }
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::WriteRegistration() {
+  using namespace gateway_detail;
+  StoreWrite write;
+  write.puts.push_back({std::string(gateway_keys::kNodes) + this->shared.options.node.value,
+                        this->shared.options.peer_address, this->lease->id});
+  const auto written = co_await this->store.Write(std::move(write), Clock::now() + kCallTimeout);
+  this->registered = written && written.value();
+  if (!written) {
+    Log(LogLevel::kWarning, "registration_failed", {{"detail", written.error().message}});
+  }
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::TryLead() {
+  using namespace gateway_detail;
+  StoreWrite write;
+  write.conditions.push_back({std::string(gateway_keys::kLeader), 0});
+  write.puts.push_back(
+      {std::string(gateway_keys::kLeader), this->shared.options.node.value, this->lease->id});
+  const auto written = co_await this->store.Write(std::move(write), Clock::now() + kCallTimeout);
+  if (!written) {
+    Log(LogLevel::kWarning, "election_failed", {{"detail", written.error().message}});
+  }
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+bool GatewayNode<Store, Adapter>::Leads() const {
+  if (this->shared.stopping || !this->shared.leader || !this->lease) return false;
+  if (this->shared.leader->value != this->shared.options.node.value) return false;
+  return BootClock::now() + gateway_detail::kLeaseMargin < this->lease->until;
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+std::map<ModelName, double> GatewayNode<Store, Adapter>::Demand() const {
+  std::map<ModelName, double> demand;
+  for (const auto& [name, service] : this->shared.routes->config().services) {
+    if (!service.engine) continue;
+    const auto members =
+        std::count_if(this->shared.runners.begin(), this->shared.runners.end(),
+                      [&](const auto& entry) { return entry.second.service == name; });
+    for (const ServedModel& model : service.engine->models) {
+      demand[model.name] = model.share * static_cast<double>(members) / model.group_size;
+    }
+  }
+  return demand;
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::OwnerLoop() {
+  using namespace gateway_detail;
+  for (;;) {
+    co_await this->Pause(kOwnerInterval);
+    if (!this->shared.routes || !this->Leads()) continue;
+    const TimePoint now = Clock::now();
+    this->ProbeSuspects(now);
+    PlannerOutput output =
+        this->planner.Step(this->shared.runners, this->shared.plan, this->shared.routes->config(),
+                           this->Demand(), now);
+    for (RunnerOrder& order : output.orders) {
+      boost::asio::co_spawn(this->io, this->SendOrder(std::move(order)), boost::asio::detached);
+    }
+    if (!output.proposal) continue;
+    StoreWrite write;
+    write.conditions.push_back(
+        {std::string(gateway_keys::kLeader), this->shared.leader->revision});
+    write.conditions.push_back(
+        {std::string(gateway_keys::kPlan), this->shared.plan.revision});
+    write.puts.push_back({std::string(gateway_keys::kPlan), EncodePlan(*output.proposal), 0});
+    const std::int64_t before = this->shared.plan.revision;
+    const auto written = co_await this->store.Write(std::move(write), now + kCallTimeout);
+    Log(LogLevel::kInfo, "plan",
+        {{"groups", output.proposal->groups.size()},
+         {"from", before},
+         {"outcome", !written ? written.error().message : written.value() ? "written" : "lost"}});
+    // The next step starts from the plan that the store holds.
+    for (int i = 0; written && written.value() && i < 20; ++i) {
+      if (this->shared.plan.revision != before) break;
+      co_await this->Pause(Milliseconds(25));
+    }
+  }
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+void GatewayNode<Store, Adapter>::ProbeSuspects(TimePoint now) {
+  using namespace gateway_detail;
+  std::vector<VmId> suspects = this->shared.dispatch.Suspended(now);
+  for (const Peer* peer : this->shared.peers.Alive(now)) {
+    for (const std::uint64_t hash : peer->status.suspended) {
+      const auto found = this->shared.runner_by_hash.find(hash);
+      if (found != this->shared.runner_by_hash.end()) suspects.push_back(found->second);
+    }
+  }
+  std::set<VmId> asked = this->unseen;
+  for (const PlannedGroup& group : this->shared.plan.groups) {
+    if (std::find(suspects.begin(), suspects.end(), group.members.front()) == suspects.end()) {
+      continue;
+    }
+    asked.insert(group.members.begin(), group.members.end());
+  }
+  for (const VmId& id : asked) {
+    const auto runner = this->shared.runners.find(id);
+    if (runner == this->shared.runners.end()) {
+      this->unseen.erase(id);
+      continue;
+    }
+    if (now < this->probed[id] + kProbeInterval) continue;
+    this->probed[id] = now;
+    RunnerOrder probe;
+    probe.runner = id;
+    probe.address = runner->second.address;
+    boost::asio::co_spawn(this->io, this->SendOrder(std::move(probe)), boost::asio::detached);
+  }
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::SendOrder(RunnerOrder order) {
+  using namespace gateway_detail;
+  const bool probe = order.kind == RunnerOrderKind::kProbe;
+  const TimePoint sent = Clock::now();
+  const auto answer = co_await this->adapter.SendOrder(
+      this->shared.pool, order, sent + (probe ? kProbeTimeout : kOrderTimeout));
+  const TimePoint now = Clock::now();
+  RunnerSighting sighting = RunnerSighting::kAlive;
+  if (!answer) {
+    const bool refused = answer.error().code == ErrorCode::kUnavailable;
+    sighting = refused ? RunnerSighting::kGone : RunnerSighting::kSilent;
+  } else if (answer.value() == OrderAnswer::kElsewhere) {
+    sighting = RunnerSighting::kGone;
+  }
+  if (sighting == RunnerSighting::kAlive) {
+    this->unseen.erase(order.runner);
+  } else {
+    this->unseen.insert(order.runner);
+  }
+  this->planner.OnSighting(order.runner, sighting, now);
+  if (answer && answer.value() == OrderAnswer::kDone) this->planner.OnOrderDone(order.runner);
+  Log(LogLevel::kInfo, "runner_order",
+      {{"runner", order.runner.value},
+       {"kind", static_cast<int>(order.kind)},
+       {"group", order.group.group.value},
+       {"expected", order.expected_orders},
+       {"outcome", !answer                                    ? answer.error().message
+                   : answer.value() == OrderAnswer::kDone     ? std::string("done")
+                   : answer.value() == OrderAnswer::kRefused  ? std::string("refused")
+                                                              : std::string("elsewhere")}});
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::TickLoop() {
+  using namespace gateway_detail;
+  for (;;) {
+    co_await this->Pause(kTickInterval);
+    this->shared.relay.ExpireWaiting();
+    this->shared.Refresh();
+  }
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::SendPeersLoop() {
+  using namespace gateway_detail;
+  namespace asio = boost::asio;
+  for (;;) {
+    const TimePoint now = Clock::now();
+    const BootTime boot_now = BootClock::now();
+    PeerStatus status;
+    status.node = this->shared.options.node;
+    status.zone = this->shared.options.zone;
+    status.caller_address = this->shared.options.caller_address;
+    status.peer_address = this->shared.options.peer_address;
+    status.ready = this->shared.IsReady();
+    status.sent_at_ns = static_cast<std::uint64_t>(boot_now.time_since_epoch().count());
+    status.mirror_revision = this->mirror.revision();
+    if (this->shared.confirmed != BootTime()) {
+      status.proof_age_ms =
+          std::chrono::ceil<std::chrono::milliseconds>(boot_now - this->shared.confirmed).count();
+    }
+    for (const auto& [upstream, in_flight] : this->shared.dispatch.OwnLoad()) {
+      status.loads[UpstreamHash(upstream)] = in_flight;
+    }
+    for (const VmId& upstream : this->shared.dispatch.Suspended(now)) {
+      status.suspended.push_back(UpstreamHash(upstream));
+    }
+    std::map<std::string, std::uint64_t> targets;
+    for (const std::string& seed : this->shared.options.peer_seeds) targets.emplace(seed, 0);
+    for (const auto& [node, address] : this->shared.peers.Addresses(now)) {
+      targets[address] = this->shared.peers.EchoFor(node);
+    }
+    targets.erase(status.peer_address);
+    for (const auto& [address, echo] : targets) {
+      const auto endpoint = ParseEndpoint(address);
+      if (!endpoint) continue;
+      status.echo_at_ns = echo;
+      const std::string message = EncodePeerStatus(status);
+      boost::system::error_code lost;  // A datagram may be lost on the way as well.
+      this->peer_socket.send_to(
+          asio::buffer(message),
+          asio::ip::udp::endpoint(endpoint.value().address(), endpoint.value().port()), 0, lost);
+    }
+    co_await this->Pause(kPeerInterval);
+  }
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::ReceivePeersLoop() {
+  using namespace gateway_detail;
+  std::vector<char> datagram(kMaxDatagram);
+  for (;;) {
+    boost::asio::ip::udp::endpoint from;
+    const auto [error, length] = co_await this->peer_socket.async_receive_from(
+        boost::asio::buffer(datagram), from, kNoThrow);
+    // An earlier datagram to a node that is down is reported as an error here.
+    if (error) {
+      co_await this->Pause(Milliseconds(1));
+      continue;
+    }
+    const auto status = DecodePeerStatus({datagram.data(), length});
+    if (status) this->OnPeerStatus(status.value());
+  }
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+void GatewayNode<Store, Adapter>::OnPeerStatus(const PeerStatus& status) {
+  const TimePoint now = Clock::now();
+  if (!this->shared.peers.OnStatus(status, now)) return;
+  std::map<VmId, int> loads;
+  for (const auto& [hash, in_flight] : status.loads) {
+    const auto found = this->shared.runner_by_hash.find(hash);
+    if (found != this->shared.runner_by_hash.end()) loads.emplace(found->second, in_flight);
+  }
+  this->shared.dispatch.SetPeerLoad(status.node, std::move(loads), now);
+  this->shared.relay.SetNodes(
+      std::max(this->shared.options.max_nodes, this->shared.peers.known() + 1));
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+void GatewayNode<Store, Adapter>::Stop(std::function<void()> on_finished) {
+  if (this->shared.stopping) return;
+  Log(LogLevel::kInfo, "stopping");
+  this->shared.stopping = true;
+  this->shared.Refresh();
+  this->drain.Start(Clock::now());
+  boost::asio::co_spawn(this->io, this->StopLoop(std::move(on_finished)), boost::asio::detached);
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::StopLoop(
+    std::function<void()> on_finished) {
+  using namespace gateway_detail;
+  const Deadline last = Clock::now() + this->shared.options.stop_grace - kStopMargin;
+  if (this->lease) {
+    const auto ended = co_await this->store.EndLease(this->lease->id, Clock::now() + kCallTimeout);
+    if (!ended) Log(LogLevel::kWarning, "lease_not_ended", {{"detail", ended.error().message}});
+  }
+  bool closed = false;
+  for (;;) {
+    const TimePoint now = Clock::now();
+    const DrainStage stage = this->drain.Tick(this->caller_server->in_flight(), now);
+    if (stage >= DrainStage::kRefusing && !closed) {
+      this->caller_server->StopAccepting();
+      closed = true;
+    }
+    if (stage == DrainStage::kFinished || last <= now) break;
+    co_await this->Pause(Milliseconds(20));
+  }
+  Log(LogLevel::kInfo, "stopped", {{"in_flight", this->caller_server->in_flight()}});
+  on_finished();
+}
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_GATEWAY_GATEWAY_NODE_IMPL_H_
--- /dev/null
+++ b/src/gateway/http-connection.cc
@@ -0,0 +1,257 @@
+#include "gateway/http-connection.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+#include "http/address.h"
+
+namespace limpetfall {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::size_t kReadBytes = 8 << 10;
+constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
+
+// Used where the peer states no idle timeout; common servers keep idle connections for 5 s or more.
+constexpr Milliseconds kDefaultIdle{4000};
+
+// A request that is sent just before the peer's idle timeout may cross its close.
+constexpr Milliseconds kIdleMargin{500};
+
+// Idle connections kept for one address.
+constexpr std::size_t kMaxIdle = 32;
+
+// Unacknowledged bytes and missing answers to keep-alive probes end a silent connection after this.
+constexpr int kUserTimeoutMs = 3000;
+
+/** Returns the idle timeout that an answer states; it is given in whole seconds. */
+std::optional<Milliseconds> StatedIdle(const ResponseHead& head) {
+  const auto value = head.Find("Keep-Alive");
+  if (!value) return std::nullopt;
+  const auto start = value->find("timeout=");
+  if (start == std::string::npos) return std::nullopt;
+  int seconds = 0;
+  const char* text = value->data() + start + 8;
+  std::from_chars(text, value->data() + value->size(), seconds);
+  return Milliseconds(seconds * 1000);
+}
+
+}  // namespace
+
+std::optional<std::string> ResponseHead::Find(const std::string& name) const {
+  const auto found = this->headers.find(name);
+  if (found == this->headers.end()) return std::nullopt;
+  return found->second;
+}
+
+HttpConnection::HttpConnection(asio::io_context& io, std::string peer)
+    : socket(io), timer(io), peer_address(std::move(peer)) {}
+
+asio::awaitable<Result<std::shared_ptr<HttpConnection>>> HttpConnection::Connect(
+    asio::io_context& io, std::string address, Deadline deadline) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) co_return endpoint.error();
+  const auto connection = std::make_shared<HttpConnection>(io, std::move(address));
+  connection->SetDeadline(deadline);
+  const auto [error] = co_await connection->socket.async_connect(endpoint.value(), kNoThrow);
+  connection->SetDeadline(Deadline::max());
+  if (error) {
+    Error failure = connection->Failure("connecting", error);
+    failure.verdict = Verdict::kNotRun;
+    co_return failure;
+  }
+  error_code ignored;
+  connection->socket.set_option(tcp::no_delay(true), ignored);
+  const int user_timeout = kUserTimeoutMs;
+  ::setsockopt(connection->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
+               sizeof user_timeout);
+  co_return connection;
+}
+
+Error HttpConnection::Failure(const std::string& step, const error_code& error) {
+  this->complete = false;
+  const std::string message = step + " " + this->peer_address + ": " +
+                              (this->expired ? std::string("time-out") : error.message());
+  if (this->expired) return MayHaveRun(ErrorCode::kDeadlineExceeded, message);
+  const bool refused = error == asio::error::connection_refused;
+  return MayHaveRun(refused ? ErrorCode::kUnavailable : ErrorCode::kUpstreamLost, message);
+}
+
+void HttpConnection::SetDeadline(Deadline end) {
+  this->deadline = end;
+  if (end >= this->timer_expiry) return;
+  this->timer_expiry = end;
+  this->timer.expires_at(end);
+  this->timer.async_wait([weak = this->weak_from_this()](error_code error) {
+    const auto self = weak.lock();
+    if (error || !self) return;
+    self->timer_expiry = Deadline::max();
+    if (Clock::now() < self->deadline) return self->SetDeadline(self->deadline);
+    if (self->expiry_hook) {
+      const Deadline later = self->expiry_hook(Clock::now());
+      if (later > Clock::now()) return self->SetDeadline(later);
+    }
+    self->expired = true;
+    self->Close();
+  });
+}
+
+void HttpConnection::Close() {
+  error_code ignored;
+  this->socket.close(ignored);
+}
+
+asio::awaitable<Result<void>> HttpConnection::Send(const HttpRequest& request, Deadline end) {
+  this->complete = false;
+  std::string message;
+  message.reserve(512 + request.body.size());
+  message.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+  for (const auto& [name, value] : request.headers) {
+    message.append(name).append(": ").append(value).append("\r\n");
+  }
+  const bool has_body = !request.body.empty() || request.method == "POST" ||
+                        request.method == "PUT" || request.method == "PATCH";
+  if (has_body) {
+    message.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+  }
+  message.append("\r\n").append(request.body);
+  this->SetDeadline(end);
+  const auto [error, length] =
+      co_await asio::async_write(this->socket, asio::buffer(message), kNoThrow);
+  if (error) co_return this->Failure("sending to", error);
+  co_return success();
+}
+
+asio::awaitable<Result<ResponseHead>> HttpConnection::ReadHead(Deadline end) {
+  this->SetDeadline(end);
+  this->parser.emplace();
+  this->parser->header_limit(kMaxHeaderBytes);
+  this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+  this->parser->eager(true);
+  while (!this->parser->is_header_done()) {
+    if (this->buffer.size() > 0) {
+      error_code error;
+      const std::size_t used = this->parser->put(this->buffer.data(), error);
+      this->buffer.consume(used);
+      if (error && error != http::error::need_more) co_return this->Failure("reading from", error);
+      if (this->parser->is_header_done()) break;
+    }
+    const auto [error, length] =
+        co_await this->socket.async_read_some(this->buffer.prepare(kReadBytes), kNoThrow);
+    if (error) co_return this->Failure("reading from", error);
+    this->buffer.commit(length);
+  }
+  ResponseHead head;
+  head.status = static_cast<int>(this->parser->get().result_int());
+  for (const auto& field : this->parser->get()) {
+    head.headers.emplace(std::string(field.name_string()), std::string(field.value()));
+  }
+  const Milliseconds idle = StatedIdle(head).value_or(kDefaultIdle);
+  const bool keeps = this->parser->get().keep_alive() && idle > kIdleMargin;
+  this->reusable_until = keeps ? Clock::now() + idle - kIdleMargin : Deadline();
+  co_return head;
+}
+
+asio::awaitable<Result<bool>> HttpConnection::ReadSome(std::string& body, Deadline end) {
+  this->SetDeadline(end);
+  for (;;) {
+    std::string& arrived = this->parser->get().body();
+    if (!arrived.empty()) {
+      if (body.empty()) {
+        body.swap(arrived);
+      } else {
+        body.append(arrived);
+      }
+      arrived.clear();
+      if (!this->parser->is_done()) co_return false;
+    }
+    if (this->parser->is_done()) {
+      this->FinishAnswer();
+      co_return true;
+    }
+    error_code parse_error;
+    if (this->buffer.size() > 0) {
+      const std::size_t used = this->parser->put(this->buffer.data(), parse_error);
+      this->buffer.consume(used);
+      if (parse_error && parse_error != http::error::need_more) {
+        co_return this->Failure("reading from", parse_error);
+      }
+      if (used > 0) continue;
+    }
+    const auto [error, length] =
+        co_await this->socket.async_read_some(this->buffer.prepare(kReadBytes), kNoThrow);
+    if (error == asio::error::eof) {
+      this->parser->put_eof(parse_error);
+      if (parse_error) co_return this->Failure("reading from", parse_error);
+      this->reusable_until = Deadline();
+      continue;
+    }
+    if (error) co_return this->Failure("reading from", error);
+    this->buffer.commit(length);
+  }
+}
+
+void HttpConnection::FinishAnswer() {
+  this->SetDeadline(Deadline::max());
+  this->expiry_hook = nullptr;
+  // Bytes after a complete answer belong to no request.
+  this->complete = this->buffer.size() == 0;
+}
+
+asio::awaitable<Result<HttpResponse>> HttpConnection::Call(const HttpRequest& request,
+                                                           Deadline end) {
+  BOOST_OUTCOME_CO_TRY(co_await this->Send(request, end));
+  BOOST_OUTCOME_CO_TRY(auto head, co_await this->ReadHead(end));
+  HttpResponse response{head.status, std::move(head.headers), {}};
+  for (;;) {
+    BOOST_OUTCOME_CO_TRY(const bool done, co_await this->ReadSome(response.body, end));
+    if (done) co_return response;
+  }
+}
+
+bool HttpConnection::IsReusable(TimePoint now) {
+  if (!this->complete || !this->socket.is_open() || this->reusable_until <= now) return false;
+  // A readable idle connection was closed or carries an answer that nobody asked for.
+  error_code error;
+  this->socket.non_blocking(true, error);
+  char byte = 0;
+  this->socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+asio::awaitable<Result<std::shared_ptr<HttpConnection>>> ConnectionPool::Acquire(
+    std::string address, Deadline deadline) {
+  auto& connections = this->idle[address];
+  const TimePoint now = Clock::now();
+  while (!connections.empty()) {
+    auto connection = std::move(connections.back());
+    connections.pop_back();
+    if (connection->IsReusable(now)) co_return connection;
+  }
+  co_return co_await HttpConnection::Connect(this->io, std::move(address), deadline);
+}
+
+void ConnectionPool::Release(std::shared_ptr<HttpConnection> connection) {
+  if (!connection->IsReusable(Clock::now())) {
+    connection->Close();
+    return;
+  }
+  auto& connections = this->idle[connection->address()];
+  if (connections.size() < kMaxIdle) connections.push_back(std::move(connection));
+}
+
+void ConnectionPool::Drop(const std::string& address) { this->idle.erase(address); }
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/gateway/peer-wire.cc
@@ -0,0 +1,137 @@
+#include "gateway/peer-wire.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+#include <xxhash.h>
+
+#include <cstring>
+#include <type_traits>
+#include <utility>
+
+#include "gateway/peer.capnp.h"
+
+namespace limpetfall {
+namespace {
+
+std::string Serialize(capnp::MallocMessageBuilder& message) {
+  const auto words = capnp::messageToFlatArray(message);
+  const auto bytes = words.asChars();
+  return std::string(bytes.begin(), bytes.size());
+}
+
+capnp::Text::Reader Text(const std::string& text) { return {text.c_str(), text.size()}; }
+
+std::string String(capnp::Text::Reader text) { return {text.cStr(), text.size()}; }
+
+/** Reads a message; Cap'n Proto reports malformed ones by exception. */
+template <typename Schema, typename Read>
+auto Parse(std::string_view bytes, Read read)
+    -> Result<std::invoke_result_t<Read, typename Schema::Reader>> {
+  // Cap'n Proto reads whole words at aligned addresses.
+  std::vector<capnp::word> words((bytes.size() + sizeof(capnp::word) - 1) / sizeof(capnp::word));
+  if (!words.empty()) std::memcpy(words.data(), bytes.data(), bytes.size());
+  try {
+    capnp::FlatArrayMessageReader reader(kj::arrayPtr(words.data(), words.size()));
+    return read(reader.template getRoot<Schema>());
+  } catch (const kj::Exception& error) {
+    return NotRun(ErrorCode::kInvalidArgument,
+                  std::string("malformed message of a node: ") + error.getDescription().cStr());
+  }
+}
+
+}  // namespace
+
+std::uint64_t UpstreamHash(const VmId& upstream) {
+  return XXH3_64bits(upstream.value.data(), upstream.value.size());
+}
+
+std::string EncodePeerStatus(const PeerStatus& status) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<wire::PeerStatus>();
+  root.setNode(Text(status.node.value));
+  root.setZone(Text(status.zone.value));
+  root.setCallerAddress(Text(status.caller_address));
+  root.setPeerAddress(Text(status.peer_address));
+  root.setReady(status.ready);
+  root.setSentAtNs(status.sent_at_ns);
+  root.setEchoAtNs(status.echo_at_ns);
+  root.setProofAgeMs(status.proof_age_ms);
+  root.setMirrorRevision(status.mirror_revision);
+  auto loads = root.initLoads(static_cast<unsigned>(status.loads.size()));
+  unsigned index = 0;
+  for (const auto& [upstream, in_flight] : status.loads) {
+    loads[index].setUpstream(upstream);
+    loads[index].setInFlight(static_cast<std::uint16_t>(in_flight));
+    ++index;
+  }
+  auto suspended = root.initSuspended(static_cast<unsigned>(status.suspended.size()));
+  for (unsigned i = 0; i < suspended.size(); ++i) suspended.set(i, status.suspended[i]);
+  return Serialize(message);
+}
+
+Result<PeerStatus> DecodePeerStatus(std::string_view bytes) {
+  return Parse<wire::PeerStatus>(bytes, [](wire::PeerStatus::Reader root) {
+    PeerStatus status;
+    status.node = NodeId(String(root.getNode()));
+    status.zone = ZoneId(String(root.getZone()));
+    status.caller_address = String(root.getCallerAddress());
+    status.peer_address = String(root.getPeerAddress());
+    status.ready = root.getReady();
+    status.sent_at_ns = root.getSentAtNs();
+    status.echo_at_ns = root.getEchoAtNs();
+    status.proof_age_ms = root.getProofAgeMs();
+    status.mirror_revision = root.getMirrorRevision();
+    for (const auto load : root.getLoads()) {
+      status.loads[load.getUpstream()] = load.getInFlight();
+    }
+    for (const auto upstream : root.getSuspended()) status.suspended.push_back(upstream);
+    return status;
+  });
+}
+
+std::string EncodeChanges(const StateUpdate& update, BootTime now) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<wire::MirrorChanges>();
+  root.setRevision(update.revision);
+  root.setSnapshot(update.snapshot);
+  const bool proven = update.confirmed != BootTime();
+  const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - update.confirmed);
+  root.setProofAgeMs(proven ? age.count() : -1);
+  auto items = root.initItems(static_cast<unsigned>(update.items.size()));
+  for (unsigned i = 0; i < items.size(); ++i) {
+    const StateItem& item = update.items[i];
+    items[i].setKey(Text(item.key));
+    items[i].setRemoved(!item.value);
+    if (item.value) {
+      items[i].setValue({reinterpret_cast<const kj::byte*>(item.value->data()),
+                         item.value->size()});
+    }
+    items[i].setRevision(item.revision);
+    items[i].setCreatedRevision(item.created_revision);
+  }
+  return Serialize(message);
+}
+
+Result<StateUpdate> DecodeChanges(std::string_view bytes, BootTime asked) {
+  return Parse<wire::MirrorChanges>(bytes, [asked](wire::MirrorChanges::Reader root) {
+    StateUpdate update;
+    update.revision = root.getRevision();
+    update.snapshot = root.getSnapshot();
+    if (root.getProofAgeMs() >= 0) {
+      update.confirmed = asked - std::chrono::milliseconds(root.getProofAgeMs());
+    }
+    for (const auto item : root.getItems()) {
+      StateItem decoded{String(item.getKey()), std::nullopt, item.getRevision(),
+                        item.getCreatedRevision()};
+      if (!item.getRemoved()) {
+        const auto value = item.getValue();
+        decoded.value.emplace(reinterpret_cast<const char*>(value.begin()), value.size());
+      }
+      update.items.push_back(std::move(decoded));
+    }
+    return update;
+  });
+}
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/gateway/peers.cc
@@ -0,0 +1,64 @@
+#include "gateway/peers.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace limpetfall {
+
+bool PeerTable::OnStatus(const PeerStatus& status, TimePoint now) {
+  if (status.node == this->options.self) return false;
+  Peer& peer = this->peers[status.node];
+  // A restarted node may have a clock that starts anew after its VM did.
+  const bool same_life = peer.heard + this->options.alive_for > now;
+  if (same_life && status.sent_at_ns <= peer.status.sent_at_ns) return false;
+  peer.status = status;
+  peer.heard = now;
+  // The peer's proof was so old when it sent this, which was after this node sent the echoed time.
+  if (status.proof_age_ms >= 0 && status.echo_at_ns > 0) {
+    const BootTime echoed{std::chrono::nanoseconds(status.echo_at_ns)};
+    peer.confirmed =
+        std::max(peer.confirmed, echoed - std::chrono::milliseconds(status.proof_age_ms));
+  }
+  return true;
+}
+
+void PeerTable::OnRegistered(const NodeId& node, const std::string& peer_address, TimePoint now) {
+  if (node == this->options.self || this->peers.contains(node)) return;
+  Peer& peer = this->peers[node];
+  peer.status.node = node;
+  peer.status.peer_address = peer_address;
+  peer.heard = now - this->options.alive_for;
+}
+
+std::map<NodeId, std::string> PeerTable::Addresses(TimePoint now) {
+  std::erase_if(this->peers, [&](const auto& entry) {
+    return entry.second.heard + this->options.remembered_for < now;
+  });
+  std::map<NodeId, std::string> addresses;
+  for (const auto& [node, peer] : this->peers) addresses.emplace(node, peer.status.peer_address);
+  return addresses;
+}
+
+std::uint64_t PeerTable::EchoFor(const NodeId& node) const {
+  const auto found = this->peers.find(node);
+  return found == this->peers.end() ? 0 : found->second.status.sent_at_ns;
+}
+
+std::vector<const Peer*> PeerTable::Alive(TimePoint now) const {
+  std::vector<const Peer*> alive;
+  for (const auto& [node, peer] : this->peers) {
+    if (now < peer.heard + this->options.alive_for) alive.push_back(&peer);
+  }
+  return alive;
+}
+
+const Peer* PeerTable::Freshest(TimePoint now) const {
+  const auto alive = this->Alive(now);
+  const auto freshest = std::max_element(
+      alive.begin(), alive.end(),
+      [](const Peer* a, const Peer* b) { return a->confirmed < b->confirmed; });
+  if (freshest == alive.end() || (*freshest)->confirmed == BootTime()) return nullptr;
+  return *freshest;
+}
+
+}  // namespace limpetfall
--- /dev/null
+++ b/src/gateway/plan-codec.cc
@@ -0,0 +1,53 @@
+#include "gateway/plan-codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace limpetfall {
+
+std::string EncodePlan(const GroupPlan& plan) {
+  auto groups = nlohmann::json::array();
+  for (const PlannedGroup& group : plan.groups) {
+    auto members = nlohmann::json::array();
+    for (const VmId& member : group.members) members.push_back(member.value);
+    groups.push_back({{"group", group.group.value},
+                      {"epoch", group.epoch},
+                      {"service", group.service.value},
+                      {"model", group.model.value},
+                      {"domain", group.domain.value},
+                      {"members", std::move(members)},
+                      {"started_ms", group.started_ms},
+                      {"dissolving", group.dissolving}});
+  }
+  return nlohmann::json{{"groups", std::move(groups)}}.dump();
+}
+
+Result<GroupPlan> DecodePlan(const std::string& text, std::int64_t revision) {
+  try {
+    GroupPlan plan;
+    plan.revision = revision;
+    const auto document = nlohmann::json::parse(text);
+    for (const auto& entry : document.at("groups")) {
+      PlannedGroup group;
+      group.group = GroupId(entry.at("group").get<std::string>());
+      group.epoch = entry.at("epoch").get<Generation>();
+      group.service = ServiceName(entry.at("service").get<std::string>());
+      group.model = ModelName(entry.at("model").get<std::string>());
+      group.domain = DomainId(entry.at("domain").get<std::string>());
+      for (const auto& member : entry.at("members")) {
+        group.members.emplace_back(member.get<std::string>());
+      }
+      group.started_ms = entry.at("started_ms").get<std::vector<std::int64_t>>();
+      group.dissolving = entry.at("dissolving").get<bool>();
+      if (group.started_ms.size() != group.members.size() || group.members.empty()) {
+        return NotRun(ErrorCode::kInvalidArgument, "a planned group has no or unmatched members");
+      }
+      plan.groups.push_back(std::move(group));
+    }
+    return plan;
+  } catch (const nlohmann::json::exception& error) {
+    return NotRun(ErrorCode::kInvalidArgument,
+                  std::string("malformed group plan: ") + error.what());
+  }
+}
+
+}  // namespace limpetfall
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -819,12 +819,6 @@
 
 }  // namespace
 
-bool HeaderNameLess::operator()(const std::string& a, const std::string& b) const {
-  return std::lexicographical_compare(
-      a.begin(), a.end(), b.begin(), b.end(),
-      [](unsigned char x, unsigned char y) { return std::tolower(x) < std::tolower(y); });
-}
-
 Result<std::shared_ptr<HttpClient>> HttpClient::Create(HttpClientOptions options) {
   BOOST_OUTCOME_TRY(auto loop, CurlLoop::Create(options));
   return std::make_shared<CurlClient>(std::move(loop), options);
--- /dev/null
+++ b/src/http/header-name.cc
@@ -0,0 +1,14 @@
+#include <algorithm>
+#include <cctype>
+
+#include "http/client.h"
+
+namespace limpetfall {
+
+bool HeaderNameLess::operator()(const std::string& a, const std::string& b) const {
+  return std::lexicographical_compare(
+      a.begin(), a.end(), b.begin(), b.end(),
+      [](unsigned char x, unsigned char y) { return std::tolower(x) < std::tolower(y); });
+}
+
+}  // namespace limpetfall
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -12,11 +12,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/lexical_cast.hpp>
-#include <charconv>
 #include <mutex>
 #include <unordered_map>
 #include <utility>
 
+#include "http/address.h"
 #include "http/error-response.h"
 
 namespace limpetfall {
@@ -46,25 +46,6 @@
   return boost::lexical_cast<std::string>(endpoint);
 }
 
-Result<tcp::endpoint> ParseEndpoint(const std::string& address) {
-  const Error bad =
-      NotRun(ErrorCode::kInvalidArgument, "address \"" + address + "\" is not of the form IP:port");
-  const auto colon = address.rfind(':');
-  if (colon == std::string::npos) return bad;
-  std::string host = address.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  error_code error;
-  const auto ip = asio::ip::make_address(host, error);
-  if (error) return bad;
-  std::uint16_t port = 0;
-  const char* end = address.data() + address.size();
-  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-  if (parsed.ec != std::errc() || parsed.ptr != end) return bad;
-  return tcp::endpoint(ip, port);
-}
-
 /** Replaces control characters, which would end the header early. */
 std::string HeaderText(std::string text) {
   for (char& c : text) {
