Open groups: send orders under the runner's own count of accepted orders

Cause: the entry's counter in the store counts the entry's own writes, not orders, so every conditional order was refused. At the first start groups were formed from the runners that had appeared so far, all of them pairs.

--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -74,12 +74,20 @@
     return nullptr;
   }
 
-  /** Emits an order unless one to this runner is still under way. */
+  [[nodiscard]] bool MayOrder(RunnerOrderKind kind, const Runner& runner,
+                              const PlannedGroup& group) const {
+    const auto last = this->planner.last_orders.find(runner.id);
+    if (last == this->planner.last_orders.end() || last->second.retry_at <= this->now) return true;
+    const bool same = last->second.kind == kind && last->second.group == group.group;
+    return last->second.answered && !same;
+  }
+
+  /** Emits an order unless one to this runner is under way or has just been answered. */
   void Order(RunnerOrderKind kind, const Runner& runner, const PlannedGroup& group) {
-    Deadline& allowed = this->planner.next_order[runner.id];
-    if (this->now < allowed) return;
-    allowed = this->now + this->planner.options.order_retry;
-    this->output.orders.push_back({kind, runner.id, runner.address, runner.orders, group});
+    if (!this->MayOrder(kind, runner, group)) return;
+    this->planner.last_orders[runner.id] = {kind, group.group, false,
+                                            this->now + this->planner.options.order_retry};
+    this->output.orders.push_back({kind, runner.id, runner.address, runner.started_ms, group});
   }
 
   [[nodiscard]] bool NeedsLoad(const Runner& runner, const ModelName& model) const {
@@ -90,6 +98,7 @@
   }
 
   [[nodiscard]] bool TakeLoad() {
+    if (this->now < this->planner.options.free_loads_until) return true;
     if (this->planner.loads.tokens < 1) return false;
     this->planner.loads.tokens -= 1;
     return true;
@@ -135,7 +144,7 @@
   }
 
   void OrderJoin(const Runner& runner, const PlannedGroup& group) {
-    if (this->now < this->planner.next_order[runner.id]) return;
+    if (!this->MayOrder(RunnerOrderKind::kJoin, runner, group)) return;
     if (this->NeedsLoad(runner, group.model) && !this->TakeLoad()) return;
     this->Order(RunnerOrderKind::kJoin, runner, group);
   }
@@ -264,7 +273,17 @@
     return best;
   }
 
+  /** At the first start the runners appear one by one; groups are chosen among all of them. */
+  [[nodiscard]] bool Settled() const {
+    if (this->planner.options.free_loads_until <= this->now) return true;
+    return std::none_of(
+        this->planner.first_seen.begin(), this->planner.first_seen.end(), [&](const auto& entry) {
+          return this->now < entry.second + this->planner.options.settle;
+        });
+  }
+
   void Form() {
+    if (!this->Settled()) return;
     // The revision of the plan only grows, so no two writes share an epoch.
     const auto epoch = static_cast<Generation>(this->next.revision + 1);
     int number = 0;
@@ -302,6 +321,7 @@
   }
   this->loads.updated = now;
 
+  for (const auto& [id, runner] : runners) this->first_seen.try_emplace(id, now);
   struct Step step{*this, runners, config, demand, now, plan, {}, false};
   for (const PlannedGroup& group : plan.groups) {
     for (const VmId& member : group.members) {
@@ -336,6 +356,10 @@
   if (!added && entry->second.kind != sighting) entry->second = {sighting, now};
 }
 
-void GroupPlanner::OnOrderDone(const VmId& runner) { this->next_order.erase(runner); }
+void GroupPlanner::OnOrderDone(const VmId& runner) {
+  if (const auto last = this->last_orders.find(runner); last != this->last_orders.end()) {
+    last->second.answered = true;
+  }
+}
 
 }  // namespace limpetfall
--- a/src/core/group-planner.h
+++ b/src/core/group-planner.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/gateway-config.h"
@@ -44,12 +45,28 @@
   kProbe,  ///< Asks an upstream whose entry is missing whether it still runs.
 };
 
+constexpr std::string_view ToString(RunnerOrderKind kind) {
+  switch (kind) {
+    case RunnerOrderKind::kJoin:
+      return "join";
+    case RunnerOrderKind::kOpen:
+      return "open";
+    case RunnerOrderKind::kClose:
+      return "close";
+    case RunnerOrderKind::kLeave:
+      return "leave";
+    case RunnerOrderKind::kProbe:
+      return "probe";
+  }
+  return "unknown";
+}
+
 /** An order to one runner. */
 struct RunnerOrder {
   RunnerOrderKind kind = RunnerOrderKind::kProbe;
   VmId runner;
   std::string address;
-  std::int64_t expected_orders = 0;  ///< Orders that the runner has accepted so far.
+  std::int64_t started_ms = 0;  ///< The life of the runner that the order is meant for.
   PlannedGroup group;
 
   friend bool operator==(const RunnerOrder&, const RunnerOrder&) = default;
@@ -67,6 +84,10 @@
   Milliseconds silent_grace{300};     ///< An entry in the store says less than a silent runner.
   Milliseconds order_retry{1000};
   Milliseconds stall_bound{6000};  ///< A head that lost a member is broken after this.
+  /** At the first start, groups wait until no runner has appeared for this long. */
+  Milliseconds settle{400};
+  /** Loads that begin before the first request are quick and count for no rate. */
+  Deadline free_loads_until;
 
   friend bool operator==(const PlannerOptions&, const PlannerOptions&) = default;
 };
@@ -93,7 +114,7 @@
 
   void OnSighting(const VmId& runner, RunnerSighting sighting, TimePoint now);
 
-  /** Allows the next order to a runner at once, after it has answered the last one. */
+  /** Allows another order to a runner, after it has answered the last one. */
   void OnOrderDone(const VmId& runner);
 
  private:
@@ -102,6 +123,13 @@
     TimePoint since;
   };
 
+  struct LastOrder {
+    RunnerOrderKind kind = RunnerOrderKind::kProbe;
+    GroupId group;
+    bool answered = false;
+    Deadline retry_at;
+  };
+
   struct LoadBudget {
     double tokens = 0;
     TimePoint updated;
@@ -113,7 +141,8 @@
   PlannerOptions options;
   std::map<VmId, TimePoint> vanished;
   std::map<VmId, Sighting> sightings;
-  std::map<VmId, Deadline> next_order;
+  std::map<VmId, LastOrder> last_orders;
+  std::map<VmId, TimePoint> first_seen;
   std::map<VmId, ModelName> last_model;     ///< Model of the last group in this life.
   std::map<VmId, std::int64_t> last_start;  ///< The life that `last_model` belongs to.
   std::map<GroupId, Deadline> broken_by;    ///< When a head that cannot be asked must be broken.
--- a/src/core/runner.h
+++ b/src/core/runner.h
@@ -38,7 +38,6 @@
   bool leaving = false;
   int slots = 1;
   std::int64_t started_ms = 0;  ///< Start of this process; tells two lives with one id apart.
-  std::int64_t orders = 0;      ///< Orders accepted in this life.
   std::vector<ModelName> staged;
   std::optional<RunnerMembership> membership;
   std::int64_t revision = 0;  ///< Of the entry in the store.
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -2,6 +2,7 @@
 #define LIMPETFALL_GATEWAY_GATEWAY_NODE_IMPL_H_
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -66,7 +67,11 @@
       store(platform_store),
       adapter(deployment),
       mirror([this](const StateItem& item) { this->OnItem(item); }),
-      planner(this->shared.options.planner),
+      planner([this] {
+        PlannerOptions planner_options = this->shared.options.planner;
+        planner_options.free_loads_until = Clock::now() + this->shared.options.free_load_time;
+        return planner_options;
+      }()),
       // Callers may use an answer for three times its lifetime.
       drain(Drain::Create({3 * this->shared.options.address_lifetime, Milliseconds(400)}).value()),
       peer_socket(context),
@@ -370,41 +375,82 @@
     RunnerOrder probe;
     probe.runner = id;
     probe.address = runner->second.address;
-    boost::asio::co_spawn(this->io, this->SendOrder(std::move(probe)), boost::asio::detached);
+    boost::asio::co_spawn(this->io, this->ProbeRunner(std::move(probe)), boost::asio::detached);
   }
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
-boost::asio::awaitable<void> GatewayNode<Store, Adapter>::SendOrder(RunnerOrder order) {
-  using namespace gateway_detail;
-  const bool probe = order.kind == RunnerOrderKind::kProbe;
-  const TimePoint sent = Clock::now();
-  const auto answer = co_await this->adapter.SendOrder(
-      this->shared.pool, order, sent + (probe ? kProbeTimeout : kOrderTimeout));
-  const TimePoint now = Clock::now();
+void GatewayNode<Store, Adapter>::OnSighting(const VmId& runner, RunnerSighting sighting) {
+  if (sighting == RunnerSighting::kAlive) {
+    this->unseen.erase(runner);
+  } else {
+    this->unseen.insert(runner);
+  }
+  this->planner.OnSighting(runner, sighting, Clock::now());
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::ProbeRunner(RunnerOrder order) {
+  const auto count = co_await this->adapter.FetchOrderCount(
+      this->shared.pool, order, Clock::now() + gateway_detail::kProbeTimeout);
   RunnerSighting sighting = RunnerSighting::kAlive;
-  if (!answer) {
-    const bool refused = answer.error().code == ErrorCode::kUnavailable;
+  if (!count) {
+    const bool refused = count.error().code == ErrorCode::kUnavailable;
     sighting = refused ? RunnerSighting::kGone : RunnerSighting::kSilent;
-  } else if (answer.value() == OrderAnswer::kElsewhere) {
+  } else if (!count.value()) {
     sighting = RunnerSighting::kGone;
   }
-  if (sighting == RunnerSighting::kAlive) {
-    this->unseen.erase(order.runner);
+  this->OnSighting(order.runner, sighting);
+  Log(LogLevel::kInfo, "runner_probe",
+      {{"runner", order.runner.value},
+       {"outcome", !count ? count.error().message : count.value() ? "alive" : "elsewhere"}});
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<Result<OrderAnswer>> GatewayNode<Store, Adapter>::CountAndSend(
+    const RunnerOrder& order) {
+  const Deadline deadline = Clock::now() + gateway_detail::kOrderTimeout;
+  const std::pair life{order.runner, order.started_ms};
+  if (!this->accepted_orders.contains(life)) {
+    BOOST_OUTCOME_CO_TRY(const auto count, co_await this->adapter.FetchOrderCount(
+                                               this->shared.pool, order, deadline));
+    if (!count) co_return OrderAnswer::kElsewhere;
+    this->accepted_orders[life] = *count;
+  }
+  const std::int64_t accepted = this->accepted_orders[life];
+  auto answer = co_await this->adapter.SendOrder(this->shared.pool, order, accepted, deadline);
+  if (answer && answer.value() == OrderAnswer::kBegun) {
+    this->accepted_orders[life] = accepted + 1;
+  } else if (!answer || answer.value() == OrderAnswer::kRefused) {
+    this->accepted_orders.erase(life);
+  }
+  co_return answer;
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::SendOrder(RunnerOrder order) {
+  if (order.kind == RunnerOrderKind::kProbe) {
+    co_await this->ProbeRunner(std::move(order));
+    co_return;
+  }
+  const auto answer = co_await this->CountAndSend(order);
+  const char* outcome = "no answer";
+  if (answer) {
+    constexpr std::array<const char*, 4> kOutcomes{"begun", "holds", "refused", "elsewhere"};
+    outcome = kOutcomes.at(static_cast<std::size_t>(answer.value()));
+    const bool elsewhere = answer.value() == OrderAnswer::kElsewhere;
+    this->OnSighting(order.runner, elsewhere ? RunnerSighting::kGone : RunnerSighting::kAlive);
+    if (answer.value() == OrderAnswer::kBegun) this->planner.OnOrderDone(order.runner);
   } else {
-    this->unseen.insert(order.runner);
+    const bool refused = answer.error().code == ErrorCode::kUnavailable;
+    this->OnSighting(order.runner, refused ? RunnerSighting::kGone : RunnerSighting::kSilent);
   }
-  this->planner.OnSighting(order.runner, sighting, now);
-  if (answer && answer.value() == OrderAnswer::kDone) this->planner.OnOrderDone(order.runner);
   Log(LogLevel::kInfo, "runner_order",
       {{"runner", order.runner.value},
-       {"kind", static_cast<int>(order.kind)},
+       {"kind", ToString(order.kind)},
        {"group", order.group.group.value},
-       {"expected", order.expected_orders},
-       {"outcome", !answer                                    ? answer.error().message
-                   : answer.value() == OrderAnswer::kDone     ? std::string("done")
-                   : answer.value() == OrderAnswer::kRefused  ? std::string("refused")
-                                                              : std::string("elsewhere")}});
+       {"outcome", outcome},
+       {"detail", answer ? "" : answer.error().message}});
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -41,19 +41,28 @@
 
 /** Answer of a runner to an order. */
 enum class OrderAnswer {
-  kDone,      ///< It has begun, or its outcome already holds.
-  kRefused,   ///< It does not fit the runner's state.
-  kElsewhere, ///< Another runner has the address.
+  kBegun,      ///< It has begun and counts as accepted.
+  kHolds,      ///< Its outcome already holds; it does not count.
+  kRefused,    ///< It does not fit the runner's state, or another order came first.
+  kElsewhere,  ///< Another runner has the address.
 };
 
-/** Translates between the gateway and the deployment's wire formats. */
+/**
+ * Translates between the gateway and the deployment's wire formats. An order is void unless the
+ * runner has accepted as many orders before as it says, so one that arrives late changes nothing.
+ * `FetchOrderCount` returns that number, or nothing if another runner has the address.
+ */
 template <typename T>
 concept DeploymentAdapter = requires(T& adapter, const StateItem& item, const RunnerOrder& order,
-                                     ConnectionPool& pool, Deadline deadline) {
+                                     ConnectionPool& pool, std::int64_t accepted,
+                                     Deadline deadline) {
   { adapter.Decode(item) } -> std::same_as<Result<DeploymentChange>>;
   {
-    adapter.SendOrder(pool, order, deadline)
+    adapter.SendOrder(pool, order, accepted, deadline)
     } -> std::same_as<boost::asio::awaitable<Result<OrderAnswer>>>;
+  {
+    adapter.FetchOrderCount(pool, order, deadline)
+    } -> std::same_as<boost::asio::awaitable<Result<std::optional<std::int64_t>>>>;
 };
 
 struct GatewayOptions {
@@ -64,6 +73,7 @@
   std::vector<std::string> peer_seeds; ///< Peer addresses to try before any node has registered.
   Milliseconds stop_grace{8000};       ///< The process is killed this long after SIGTERM.
   Milliseconds address_lifetime{1000}; ///< For which callers keep an answer with addresses.
+  Milliseconds free_load_time{0};      ///< After the start, in which loads count for no rate.
   int max_nodes = 8;                   ///< Nodes that may share the retry budget.
   DispatchOptions dispatch;
   PlannerOptions planner;
@@ -146,6 +156,9 @@
   boost::asio::awaitable<void> StopLoop(std::function<void()> on_finished);
   boost::asio::awaitable<void> ServePeer(HttpExchange& exchange);
   boost::asio::awaitable<void> SendOrder(RunnerOrder order);
+  boost::asio::awaitable<void> ProbeRunner(RunnerOrder order);
+  boost::asio::awaitable<Result<OrderAnswer>> CountAndSend(const RunnerOrder& order);
+  void OnSighting(const VmId& runner, RunnerSighting sighting);
   boost::asio::awaitable<void> FetchFromPeer(const std::string& address);
   boost::asio::awaitable<void> WriteRegistration();
   boost::asio::awaitable<void> TryLead();
@@ -172,6 +185,8 @@
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> peer_server;
   boost::asio::ip::udp::socket peer_socket;
+  /** Orders that a runner has accepted in one life; absent when not known. */
+  std::map<std::pair<VmId, std::int64_t>, std::int64_t> accepted_orders;
   std::map<VmId, TimePoint> probed;
   std::set<VmId> unseen;  ///< Runners that the last probe did not reach.
   std::mt19937 random;
