Rebuild groups from staged members and shift runners between models

Cause: a group that lost a member found no replacement without a load of 12 to 16 s, and no runner of the other model ever made way; the large model lost its groups one after the other.

--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -1,6 +1,7 @@
 #include "core/group-planner.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace limpetfall {
@@ -10,8 +11,8 @@
 // before it may have used up the rate of the current window.
 constexpr double kLoadBurst = 2;
 
-// How much less a group counts whose members must first load weights.
-constexpr double kLoadPenalty = 0.4;
+// Smooths the need of a model that has no group yet.
+constexpr double kFirstGroup = 0.5;
 
 bool InGroup(const Runner& runner, const PlannedGroup& group) {
   return runner.membership && runner.membership->group == group.group &&
@@ -31,6 +32,7 @@
   const GatewayConfig& config;
   const std::map<ModelName, double>& demand;
   TimePoint now;
+  std::size_t concurrent_loads;
   GroupPlan next;
   PlannerOutput output;
   bool changed = false;
@@ -97,10 +99,14 @@
            this->planner.last_start.at(runner.id) != runner.started_ms;
   }
 
-  [[nodiscard]] bool TakeLoad() {
+  /** Takes one of the loads that may begin now; more at once would slow each other down. */
+  [[nodiscard]] bool TakeLoad(const ServedModel& model) {
     if (this->now < this->planner.options.free_loads_until) return true;
-    if (this->planner.loads.tokens < 1) return false;
-    this->planner.loads.tokens -= 1;
+    LoadBudget& loads = this->planner.loads;
+    std::erase_if(loads.running, [&](Deadline end) { return end <= this->now; });
+    if (loads.tokens < 1 || loads.running.size() >= this->concurrent_loads) return false;
+    loads.tokens -= 1;
+    loads.running.push_back(this->now + model.load_time);
     return true;
   }
 
@@ -145,7 +151,7 @@
 
   void OrderJoin(const Runner& runner, const PlannedGroup& group) {
     if (!this->MayOrder(RunnerOrderKind::kJoin, runner, group)) return;
-    if (this->NeedsLoad(runner, group.model) && !this->TakeLoad()) return;
+    if (this->NeedsLoad(runner, group.model) && !this->TakeLoad(*this->ModelOf(group))) return;
     this->Order(RunnerOrderKind::kJoin, runner, group);
   }
 
@@ -219,60 +225,206 @@
     return free;
   }
 
+  using FreeByDomain = std::map<DomainId, std::vector<const Runner*>>;
+
   /** A way to form one more group. */
   struct Candidate {
     const ServedModel* model = nullptr;
     ServiceName service;
     DomainId domain;
     std::vector<const Runner*> members;
+    std::vector<std::size_t> victims;  ///< Groups of the plan that make way for it.
     double value = 0;
   };
 
-  /** Orders the free runners by how soon they can join a group of the model. */
-  [[nodiscard]] std::vector<const Runner*> BestMembers(const std::vector<const Runner*>& free,
-                                                       const ServedModel& model) const {
-    std::vector<const Runner*> members = free;
-    const auto rank = [&](const Runner* runner) { return this->NeedsLoad(*runner, model.name); };
-    std::stable_sort(members.begin(), members.end(),
-                     [&](const Runner* a, const Runner* b) { return rank(a) < rank(b); });
-    members.resize(static_cast<std::size_t>(model.group_size));
-    return members;
-  }
-
-  [[nodiscard]] std::optional<Candidate> BestCandidate(
-      const std::map<DomainId, std::vector<const Runner*>>& free) const {
-    std::map<ModelName, int> have;
-    std::map<std::pair<ZoneId, ModelName>, int> by_zone;
-    for (const PlannedGroup& group : this->next.groups) {
-      if (group.dissolving) continue;
-      ++have[group.model];
-      if (const Runner* head = this->Find(group.members.front())) {
-        ++by_zone[{head->zone, group.model}];
-      }
-    }
+  /** How short of capacity a model is when it has `groups` groups. */
+  [[nodiscard]] double Need(const ModelName& model, int groups) const {
+    const auto wanted = this->demand.find(model);
+    const double need = wanted == this->demand.end() ? 0 : wanted->second;
+    return need / (groups + kFirstGroup);
+  }
+
+  [[nodiscard]] int GroupsOf(const ModelName& model) const {
+    return static_cast<int>(std::count_if(
+        this->next.groups.begin(), this->next.groups.end(), [&](const PlannedGroup& group) {
+          return !group.dissolving && group.model == model;
+        }));
+  }
+
+  [[nodiscard]] bool IsReserved(const DomainId& domain, const ModelName& model) const {
+    const auto found = this->planner.reserved.find(domain);
+    return found != this->planner.reserved.end() && this->now < found->second.until &&
+           found->second.model != model;
+  }
+
+  /** Returns free runners that can join without a load, or any while loads are free. */
+  [[nodiscard]] std::vector<const Runner*> Usable(const std::vector<const Runner*>& free,
+                                                  const ServedModel& model) const {
+    if (this->now < this->planner.options.free_loads_until) return free;
+    std::vector<const Runner*> usable;
+    std::copy_if(free.begin(), free.end(), std::back_inserter(usable), [&](const Runner* runner) {
+      return !this->NeedsLoad(*runner, model.name);
+    });
+    return usable;
+  }
+
+  /** Prefers models that are short, domains with room, and zones with few groups of the model. */
+  [[nodiscard]] double Value(const ServedModel& model, const Runner& runner,
+                             std::size_t room) const {
+    const auto in_zone = std::count_if(
+        this->next.groups.begin(), this->next.groups.end(), [&](const PlannedGroup& group) {
+          const Runner* head = this->Find(group.members.front());
+          return !group.dissolving && group.model == model.name && head != nullptr &&
+                 head->zone == runner.zone;
+        });
+    constexpr double kSpread = 0.01;
+    const double spread = 1 - kSpread * static_cast<double>(in_zone);
+    const double fullness = 1 + kSpread * static_cast<double>(room) / 10;
+    return this->Need(model.name, this->GroupsOf(model.name)) * spread * fullness;
+  }
+
+  [[nodiscard]] std::optional<Candidate> BestCandidate(const FreeByDomain& free) const {
     std::optional<Candidate> best;
     for (const auto& [domain, runners_there] : free) {
       const ServiceName& service = runners_there.front()->service;
       for (const ServedModel& model : this->config.services.at(service).engine->models) {
-        if (runners_there.size() < static_cast<std::size_t>(model.group_size)) continue;
-        Candidate candidate{&model, service, domain, this->BestMembers(runners_there, model)};
-        const auto wanted = this->demand.find(model.name);
-        const double need = wanted == this->demand.end() ? 0 : wanted->second;
-        candidate.value = need / (have[model.name] + 0.5);
-        const bool load = std::any_of(
-            candidate.members.begin(), candidate.members.end(),
-            [&](const Runner* runner) { return this->NeedsLoad(*runner, model.name); });
-        if (load) candidate.value *= kLoadPenalty;
-        // Spreads each model over zones, and fills the emptiest domain first.
-        constexpr double kSpread = 0.02;
-        candidate.value *= 1 - kSpread * by_zone[{runners_there.front()->zone, model.name}];
-        candidate.value *= 1 + kSpread * static_cast<double>(runners_there.size()) / 10;
-        if (!best || candidate.value > best->value) best = std::move(candidate);
+        if (this->IsReserved(domain, model.name)) continue;
+        auto members = this->Usable(runners_there, model);
+        if (members.size() < static_cast<std::size_t>(model.group_size)) continue;
+        const double value = this->Value(model, *members.front(), runners_there.size());
+        if (best && value <= best->value) continue;
+        members.resize(static_cast<std::size_t>(model.group_size));
+        best = Candidate{&model, service, domain, std::move(members), {}, value};
       }
     }
     return best;
   }
 
+  /** Counts the members of a group that could join a group of another model without a load. */
+  [[nodiscard]] int Convertible(const PlannedGroup& group, const ServedModel& model) const {
+    return static_cast<int>(
+        std::count_if(group.members.begin(), group.members.end(), [&](const VmId& member) {
+          const Runner* runner = this->Find(member);
+          return runner != nullptr && !this->NeedsLoad(*runner, model.name);
+        }));
+  }
+
+  /** Finds groups of a model with spare capacity that can make way for a group of `model`. */
+  [[nodiscard]] std::optional<Candidate> Shift(const DomainId& domain, const ServiceName& service,
+                                               const ServedModel& model,
+                                               const FreeByDomain& free) const {
+    Candidate candidate{&model, service, domain, {}, {}, 0};
+    std::size_t ready = 0;
+    if (const auto there = free.find(domain); there != free.end()) {
+      ready = this->Usable(there->second, model).size();
+    }
+    std::map<ModelName, int> left;
+    candidate.value = this->Need(model.name, this->GroupsOf(model.name));
+    for (std::size_t i = 0; i < this->next.groups.size(); ++i) {
+      if (ready >= static_cast<std::size_t>(model.group_size)) break;
+      const PlannedGroup& group = this->next.groups[i];
+      if (group.dissolving || group.domain != domain || group.model == model.name) continue;
+      const int gained = this->Convertible(group, model);
+      if (gained == 0) continue;
+      const auto [count, added] = left.try_emplace(group.model, this->GroupsOf(group.model));
+      const double after = this->Need(group.model, --count->second);
+      if (candidate.value < after * this->planner.options.shift_factor) return std::nullopt;
+      candidate.victims.push_back(i);
+      ready += static_cast<std::size_t>(gained);
+    }
+    if (ready < static_cast<std::size_t>(model.group_size)) return std::nullopt;
+    return candidate;
+  }
+
+  [[nodiscard]] std::optional<Candidate> BestShift(const FreeByDomain& free) const {
+    std::optional<Candidate> best;
+    std::map<DomainId, ServiceName> domains;
+    for (const PlannedGroup& group : this->next.groups) {
+      domains.emplace(group.domain, group.service);
+    }
+    for (const auto& [domain, service] : domains) {
+      const auto found = this->config.services.find(service);
+      if (found == this->config.services.end() || !found->second.engine) continue;
+      for (const ServedModel& model : found->second.engine->models) {
+        if (this->planner.reserved.contains(domain)) continue;
+        auto candidate = this->Shift(domain, service, model, free);
+        if (!candidate || candidate->victims.empty()) continue;
+        const bool better = !best || candidate->value > best->value ||
+                            (candidate->value == best->value &&
+                             candidate->victims.size() < best->victims.size());
+        if (better) best = std::move(candidate);
+      }
+    }
+    return best;
+  }
+
+  void Add(const Candidate& candidate, Generation epoch, int number) {
+    PlannedGroup group;
+    group.group = GroupId("g" + std::to_string(epoch) + "-" + std::to_string(number));
+    group.epoch = epoch;
+    group.service = candidate.service;
+    group.model = candidate.model->name;
+    group.domain = candidate.domain;
+    for (const Runner* runner : candidate.members) {
+      group.members.push_back(runner->id);
+      group.started_ms.push_back(runner->started_ms);
+    }
+    this->next.groups.push_back(std::move(group));
+    this->planner.reserved.erase(candidate.domain);
+    this->changed = true;
+  }
+
+  /** Loads weights onto hosts: of free runners that can join nothing, and of all while it is free. */
+  void Stage(const FreeByDomain& free) {
+    for (const auto& [domain, runners_there] : free) {
+      const auto& models =
+          this->config.services.at(runners_there.front()->service).engine->models;
+      for (const Runner* runner : runners_there) {
+        if (!runner->staged.empty() || models.empty()) continue;
+        const auto neediest = std::max_element(
+            models.begin(), models.end(), [&](const ServedModel& a, const ServedModel& b) {
+              return this->Need(a.name, this->GroupsOf(a.name)) <
+                     this->Need(b.name, this->GroupsOf(b.name));
+            });
+        this->OrderStage(*runner, *neediest);
+      }
+    }
+    if (this->planner.options.free_loads_until <= this->now) return;
+    for (const PlannedGroup& group : this->next.groups) {
+      const auto service = this->config.services.find(group.service);
+      if (service == this->config.services.end() || !service->second.engine) continue;
+      for (const ServedModel& model : service->second.engine->models) {
+        if (model.name != group.model) this->StageMembers(group, model);
+      }
+    }
+  }
+
+  /** A member keeps the model of its group at hand, so that its host can hold another one. */
+  void StageMembers(const PlannedGroup& group, const ServedModel& model) {
+    for (const VmId& member : group.members) {
+      const Runner* runner = this->Find(member);
+      if (runner == nullptr || !InGroup(*runner, group)) continue;
+      if (runner->membership->stage == MembershipStage::kJoining) continue;
+      // The head takes the order to open first.
+      const bool head = member == group.members.front();
+      if (head && runner->membership->stage != MembershipStage::kOpen) continue;
+      if (Has(runner->staged, model.name)) continue;
+      this->OrderStage(*runner, model);
+    }
+  }
+
+  void OrderStage(const Runner& runner, const ServedModel& model) {
+    PlannedGroup wanted;
+    wanted.group = GroupId("stage-" + model.name.value);
+    wanted.model = model.name;
+    if (!this->MayOrder(RunnerOrderKind::kStage, runner, wanted)) return;
+    const auto staging = this->planner.staging.find(runner.id);
+    if (staging != this->planner.staging.end() && this->now < staging->second) return;
+    if (!this->TakeLoad(model)) return;
+    this->planner.staging[runner.id] = this->now + 2 * model.load_time;
+    this->Order(RunnerOrderKind::kStage, runner, wanted);
+  }
+
   /** At the first start the runners appear one by one; groups are chosen among all of them. */
   [[nodiscard]] bool Settled() const {
     if (this->planner.options.free_loads_until <= this->now) return true;
@@ -284,25 +436,28 @@
 
   void Form() {
     if (!this->Settled()) return;
+    std::erase_if(this->planner.reserved,
+                  [&](const auto& entry) { return entry.second.until <= this->now; });
     // The revision of the plan only grows, so no two writes share an epoch.
     const auto epoch = static_cast<Generation>(this->next.revision + 1);
-    int number = 0;
-    for (;;) {
-      auto free = this->FreeRunners();
+    for (int number = 1;; ++number) {
+      const FreeByDomain free = this->FreeRunners();
       const auto candidate = this->BestCandidate(free);
-      if (!candidate) return;
-      PlannedGroup group;
-      group.group = GroupId("g" + std::to_string(epoch) + "-" + std::to_string(++number));
-      group.epoch = epoch;
-      group.service = candidate->service;
-      group.model = candidate->model->name;
-      group.domain = candidate->domain;
-      for (const Runner* runner : candidate->members) {
-        group.members.push_back(runner->id);
-        group.started_ms.push_back(runner->started_ms);
+      const auto shift = this->BestShift(free);
+      if (shift && (!candidate || shift->value > candidate->value)) {
+        for (const std::size_t victim : shift->victims) {
+          this->next.groups[victim].dissolving = true;
+        }
+        this->planner.reserved[shift->domain] = {
+            shift->model->name, this->now + this->planner.options.reservation};
+        this->changed = true;
+        continue;
       }
-      this->next.groups.push_back(std::move(group));
-      this->changed = true;
+      if (!candidate) {
+        this->Stage(free);
+        return;
+      }
+      this->Add(*candidate, epoch, number);
     }
   }
 };
@@ -311,8 +466,11 @@
                                  const GatewayConfig& config,
                                  const std::map<ModelName, double>& demand, TimePoint now) {
   double loads_per_second = 0;
+  std::size_t concurrent_loads = 0;
   for (const auto& [name, service] : config.services) {
-    if (service.engine) loads_per_second += service.engine->loads_per_second;
+    if (!service.engine) continue;
+    loads_per_second += service.engine->loads_per_second;
+    concurrent_loads += service.engine->concurrent_loads;
   }
   if (this->loads.updated != TimePoint()) {
     const std::chrono::duration<double> passed = now - this->loads.updated;
@@ -322,7 +480,7 @@
   this->loads.updated = now;
 
   for (const auto& [id, runner] : runners) this->first_seen.try_emplace(id, now);
-  struct Step step{*this, runners, config, demand, now, plan, {}, false};
+  struct Step step{*this, runners, config, demand, now, concurrent_loads, plan, {}, false};
   for (const PlannedGroup& group : plan.groups) {
     for (const VmId& member : group.members) {
       const Runner* runner = step.Find(member);
--- a/src/core/group-planner.h
+++ b/src/core/group-planner.h
@@ -42,6 +42,7 @@
   kOpen,
   kClose,  ///< The head finishes what it has.
   kLeave,
+  kStage,  ///< Loads a model's weights onto the host beside whatever runs there.
   kProbe,  ///< Asks an upstream whose entry is missing whether it still runs.
 };
 
@@ -55,6 +56,8 @@
       return "close";
     case RunnerOrderKind::kLeave:
       return "leave";
+    case RunnerOrderKind::kStage:
+      return "stage";
     case RunnerOrderKind::kProbe:
       return "probe";
   }
@@ -84,6 +87,10 @@
   Milliseconds silent_grace{300};     ///< An entry in the store says less than a silent runner.
   Milliseconds order_retry{1000};
   Milliseconds stall_bound{6000};  ///< A head that lost a member is broken after this.
+  /** A domain is kept for one model for this long, while the groups that it replaces close. */
+  Milliseconds reservation{6000};
+  /** Groups give way to a model that is short of capacity by this factor more than their own. */
+  double shift_factor = 1.4;
   /** At the first start, groups wait until no runner has appeared for this long. */
   Milliseconds settle{400};
   /** Loads that begin before the first request are quick and count for no rate. */
@@ -133,6 +140,13 @@
   struct LoadBudget {
     double tokens = 0;
     TimePoint updated;
+    std::vector<Deadline> running;  ///< Expected ends of the loads under way.
+  };
+
+  /** A domain whose runners are kept for a group of one model. */
+  struct Reservation {
+    ModelName model;
+    Deadline until;
   };
 
   struct Step;
@@ -147,6 +161,8 @@
   std::map<VmId, std::int64_t> last_start;  ///< The life that `last_model` belongs to.
   std::map<GroupId, Deadline> broken_by;    ///< When a head that cannot be asked must be broken.
   LoadBudget loads;
+  std::map<DomainId, Reservation> reserved;
+  std::map<VmId, Deadline> staging;  ///< When an ordered staging is given up.
 };
 
 }  // namespace limpetfall
