Measure demand per model, detect lost members by two probes, leave at once

Cause: runners moved between models by the share that the configuration expects, not by what callers send, and both models were short at 20 to 24 s; a dead member cost 1.2 s until its group was taken apart; a restarted leader stood in the way of the next one for the rest of its lease.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -17,6 +17,13 @@
   loads @9 :List(Load);
   suspended @10 :List(UInt64);  # Upstreams that the sender takes for lost.
 
+  demands @11 :List(Demand);
+
+  struct Demand {
+    model @0 :Text;
+    places @1 :Float32;      # Places that the sender's callers would occupy at once.
+  }
+
   struct Load {
     upstream @0 :UInt64;     # Hash of the upstream's id.
     inFlight @1 :UInt16;
--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace limpetfall {
@@ -126,6 +127,9 @@
     if (lost || broken) {
       group.dissolving = true;
       this->changed = true;
+      // The head of a group that lost a member can be told before the plan is written.
+      const Runner* head = this->Find(group.members.front());
+      if (head != nullptr && InGroup(*head, group)) this->DissolveReachable(group, *head);
       return;
     }
     bool all_ready = true;
@@ -165,18 +169,24 @@
       // A join that was ordered before may still arrive, and is void for a later epoch.
       return true;
     }
+    if (this->planner.head_left.contains(group.group)) return true;
     if (head == nullptr || this->IsSilent(head_id)) return this->DissolveUnreachable(group, head_id);
+    this->DissolveReachable(group, *head);
+    return false;
+  }
+
+  /** Lets a whole group finish what it has, and stops one that lost a member at once. */
+  void DissolveReachable(const PlannedGroup& group, const Runner& head) {
     bool lost = false;
     for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
       lost = lost || this->IsLost(group, rank);
     }
-    const MembershipStage stage = head->membership->stage;
+    const MembershipStage stage = head.membership->stage;
     if (!lost && stage == MembershipStage::kOpen) {
-      this->Order(RunnerOrderKind::kClose, *head, group);
+      this->Order(RunnerOrderKind::kClose, head, group);
     } else if (lost || stage != MembershipStage::kClosing) {
-      this->Order(RunnerOrderKind::kLeave, *head, group);
+      this->Order(RunnerOrderKind::kLeave, head, group);
     }
-    return false;
   }
 
   /**
@@ -244,6 +254,13 @@
     return need / (groups + kFirstGroup);
   }
 
+  /** Returns how busy `groups` groups of a model would be; above 1 requests are refused. */
+  [[nodiscard]] double Utilization(const ModelName& model, int groups) const {
+    const auto wanted = this->demand.find(model);
+    if (wanted == this->demand.end() || wanted->second <= 0) return 0;
+    return groups <= 0 ? std::numeric_limits<double>::max() : wanted->second / groups;
+  }
+
   [[nodiscard]] int GroupsOf(const ModelName& model) const {
     return static_cast<int>(std::count_if(
         this->next.groups.begin(), this->next.groups.end(), [&](const PlannedGroup& group) {
@@ -320,6 +337,9 @@
     }
     std::map<ModelName, int> left;
     candidate.value = this->Need(model.name, this->GroupsOf(model.name));
+    if (this->Utilization(model.name, this->GroupsOf(model.name)) < this->planner.options.shift_from) {
+      return std::nullopt;
+    }
     for (std::size_t i = 0; i < this->next.groups.size(); ++i) {
       if (ready >= static_cast<std::size_t>(model.group_size)) break;
       const PlannedGroup& group = this->next.groups[i];
@@ -327,8 +347,8 @@
       const int gained = this->Convertible(group, model);
       if (gained == 0) continue;
       const auto [count, added] = left.try_emplace(group.model, this->GroupsOf(group.model));
-      const double after = this->Need(group.model, --count->second);
-      if (candidate.value < after * this->planner.options.shift_factor) return std::nullopt;
+      const double after = this->Utilization(group.model, --count->second);
+      if (after > this->planner.options.shift_to) return std::nullopt;
       candidate.victims.push_back(i);
       ready += static_cast<std::size_t>(gained);
     }
@@ -498,6 +518,7 @@
   std::erase_if(step.next.groups, [&](const PlannedGroup& group) {
     if (!group.dissolving || !step.Dissolve(group)) return false;
     this->broken_by.erase(group.group);
+    this->head_left.erase(group.group);
     step.changed = true;
     return true;
   });
@@ -514,8 +535,10 @@
   if (!added && entry->second.kind != sighting) entry->second = {sighting, now};
 }
 
-void GroupPlanner::OnOrderDone(const VmId& runner) {
-  if (const auto last = this->last_orders.find(runner); last != this->last_orders.end()) {
+void GroupPlanner::OnOrderDone(const RunnerOrder& order) {
+  const bool head = !order.group.members.empty() && order.group.members.front() == order.runner;
+  if (order.kind == RunnerOrderKind::kLeave && head) this->head_left.insert(order.group.group);
+  if (const auto last = this->last_orders.find(order.runner); last != this->last_orders.end()) {
     last->second.answered = true;
   }
 }
--- a/src/core/group-planner.h
+++ b/src/core/group-planner.h
@@ -84,13 +84,15 @@
 
 struct PlannerOptions {
   Milliseconds vanished_grace{2200};  ///< Entries that lapsed with the store return within 2 s.
-  Milliseconds silent_grace{300};     ///< An entry in the store says less than a silent runner.
+  Milliseconds silent_grace{200};     ///< An entry in the store says less than a silent runner.
   Milliseconds order_retry{1000};
   Milliseconds stall_bound{6000};  ///< A head that lost a member is broken after this.
   /** A domain is kept for one model for this long, while the groups that it replaces close. */
   Milliseconds reservation{6000};
-  /** Groups give way to a model that is short of capacity by this factor more than their own. */
-  double shift_factor = 1.4;
+  /** Runners move to a model whose groups are busier than this, in parts of their capacity, */
+  double shift_from = 0.9;
+  /** if the groups that remain of the other model are then less busy than this. */
+  double shift_to = 0.75;
   /** At the first start, groups wait until no runner has appeared for this long. */
   Milliseconds settle{400};
   /** Loads that begin before the first request are quick and count for no rate. */
@@ -122,7 +124,7 @@
   void OnSighting(const VmId& runner, RunnerSighting sighting, TimePoint now);
 
   /** Allows another order to a runner, after it has answered the last one. */
-  void OnOrderDone(const VmId& runner);
+  void OnOrderDone(const RunnerOrder& order);
 
  private:
   struct Sighting {
@@ -159,6 +161,7 @@
   std::map<VmId, TimePoint> first_seen;
   std::map<VmId, ModelName> last_model;     ///< Model of the last group in this life.
   std::map<VmId, std::int64_t> last_start;  ///< The life that `last_model` belongs to.
+  std::set<GroupId> head_left;              ///< Groups whose head has confirmed that it left.
   std::map<GroupId, Deadline> broken_by;    ///< When a head that cannot be asked must be broken.
   LoadBudget loads;
   std::map<DomainId, Reservation> reserved;
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -48,8 +48,8 @@
 inline constexpr Milliseconds kFallbackInterval{300};
 
 // An upstream that is suspected is asked again after this.
-inline constexpr Milliseconds kProbeInterval{400};
-inline constexpr Milliseconds kProbeTimeout{350};
+inline constexpr Milliseconds kProbeInterval{220};
+inline constexpr Milliseconds kProbeTimeout{200};
 
 // Time of the stop grace that is left for the process to end by itself.
 inline constexpr Milliseconds kStopMargin{600};
@@ -75,7 +75,8 @@
       // Callers may use an answer for three times its lifetime.
       drain(Drain::Create({3 * this->shared.options.address_lifetime, Milliseconds(400)}).value()),
       peer_socket(context),
-      random(std::random_device{}()) {}
+      random(std::random_device{}()),
+      life(this->random()) {}
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 Result<void> GatewayNode<Store, Adapter>::Start() {
@@ -249,7 +250,7 @@
     if (grant) {
       this->lease = grant.value();
       if (!this->registered) co_await this->WriteRegistration();
-      if (this->mirror.revision() > 0 && !this->shared.leader) co_await this->TryLead();
+      if (this->MayLead()) co_await this->TryLead();
     } else if (grant.error().code == ErrorCode::kNotFound) {
       Log(LogLevel::kWarning, "lease_ended", {{"lease", this->lease ? this->lease->id : 0}});
       this->lease.reset();
@@ -257,7 +258,7 @@
       continue;
     }
     // While nobody leads, the election is tried again soon, at a random time of each node.
-    const bool lead_soon = !this->shared.leader;
+    const bool lead_soon = this->MayLead() || !this->shared.leader;
     const Milliseconds pause =
         lead_soon ? Milliseconds(100 + static_cast<int>(this->random() % 150)) : kLeaseRenewal;
     co_await this->Pause(pause);
@@ -281,24 +282,43 @@
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::TryLead() {
   using namespace gateway_detail;
   StoreWrite write;
-  write.conditions.push_back({std::string(gateway_keys::kLeader), 0});
-  write.puts.push_back(
-      {std::string(gateway_keys::kLeader), this->shared.options.node.value, this->lease->id});
+  write.conditions.push_back(
+      {std::string(gateway_keys::kLeader), this->shared.leader ? this->shared.leader->revision : 0});
+  write.puts.push_back({std::string(gateway_keys::kLeader), this->LeaderValue(), this->lease->id});
   const auto written = co_await this->store.Write(std::move(write), Clock::now() + kCallTimeout);
   if (!written) {
     Log(LogLevel::kWarning, "election_failed", {{"detail", written.error().message}});
   }
 }
 
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+std::string GatewayNode<Store, Adapter>::LeaderValue() const {
+  return this->shared.options.node.value + " " + std::to_string(this->life);
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+bool GatewayNode<Store, Adapter>::MayLead() const {
+  if (this->mirror.revision() == 0) return false;
+  if (!this->shared.leader) return true;
+  // The key of this node's last life outlives the process until its lease ends.
+  const std::string& holder = *this->shared.leader->value;
+  return holder != this->LeaderValue() &&
+         holder.starts_with(this->shared.options.node.value + " ");
+}
+
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 bool GatewayNode<Store, Adapter>::Leads() const {
   if (this->shared.stopping || !this->shared.leader || !this->lease) return false;
-  if (this->shared.leader->value != this->shared.options.node.value) return false;
+  if (this->shared.leader->value != this->LeaderValue()) return false;
   return BootClock::now() + gateway_detail::kLeaseMargin < this->lease->until;
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
-std::map<ModelName, double> GatewayNode<Store, Adapter>::Demand() const {
+std::map<ModelName, double> GatewayNode<Store, Adapter>::Demand() {
+  std::map<ModelName, double> places = this->shared.relay.Demand();
+  for (const Peer* peer : this->shared.peers.Alive(Clock::now())) {
+    for (const auto& [model, wanted] : peer->status.demands) places[model] += wanted;
+  }
   std::map<ModelName, double> demand;
   for (const auto& [name, service] : this->shared.routes->config().services) {
     if (!service.engine) continue;
@@ -306,7 +326,11 @@
         std::count_if(this->shared.runners.begin(), this->shared.runners.end(),
                       [&](const auto& entry) { return entry.second.service == name; });
     for (const ServedModel& model : service.engine->models) {
-      demand[model.name] = model.share * static_cast<double>(members) / model.group_size;
+      const double expected = model.share * static_cast<double>(members) / model.group_size;
+      const auto measured = places.find(model.name);
+      demand[model.name] = measured == places.end() || measured->second <= 0
+                               ? expected
+                               : measured->second / service.engine->slots;
     }
   }
   return demand;
@@ -440,7 +464,9 @@
     outcome = kOutcomes.at(static_cast<std::size_t>(answer.value()));
     const bool elsewhere = answer.value() == OrderAnswer::kElsewhere;
     this->OnSighting(order.runner, elsewhere ? RunnerSighting::kGone : RunnerSighting::kAlive);
-    if (answer.value() == OrderAnswer::kBegun) this->planner.OnOrderDone(order.runner);
+    const bool done =
+        answer.value() == OrderAnswer::kBegun || answer.value() == OrderAnswer::kHolds;
+    if (done) this->planner.OnOrderDone(order);
   } else {
     const bool refused = answer.error().code == ErrorCode::kUnavailable;
     this->OnSighting(order.runner, refused ? RunnerSighting::kGone : RunnerSighting::kSilent);
@@ -488,6 +514,7 @@
     for (const VmId& upstream : this->shared.dispatch.Suspended(now)) {
       status.suspended.push_back(UpstreamHash(upstream));
     }
+    status.demands = this->shared.relay.Demand();
     std::map<std::string, std::uint64_t> targets;
     for (const std::string& seed : this->shared.options.peer_seeds) targets.emplace(seed, 0);
     for (const auto& [node, address] : this->shared.peers.Addresses(now)) {
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -168,7 +168,9 @@
   void Take(const StateUpdate& update);
   void OnPeerStatus(const PeerStatus& status);
   void ProbeSuspects(TimePoint now);
-  [[nodiscard]] std::map<ModelName, double> Demand() const;
+  [[nodiscard]] std::map<ModelName, double> Demand();
+  [[nodiscard]] std::string LeaderValue() const;
+  [[nodiscard]] bool MayLead() const;
   [[nodiscard]] bool Leads() const;
 
   boost::asio::io_context& io;
@@ -190,6 +192,7 @@
   std::map<VmId, TimePoint> probed;
   std::set<VmId> unseen;  ///< Runners that the last probe did not reach.
   std::mt19937 random;
+  const std::uint64_t life;  ///< Tells this process from earlier ones of the node.
 };
 
 }  // namespace limpetfall
--- a/src/gateway/peer-wire.cc
+++ b/src/gateway/peer-wire.cc
@@ -67,6 +67,13 @@
   }
   auto suspended = root.initSuspended(static_cast<unsigned>(status.suspended.size()));
   for (unsigned i = 0; i < suspended.size(); ++i) suspended.set(i, status.suspended[i]);
+  auto demands = root.initDemands(static_cast<unsigned>(status.demands.size()));
+  index = 0;
+  for (const auto& [model, places] : status.demands) {
+    demands[index].setModel(Text(model.value));
+    demands[index].setPlaces(static_cast<float>(places));
+    ++index;
+  }
   return Serialize(message);
 }
 
@@ -86,6 +93,9 @@
       status.loads[load.getUpstream()] = load.getInFlight();
     }
     for (const auto upstream : root.getSuspended()) status.suspended.push_back(upstream);
+    for (const auto demand : root.getDemands()) {
+      status.demands[ModelName(String(demand.getModel()))] = demand.getPlaces();
+    }
     return status;
   });
 }
--- a/src/gateway/peer-wire.h
+++ b/src/gateway/peer-wire.h
@@ -26,6 +26,7 @@
   std::int64_t mirror_revision = 0;
   std::map<std::uint64_t, int> loads;  ///< By hash of the upstream's id.
   std::vector<std::uint64_t> suspended;
+  std::map<ModelName, double> demands;  ///< Places that the node's callers would occupy at once.
 
   friend bool operator==(const PeerStatus&, const PeerStatus&) = default;
 };
--- a/src/gateway/peer.capnp.h
+++ b/src/gateway/peer.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(8cfde5dc1715331d);
+CAPNP_DECLARE_SCHEMA(801f910e1c784470);
 CAPNP_DECLARE_SCHEMA(f1781b1f1124c1a6);
 CAPNP_DECLARE_SCHEMA(9c75615e6ebda6d0);
 CAPNP_DECLARE_SCHEMA(b835807ca96904b9);
@@ -33,10 +34,26 @@
   class Reader;
   class Builder;
   class Pipeline;
+  struct Demand;
   struct Load;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8cfde5dc1715331d, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(8cfde5dc1715331d, 5, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PeerStatus::Demand {
+  Demand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(801f910e1c784470, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -136,6 +153,9 @@
   inline bool hasSuspended() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSuspended() const;
 
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -222,6 +242,13 @@
   inline void adoptSuspended(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSuspended();
 
+  inline bool hasDemands();
+  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>> disownDemands();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -248,6 +275,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class PeerStatus::Demand::Reader {
+public:
+  typedef Demand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
+  inline float getPlaces() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerStatus::Demand::Builder {
+public:
+  typedef Demand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
+  inline float getPlaces();
+  inline void setPlaces(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerStatus::Demand::Pipeline {
+public:
+  typedef Demand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerStatus::Load::Reader {
 public:
   typedef Load Reads;
@@ -811,6 +924,88 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool PeerStatus::Reader::hasDemands() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerStatus::Builder::hasDemands() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Reader PeerStatus::Reader::getDemands() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Builder PeerStatus::Builder::getDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void PeerStatus::Builder::setDemands( ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Builder PeerStatus::Builder::initDemands(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void PeerStatus::Builder::adoptDemands(
+    ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>> PeerStatus::Builder::disownDemands() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool PeerStatus::Demand::Reader::hasModel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerStatus::Demand::Builder::hasModel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerStatus::Demand::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerStatus::Demand::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerStatus::Demand::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerStatus::Demand::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerStatus::Demand::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerStatus::Demand::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float PeerStatus::Demand::Reader::getPlaces() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float PeerStatus::Demand::Builder::getPlaces() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerStatus::Demand::Builder::setPlaces(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PeerStatus::Load::Reader::getUpstream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -315,9 +315,9 @@
 
   const TimePoint sent = Clock::now();
   Deadline answer_by = call.deadline;
+  call.stall = {sent, TimePoint(), this->options.first_event_silence,
+                this->options.single_silence};
   if (call.route->stream && call.CanMove()) {
-    call.stall = {sent, TimePoint(), this->options.first_event_silence,
-                  this->options.single_silence};
     connection->SetExpiryHook([this, &call, &place](TimePoint now) {
       call.stall.upstream_progress = place.ticket.last_progress();
       const StallVerdict verdict = JudgeStall(call.stall, now);
@@ -421,6 +421,7 @@
 
 asio::awaitable<Relay::Outcome> Relay::RelayStream(Call& call, Place& place,
                                                    HttpExchange& exchange, ResponseHead head) {
+  const TimePoint sent = call.stall.last_bytes;
   const auto pause = call.route->gap_objective + this->options.group_silence_margin;
   bool first = true;
   for (;;) {
@@ -461,6 +462,7 @@
   }
   this->pool.Release(call.connection);
   place.served = true;
+  if (call.sends == 1) this->demand.OnServed(call.model, Clock::now() - sent);
   const auto finished = co_await exchange.FinishStream();
   co_return finished ? Outcome::kAnswered : Outcome::kCallerGone;
 }
@@ -475,6 +477,7 @@
 
 asio::awaitable<void> Relay::Run(Call& call, HttpExchange& exchange) {
   this->budget.OnRequest(call.service, call.arrived);
+  if (!call.model.value.empty()) this->demand.OnArrival(call.model, call.arrived);
   // Upstreams that cannot be reached are passed over; there are never more than this to try.
   constexpr int kMaxPlaces = 6;
   for (int places = 0; places < kMaxPlaces; ++places) {
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -13,6 +13,7 @@
 #include "base/boot-clock.h"
 #include "base/metrics.h"
 #include "core/admission.h"
+#include "core/demand-meter.h"
 #include "core/dispatch.h"
 #include "core/gateway-config.h"
 #include "core/shared-retry-budget.h"
@@ -85,6 +86,9 @@
   /** Ends requests that cannot start in time. */
   void ExpireWaiting();
 
+  /** Returns the places that this node's callers would occupy at once, by model. */
+  [[nodiscard]] std::map<ModelName, double> Demand() { return this->demand.Places(Clock::now()); }
+
   [[nodiscard]] std::size_t waiting() const { return this->queue.queued(); }
 
  private:
@@ -121,6 +125,7 @@
   RelayContext context;
   SharedRetryBudget budget;
   AdmissionQueue queue;
+  DemandMeter demand;
   std::unordered_map<AdmissionId, Waiter*> waiters;
   std::mt19937_64 random;
 };
