Keep rebuilding bounded: one shift per model, counted leaves, groups never opened

Cause: a leave counts as an accepted order, so every join after one was refused first and cost a second; a new leader planned groups on runners that were dark but still listed, could not take them apart for 6 s, and closed five groups at once for the model that was short.

--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -90,6 +90,7 @@
     if (!this->MayOrder(kind, runner, group)) return;
     this->planner.last_orders[runner.id] = {kind, group.group, false,
                                             this->now + this->planner.options.order_retry};
+    if (kind == RunnerOrderKind::kOpen) this->planner.never_opened.erase(group.group);
     this->output.orders.push_back({kind, runner.id, runner.address, runner.started_ms, group});
   }
 
@@ -129,7 +130,11 @@
       this->changed = true;
       // The head of a group that lost a member can be told before the plan is written.
       const Runner* head = this->Find(group.members.front());
-      if (head != nullptr && InGroup(*head, group)) this->DissolveReachable(group, *head);
+      if (head == nullptr || this->IsSilent(head->id)) {
+        this->DissolveUnreachable(group, group.members.front());
+      } else if (InGroup(*head, group)) {
+        this->DissolveReachable(group, *head);
+      }
       return;
     }
     bool all_ready = true;
@@ -170,6 +175,7 @@
       return true;
     }
     if (this->planner.head_left.contains(group.group)) return true;
+    if (this->planner.never_opened.contains(group.group)) return true;
     if (head == nullptr || this->IsSilent(head_id)) return this->DissolveUnreachable(group, head_id);
     this->DissolveReachable(group, *head);
     return false;
@@ -207,7 +213,7 @@
       const Runner* member = this->Find(group.members[rank]);
       if (member == nullptr || this->IsLost(group, rank)) continue;
       any_alive = true;
-      if (InGroup(*member, group)) {
+      if (InGroup(*member, group) && !this->planner.member_left.contains(member->id)) {
         left = false;
         this->Order(RunnerOrderKind::kLeave, *member, group);
       }
@@ -268,6 +274,12 @@
         }));
   }
 
+  /** A model that is about to gain a group waits for it before it takes more runners. */
+  [[nodiscard]] bool HasReservation(const ModelName& model) const {
+    return std::any_of(this->planner.reserved.begin(), this->planner.reserved.end(),
+                       [&](const auto& entry) { return entry.second.model == model; });
+  }
+
   [[nodiscard]] bool IsReserved(const DomainId& domain, const ModelName& model) const {
     const auto found = this->planner.reserved.find(domain);
     return found != this->planner.reserved.end() && this->now < found->second.until &&
@@ -309,9 +321,11 @@
         auto members = this->Usable(runners_there, model);
         if (members.size() < static_cast<std::size_t>(model.group_size)) continue;
         const double value = this->Value(model, *members.front(), runners_there.size());
-        if (best && value <= best->value) continue;
         members.resize(static_cast<std::size_t>(model.group_size));
-        best = Candidate{&model, service, domain, std::move(members), {}, value};
+        Candidate candidate{&model, service, domain, std::move(members), {}, value};
+        const bool better = !best || this->PrefersLarger(candidate, *best) ||
+                            (value > best->value && !this->PrefersLarger(*best, candidate));
+        if (better) best = std::move(candidate);
       }
     }
     return best;
@@ -366,7 +380,7 @@
       const auto found = this->config.services.find(service);
       if (found == this->config.services.end() || !found->second.engine) continue;
       for (const ServedModel& model : found->second.engine->models) {
-        if (this->planner.reserved.contains(domain)) continue;
+        if (this->HasReservation(model.name) || this->planner.reserved.contains(domain)) continue;
         auto candidate = this->Shift(domain, service, model, free);
         if (!candidate || candidate->victims.empty()) continue;
         const bool better = !best || candidate->value > best->value ||
@@ -389,6 +403,7 @@
       group.members.push_back(runner->id);
       group.started_ms.push_back(runner->started_ms);
     }
+    this->planner.never_opened.insert(group.group);
     this->next.groups.push_back(std::move(group));
     this->planner.reserved.erase(candidate.domain);
     this->changed = true;
@@ -454,6 +469,13 @@
         });
   }
 
+  /** Before traffic, large groups come first: they are hard to fit in between small ones. */
+  [[nodiscard]] bool PrefersLarger(const Candidate& candidate, const Candidate& other) const {
+    if (this->planner.options.free_loads_until <= this->now) return false;
+    if (candidate.model->group_size <= other.model->group_size) return false;
+    return this->Utilization(candidate.model->name, this->GroupsOf(candidate.model->name)) >= 1;
+  }
+
   void Form() {
     if (!this->Settled()) return;
     std::erase_if(this->planner.reserved,
@@ -519,6 +541,7 @@
     if (!group.dissolving || !step.Dissolve(group)) return false;
     this->broken_by.erase(group.group);
     this->head_left.erase(group.group);
+    this->never_opened.erase(group.group);
     step.changed = true;
     return true;
   });
@@ -538,6 +561,8 @@
 void GroupPlanner::OnOrderDone(const RunnerOrder& order) {
   const bool head = !order.group.members.empty() && order.group.members.front() == order.runner;
   if (order.kind == RunnerOrderKind::kLeave && head) this->head_left.insert(order.group.group);
+  if (order.kind == RunnerOrderKind::kLeave) this->member_left.insert(order.runner);
+  if (order.kind == RunnerOrderKind::kJoin) this->member_left.erase(order.runner);
   if (const auto last = this->last_orders.find(order.runner); last != this->last_orders.end()) {
     last->second.answered = true;
   }
--- a/src/core/group-planner.h
+++ b/src/core/group-planner.h
@@ -162,6 +162,8 @@
   std::map<VmId, ModelName> last_model;     ///< Model of the last group in this life.
   std::map<VmId, std::int64_t> last_start;  ///< The life that `last_model` belongs to.
   std::set<GroupId> head_left;              ///< Groups whose head has confirmed that it left.
+  std::set<VmId> member_left;               ///< Runners that left their last group.
+  std::set<GroupId> never_opened;           ///< Planned here, and no order to open was sent.
   std::map<GroupId, Deadline> broken_by;    ///< When a head that cannot be asked must be broken.
   LoadBudget loads;
   std::map<DomainId, Reservation> reserved;
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -51,6 +51,9 @@
 inline constexpr Milliseconds kProbeInterval{220};
 inline constexpr Milliseconds kProbeTimeout{200};
 
+// The owner states the capacity of each model this often.
+inline constexpr Milliseconds kCapacityInterval{1000};
+
 // Time of the stop grace that is left for the process to end by itself.
 inline constexpr Milliseconds kStopMargin{600};
 
@@ -347,6 +350,7 @@
     PlannerOutput output =
         this->planner.Step(this->shared.runners, this->shared.plan, this->shared.routes->config(),
                            this->Demand(), now);
+    this->LogCapacity(now);
     for (RunnerOrder& order : output.orders) {
       boost::asio::co_spawn(this->io, this->SendOrder(std::move(order)), boost::asio::detached);
     }
@@ -371,6 +375,29 @@
   }
 }
 
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+void GatewayNode<Store, Adapter>::LogCapacity(TimePoint now) {
+  if (now < this->capacity_logged + gateway_detail::kCapacityInterval) return;
+  this->capacity_logged = now;
+  const auto demand = this->Demand();
+  for (const auto& [name, service] : this->shared.routes->config().services) {
+    if (!service.engine) continue;
+    for (const ServedModel& model : service.engine->models) {
+      const auto [slots, load] = this->shared.dispatch.SlotsAndLoad(name, model.name, now);
+      const auto planned = std::count_if(
+          this->shared.plan.groups.begin(), this->shared.plan.groups.end(),
+          [&](const PlannedGroup& group) { return group.model == model.name; });
+      Log(LogLevel::kInfo, "capacity",
+          {{"model", model.name.value},
+           {"open", slots / service.engine->slots},
+           {"planned", planned},
+           {"wanted", demand.at(model.name)},
+           {"in_flight", load},
+           {"waiting", this->shared.relay.waiting()}});
+    }
+  }
+}
+
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 void GatewayNode<Store, Adapter>::ProbeSuspects(TimePoint now) {
   using namespace gateway_detail;
@@ -443,10 +470,11 @@
   }
   const std::int64_t accepted = this->accepted_orders[life];
   auto answer = co_await this->adapter.SendOrder(this->shared.pool, order, accepted, deadline);
-  if (answer && answer.value() == OrderAnswer::kBegun) {
-    this->accepted_orders[life] = accepted + 1;
-  } else if (!answer || answer.value() == OrderAnswer::kRefused) {
+  if (!answer || answer.value() == OrderAnswer::kRefused) {
     this->accepted_orders.erase(life);
+  } else if (answer.value() == OrderAnswer::kBegun || order.kind == RunnerOrderKind::kLeave) {
+    // A leave takes effect at once and counts, though its answer is that of an order that is done.
+    this->accepted_orders[life] = accepted + 1;
   }
   co_return answer;
 }
@@ -457,7 +485,9 @@
     co_await this->ProbeRunner(std::move(order));
     co_return;
   }
-  const auto answer = co_await this->CountAndSend(order);
+  auto answer = co_await this->CountAndSend(order);
+  // The count was wrong, or the state does not fit; a report tells which.
+  if (answer && answer.value() == OrderAnswer::kRefused) answer = co_await this->CountAndSend(order);
   const char* outcome = "no answer";
   if (answer) {
     constexpr std::array<const char*, 4> kOutcomes{"begun", "holds", "refused", "elsewhere"};
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -168,6 +168,7 @@
   void Take(const StateUpdate& update);
   void OnPeerStatus(const PeerStatus& status);
   void ProbeSuspects(TimePoint now);
+  void LogCapacity(TimePoint now);
   [[nodiscard]] std::map<ModelName, double> Demand();
   [[nodiscard]] std::string LeaderValue() const;
   [[nodiscard]] bool MayLead() const;
@@ -189,6 +190,7 @@
   boost::asio::ip::udp::socket peer_socket;
   /** Orders that a runner has accepted in one life; absent when not known. */
   std::map<std::pair<VmId, std::int64_t>, std::int64_t> accepted_orders;
+  TimePoint capacity_logged;
   std::map<VmId, TimePoint> probed;
   std::set<VmId> unseen;  ///< Runners that the last probe did not reach.
   std::mt19937 random;
