--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -18,6 +18,7 @@
   suspended @10 :List(UInt64);  # Upstreams that the sender takes for lost.
 
   demands @11 :List(Demand);
+  capacity @12 :Float32;     # Processor share of the sender's node, in cores.
 
   struct Demand {
     model @0 :Text;
--- a/src/core/shared-retry-budget.h
+++ b/src/core/shared-retry-budget.h
@@ -20,7 +20,7 @@
 
 /**
  * Bounds the attempts beyond the first that reach each service in any window, over all nodes
- * together: each node may use what its own requests earn and an equal part of the slack.
+ * together: each node may use what its own requests earn and its part of the slack.
  *
  *     budget.OnRequest(service, now);
  *     if (budget.TryTake(service, now)) SendAgain();
@@ -29,8 +29,8 @@
  public:
   explicit SharedRetryBudget(RetryBudgetOptions settings) : options(settings) {}
 
-  /** Takes over the most nodes that may share the budget. */
-  void SetNodes(int count) { this->nodes = std::max(1, count); }
+  /** Takes over the part of the slack that this node may use, from 0 to 1. */
+  void SetPart(double fraction) { this->part = std::clamp(fraction, 0.0, 1.0); }
 
   void OnRequest(const ServiceName& service, TimePoint now) {
     Usage& usage = this->services[service];
@@ -43,7 +43,7 @@
     Usage& usage = this->services[service];
     this->DropOld(usage, now);
     const double allowed = this->options.share * static_cast<double>(usage.requests.size()) +
-                           this->options.slack / this->nodes;
+                           this->options.slack * this->part;
     if (static_cast<double>(usage.extra.size()) + 1 > allowed) return false;
     usage.extra.push_back(now);
     return true;
@@ -62,7 +62,7 @@
   }
 
   RetryBudgetOptions options;
-  int nodes = 1;
+  double part = 1;
   std::map<ServiceName, Usage> services;
 };
 
--- /dev/null
+++ b/src/core/traffic-set.cc
@@ -0,0 +1,44 @@
+#include "core/traffic-set.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace limpetfall {
+namespace {
+
+// Calls to the store grow with each watcher; three remain after the loss of any two.
+constexpr std::size_t kWatchers = 3;
+
+}  // namespace
+
+TrafficSet ChooseTrafficSet(std::vector<TrafficNode> nodes, const TrafficSetOptions& options) {
+  std::sort(nodes.begin(), nodes.end(), [](const TrafficNode& a, const TrafficNode& b) {
+    if (a.ready != b.ready) return a.ready;
+    if (a.capacity != b.capacity) return a.capacity > b.capacity;
+    return a.node < b.node;
+  });
+  TrafficSet set;
+  double cores = 0;
+  for (const TrafficNode& node : nodes) {
+    if (set.active.size() >= options.fewest && cores >= options.cores) break;
+    if (!node.ready) break;
+    set.active.push_back(node.node);
+    cores += node.capacity;
+  }
+  std::set<ZoneId> zones;
+  for (const TrafficNode& node : nodes) {
+    if (set.watchers.size() == kWatchers) break;
+    if (zones.insert(node.zone).second) set.watchers.push_back(node.node);
+  }
+  for (const TrafficNode& node : nodes) {
+    if (set.watchers.size() >= kWatchers) break;
+    if (std::find(set.watchers.begin(), set.watchers.end(), node.node) != set.watchers.end()) {
+      continue;
+    }
+    set.watchers.push_back(node.node);
+  }
+  return set;
+}
+
+}  // namespace limpetfall
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -31,7 +31,7 @@
 inline constexpr Milliseconds kCallTimeout{1500};
 inline constexpr Milliseconds kStoreRetry{250};
 
-// Length of the lease that holds a node's keys. A leader that died is replaced after it.
+// Length of the leader's lease. A leader that died is replaced after it.
 inline constexpr Milliseconds kLeaseTime{3000};
 inline constexpr Milliseconds kLeaseRenewal{900};
 
@@ -43,9 +43,19 @@
 inline constexpr Milliseconds kTickInterval{50};
 inline constexpr Milliseconds kOrderTimeout{800};
 
-// A node whose own proof is older than this asks another node.
-inline constexpr Milliseconds kFallbackAge{2200};
-inline constexpr Milliseconds kFallbackInterval{300};
+// A node whose proof is older than this is not followed: the store may answer more.
+inline constexpr Milliseconds kSourceAge{2500};
+
+// A node that follows another one gets changes at once and otherwise a new proof this often.
+inline constexpr Milliseconds kPeerWait{800};
+inline constexpr Milliseconds kPeerTimeout{500};
+
+// Length of the lease that holds a node's registration, by which nodes find each other.
+inline constexpr Milliseconds kNodeLeaseTime{12000};
+inline constexpr Milliseconds kNodeLeaseRenewal{4000};
+
+// Nodes that do not carry traffic exchange messages once in so many rounds.
+inline constexpr std::uint64_t kStandbyRounds = 5;
 
 // An upstream that is suspected is asked again after this.
 inline constexpr Milliseconds kProbeInterval{220};
@@ -106,8 +116,8 @@
                   "cannot use " + this->shared.options.peer_address + ": " + error.message());
   }
   asio::co_spawn(this->io, this->MirrorLoop(), asio::detached);
-  asio::co_spawn(this->io, this->FallbackLoop(), asio::detached);
   asio::co_spawn(this->io, this->LeaseLoop(), asio::detached);
+  asio::co_spawn(this->io, this->LeadLoop(), asio::detached);
   asio::co_spawn(this->io, this->OwnerLoop(), asio::detached);
   asio::co_spawn(this->io, this->TickLoop(), asio::detached);
   asio::co_spawn(this->io, this->SendPeersLoop(), asio::detached);
@@ -133,7 +143,11 @@
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 void GatewayNode<Store, Adapter>::Take(const StateUpdate& update) {
+  const std::int64_t before = this->mirror.revision();
   this->mirror.Apply(update);
+  if (this->mirror.revision() != before) {
+    for (boost::asio::steady_timer* follower : this->followers) follower->cancel();
+  }
   this->shared.Confirm(this->mirror.confirmed());
   this->shared.Refresh();
 }
@@ -141,31 +155,62 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<Result<StateUpdate>> GatewayNode<Store, Adapter>::NextUpdate() {
   using namespace gateway_detail;
+  if (const Peer* source = this->Source()) {
+    return this->FetchFromPeer(source->status.peer_address, this->mirror.revision() > 0);
+  }
   if (this->snapshot_needed) return this->store.Snapshot(Clock::now() + kCallTimeout);
   return this->store.Watch(this->mirror.revision(), kWatchTime);
 }
 
+/** Returns the node to follow instead of the store: a watcher with a newer proof than ours. */
 template <CoordinationStore Store, DeploymentAdapter Adapter>
-boost::asio::awaitable<Result<LeaseGrant>> GatewayNode<Store, Adapter>::RenewLease() {
+const Peer* GatewayNode<Store, Adapter>::Source() const {
   using namespace gateway_detail;
-  const Deadline deadline = Clock::now() + kCallTimeout;
-  if (this->lease) return this->store.KeepLease(this->lease->id, kLeaseTime, deadline);
-  return this->store.GrantLease(kLeaseTime, deadline);
+  const NodeId& self = this->shared.options.node;
+  const BootTime now = BootClock::now();
+  if (this->shared.IsWatcher(self) && this->store_ok) return nullptr;
+  const Peer* best = nullptr;
+  for (const NodeId& watcher : this->shared.work.watchers) {
+    const Peer* peer = watcher == self ? nullptr : this->shared.peers.Find(watcher);
+    if (peer == nullptr || peer->confirmed + kSourceAge < now) continue;
+    const bool near = peer->status.zone == this->shared.options.zone;
+    if (best == nullptr || near) best = peer;
+  }
+  if (best == nullptr) best = this->shared.peers.Freshest(Clock::now());
+  // Without a peer that knows more, the store may still answer this node.
+  const bool helps = best != nullptr && best->confirmed + kSourceAge >= now;
+  return helps && !this->source_failed ? best : nullptr;
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<Result<LeaseGrant>> GatewayNode<Store, Adapter>::RenewLease(
+    const std::optional<LeaseGrant>& held, Milliseconds time) {
+  const Deadline deadline = Clock::now() + gateway_detail::kCallTimeout;
+  if (held) return this->store.KeepLease(held->id, time, deadline);
+  return this->store.GrantLease(time, deadline);
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::MirrorLoop() {
   using namespace gateway_detail;
   for (;;) {
+    const bool from_peer = this->Source() != nullptr;
     auto update = co_await this->NextUpdate();
     if (update) {
-      if (!this->store_ok) Log(LogLevel::kInfo, "store_regained");
-      this->store_ok = true;
+      if (!from_peer && !this->store_ok) Log(LogLevel::kInfo, "store_regained");
+      if (!from_peer) this->store_ok = true;
+      this->source_failed = false;
       this->snapshot_needed = false;
       this->Take(update.value());
       if (!update.value().items.empty()) co_await this->Pause(kWatchPause);
       continue;
     }
+    if (from_peer) {
+      Log(LogLevel::kWarning, "peer_changes_missing", {{"detail", update.error().message}});
+      this->source_failed = true;
+      continue;
+    }
+    this->source_failed = false;
     if (update.error().code == ErrorCode::kNotFound) {
       Log(LogLevel::kWarning, "store_history_lost", {{"revision", this->mirror.revision()}});
       this->snapshot_needed = true;
@@ -180,54 +225,33 @@
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
-boost::asio::awaitable<void> GatewayNode<Store, Adapter>::FallbackLoop() {
-  using namespace gateway_detail;
-  for (;;) {
-    co_await this->Pause(kFallbackInterval);
-    const BootTime old = BootClock::now() - kFallbackAge;
-    if (this->mirror.revision() > 0 && this->shared.confirmed > old) continue;
-    if (const Peer* peer = this->shared.peers.Freshest(Clock::now())) {
-      if (peer->confirmed <= this->shared.confirmed) continue;
-      co_await this->FetchFromPeer(peer->status.peer_address);
-    }
-  }
-}
-
-template <CoordinationStore Store, DeploymentAdapter Adapter>
-boost::asio::awaitable<void> GatewayNode<Store, Adapter>::FetchFromPeer(
-    const std::string& address) {
+boost::asio::awaitable<Result<StateUpdate>> GatewayNode<Store, Adapter>::FetchFromPeer(
+    std::string address, bool wait) {
   using namespace gateway_detail;
   const BootTime asked = BootClock::now();
-  const Deadline deadline = Clock::now() + kCallTimeout;
-  auto connection = co_await this->shared.pool.Acquire(address, deadline);
-  if (!connection) {
-    Log(LogLevel::kWarning, "peer_unreachable", {{"detail", connection.error().message}});
-    co_return;
-  }
+  const Deadline deadline = Clock::now() + kPeerWait + kPeerTimeout;
+  BOOST_OUTCOME_CO_TRY(auto connection, co_await this->shared.pool.Acquire(address, deadline));
   HttpRequest request;
   request.target = "/v1/changes?after=" + std::to_string(this->mirror.revision());
+  if (wait) request.target += "&wait=1";
   request.headers["Host"] = address;
-  const auto response = co_await connection.value()->Call(request, deadline);
-  if (!response || response.value().status != 200) {
-    Log(LogLevel::kWarning, "peer_changes_missing",
-        {{"peer", address},
-         {"detail", response ? std::to_string(response.value().status)
-                             : response.error().message}});
-    co_return;
+  BOOST_OUTCOME_CO_TRY(const auto response, co_await connection->Call(request, deadline));
+  this->shared.pool.Release(connection);
+  if (response.status != 200) {
+    co_return NotRun(ErrorCode::kUnavailable,
+                     address + " answered with " + std::to_string(response.status));
   }
-  this->shared.pool.Release(connection.value());
-  auto update = DecodeChanges(response.value().body, asked);
-  if (!update) {
-    Log(LogLevel::kWarning, "peer_changes_unreadable", {{"detail", update.error().message}});
-    co_return;
-  }
-  this->Take(update.value());
+  co_return DecodeChanges(response.body, asked);
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::ServePeer(HttpExchange& exchange) {
+  using namespace gateway_detail;
   constexpr std::string_view kChanges = "/v1/changes?after=";
-  const std::string& target = exchange.request().target;
+  constexpr std::string_view kWait = "&wait=1";
+  std::string target = exchange.request().target;
+  const bool wait = target.ends_with(kWait);
+  if (wait) target.resize(target.size() - kWait.size());
   std::int64_t after = -1;
   if (target.starts_with(kChanges)) {
     boost::conversion::try_lexical_convert(target.substr(kChanges.size()), after);
@@ -237,6 +261,12 @@
     response = ErrorResponse(after < 0 ? 404 : 503,
                              NotRun(ErrorCode::kUnavailable, "no such state here"), "");
   } else {
+    if (wait && this->mirror.Since(after).items.empty()) {
+      boost::asio::steady_timer timer(this->io, Clock::now() + kPeerWait);
+      this->followers.insert(&timer);
+      [[maybe_unused]] const auto [ended] = co_await timer.async_wait(kNoThrow);
+      this->followers.erase(&timer);
+    }
     response.status = 200;
     response.headers["Content-Type"] = "application/octet-stream";
     response.body = EncodeChanges(this->mirror.Since(after), BootClock::now());
@@ -247,24 +277,44 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::LeaseLoop() {
   using namespace gateway_detail;
-  for (;;) {
-    if (this->shared.stopping) co_return;
-    const auto grant = co_await this->RenewLease();
+  while (!this->shared.stopping) {
+    const auto grant = co_await this->RenewLease(this->lease, kNodeLeaseTime);
     if (grant) {
       this->lease = grant.value();
       if (!this->registered) co_await this->WriteRegistration();
-      if (this->MayLead()) co_await this->TryLead();
     } else if (grant.error().code == ErrorCode::kNotFound) {
       Log(LogLevel::kWarning, "lease_ended", {{"lease", this->lease ? this->lease->id : 0}});
       this->lease.reset();
       this->registered = false;
       continue;
     }
+    co_await this->Pause(this->registered ? kNodeLeaseRenewal : kStoreRetry);
+  }
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::LeadLoop() {
+  using namespace gateway_detail;
+  while (!this->shared.stopping) {
     // While nobody leads, the election is tried again soon, at a random time of each node.
-    const bool lead_soon = this->MayLead() || !this->shared.leader;
-    const Milliseconds pause =
-        lead_soon ? Milliseconds(100 + static_cast<int>(this->random() % 150)) : kLeaseRenewal;
-    co_await this->Pause(pause);
+    co_await this->Pause(this->leader_lease && !this->MayLead()
+                             ? kLeaseRenewal
+                             : Milliseconds(100 + static_cast<int>(this->random() % 150)));
+    const bool leads = this->shared.leader && this->shared.leader->value == this->LeaderValue();
+    const bool candidate =
+        this->MayLead() && this->shared.IsWatcher(this->shared.options.node);
+    if (!leads && !candidate) {
+      this->leader_lease.reset();
+      continue;
+    }
+    const auto grant = co_await this->RenewLease(this->leader_lease, kLeaseTime);
+    if (grant) {
+      this->leader_lease = grant.value();
+      if (this->MayLead()) co_await this->TryLead();
+    } else if (grant.error().code == ErrorCode::kNotFound) {
+      Log(LogLevel::kWarning, "leader_lease_ended");
+      this->leader_lease.reset();
+    }
   }
 }
 
@@ -287,7 +337,7 @@
   StoreWrite write;
   write.conditions.push_back(
       {std::string(gateway_keys::kLeader), this->shared.leader ? this->shared.leader->revision : 0});
-  write.puts.push_back({std::string(gateway_keys::kLeader), this->LeaderValue(), this->lease->id});
+  write.puts.push_back({std::string(gateway_keys::kLeader), this->LeaderValue(), this->leader_lease->id});
   const auto written = co_await this->store.Write(std::move(write), Clock::now() + kCallTimeout);
   if (!written) {
     Log(LogLevel::kWarning, "election_failed", {{"detail", written.error().message}});
@@ -311,9 +361,9 @@
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 bool GatewayNode<Store, Adapter>::Leads() const {
-  if (this->shared.stopping || !this->shared.leader || !this->lease) return false;
+  if (this->shared.stopping || !this->shared.leader || !this->leader_lease) return false;
   if (this->shared.leader->value != this->LeaderValue()) return false;
-  return BootClock::now() + gateway_detail::kLeaseMargin < this->lease->until;
+  return BootClock::now() + gateway_detail::kLeaseMargin < this->leader_lease->until;
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
@@ -519,49 +569,72 @@
   }
 }
 
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+PeerStatus GatewayNode<Store, Adapter>::Status() const {
+  const BootTime now = BootClock::now();
+  PeerStatus status;
+  status.node = this->shared.options.node;
+  status.zone = this->shared.options.zone;
+  status.caller_address = this->shared.options.caller_address;
+  status.peer_address = this->shared.options.peer_address;
+  status.ready = this->shared.IsReady();
+  status.capacity = this->shared.options.capacity;
+  status.sent_at_ns = static_cast<std::uint64_t>(now.time_since_epoch().count());
+  status.mirror_revision = this->mirror.revision();
+  if (this->shared.confirmed != BootTime()) {
+    status.proof_age_ms =
+        std::chrono::ceil<std::chrono::milliseconds>(now - this->shared.confirmed).count();
+  }
+  for (const auto& [upstream, in_flight] : this->shared.dispatch.OwnLoad()) {
+    status.loads[UpstreamHash(upstream)] = in_flight;
+  }
+  for (const VmId& upstream : this->shared.dispatch.Suspended(Clock::now())) {
+    status.suspended.push_back(UpstreamHash(upstream));
+  }
+  return status;
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+void GatewayNode<Store, Adapter>::SendStatus(PeerStatus& status, const std::string& address,
+                                             std::uint64_t echo) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) return;
+  status.echo_at_ns = echo;
+  const std::string message = EncodePeerStatus(status);
+  boost::system::error_code lost;  // A datagram may be lost on the way as well.
+  this->peer_socket.send_to(
+      boost::asio::buffer(message),
+      boost::asio::ip::udp::endpoint(endpoint.value().address(), endpoint.value().port()), 0,
+      lost);
+}
+
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::SendPeersLoop() {
   using namespace gateway_detail;
-  namespace asio = boost::asio;
   for (;;) {
+    co_await this->Pause(kPeerInterval);
+    this->shared.DivideWork();
+    ++this->status_rounds;
     const TimePoint now = Clock::now();
-    const BootTime boot_now = BootClock::now();
-    PeerStatus status;
-    status.node = this->shared.options.node;
-    status.zone = this->shared.options.zone;
-    status.caller_address = this->shared.options.caller_address;
-    status.peer_address = this->shared.options.peer_address;
-    status.ready = this->shared.IsReady();
-    status.sent_at_ns = static_cast<std::uint64_t>(boot_now.time_since_epoch().count());
-    status.mirror_revision = this->mirror.revision();
-    if (this->shared.confirmed != BootTime()) {
-      status.proof_age_ms =
-          std::chrono::ceil<std::chrono::milliseconds>(boot_now - this->shared.confirmed).count();
-    }
-    for (const auto& [upstream, in_flight] : this->shared.dispatch.OwnLoad()) {
-      status.loads[UpstreamHash(upstream)] = in_flight;
-    }
-    for (const VmId& upstream : this->shared.dispatch.Suspended(now)) {
-      status.suspended.push_back(UpstreamHash(upstream));
-    }
+    const NodeId& self = this->shared.options.node;
+    const bool core = this->shared.IsActive(self) || this->shared.IsWatcher(self);
+    const bool standby_round = this->status_rounds % kStandbyRounds == 0;
+    if (!core && !standby_round) continue;
+    PeerStatus status = this->Status();
     status.demands = this->shared.relay.Demand();
     std::map<std::string, std::uint64_t> targets;
-    for (const std::string& seed : this->shared.options.peer_seeds) targets.emplace(seed, 0);
+    const bool alone = this->shared.peers.Alive(now).empty();
     for (const auto& [node, address] : this->shared.peers.Addresses(now)) {
-      targets[address] = this->shared.peers.EchoFor(node);
+      const bool to_core = this->shared.IsActive(node) || this->shared.IsWatcher(node);
+      // Two nodes that stand by have nothing to tell each other.
+      const bool due = core && to_core ? true : (core || to_core) && standby_round;
+      if (due || alone) targets[address] = this->shared.peers.EchoFor(node);
     }
-    targets.erase(status.peer_address);
-    for (const auto& [address, echo] : targets) {
-      const auto endpoint = ParseEndpoint(address);
-      if (!endpoint) continue;
-      status.echo_at_ns = echo;
-      const std::string message = EncodePeerStatus(status);
-      boost::system::error_code lost;  // A datagram may be lost on the way as well.
-      this->peer_socket.send_to(
-          asio::buffer(message),
-          asio::ip::udp::endpoint(endpoint.value().address(), endpoint.value().port()), 0, lost);
+    if (alone || standby_round) {
+      for (const std::string& seed : this->shared.options.peer_seeds) targets.try_emplace(seed, 0);
     }
-    co_await this->Pause(kPeerInterval);
+    targets.erase(status.peer_address);
+    for (const auto& [address, echo] : targets) this->SendStatus(status, address, echo);
   }
 }
 
@@ -593,8 +666,6 @@
     if (found != this->shared.runner_by_hash.end()) loads.emplace(found->second, in_flight);
   }
   this->shared.dispatch.SetPeerLoad(status.node, std::move(loads), now);
-  this->shared.relay.SetNodes(
-      std::max(this->shared.options.max_nodes, this->shared.peers.known() + 1));
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
@@ -612,8 +683,9 @@
     std::function<void()> on_finished) {
   using namespace gateway_detail;
   const Deadline last = Clock::now() + this->shared.options.stop_grace - kStopMargin;
-  if (this->lease) {
-    const auto ended = co_await this->store.EndLease(this->lease->id, Clock::now() + kCallTimeout);
+  for (const std::optional<LeaseGrant>& held : {this->leader_lease, this->lease}) {
+    if (!held) continue;
+    const auto ended = co_await this->store.EndLease(held->id, Clock::now() + kCallTimeout);
     if (!ended) Log(LogLevel::kWarning, "lease_not_ended", {{"detail", ended.error().message}});
   }
   bool closed = false;
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -21,6 +21,7 @@
 #include "core/group-planner.h"
 #include "core/runner.h"
 #include "core/state-mirror.h"
+#include "core/traffic-set.h"
 #include "gateway/coordination-store.h"
 #include "gateway/http-connection.h"
 #include "gateway/peers.h"
@@ -73,8 +74,9 @@
   std::vector<std::string> peer_seeds; ///< Peer addresses to try before any node has registered.
   Milliseconds stop_grace{8000};       ///< The process is killed this long after SIGTERM.
   Milliseconds address_lifetime{1000}; ///< For which callers keep an answer with addresses.
-  Milliseconds free_load_time{0};      ///< After the start, in which loads count for no rate.
-  int max_nodes = 8;                   ///< Nodes that may share the retry budget.
+  Milliseconds free_load_time{0};  ///< After the start, in which loads count for no rate.
+  double capacity = 1;                 ///< Processor share of this node, in cores.
+  TrafficSetOptions traffic;
   DispatchOptions dispatch;
   PlannerOptions planner;
   RelayOptions relay;
@@ -98,6 +100,11 @@
   /** Sets how old the proof of the present configuration is. */
   void Confirm(BootTime confirmed);
 
+  /** Chooses anew who carries traffic and who reads the store. */
+  void DivideWork();
+
+  [[nodiscard]] bool IsActive(const NodeId& node) const;
+  [[nodiscard]] bool IsWatcher(const NodeId& node) const;
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] std::vector<std::string> CallerAddresses(const std::string& zone) const;
 
@@ -115,6 +122,7 @@
   BootTime confirmed;
   std::optional<StateItem> leader;  ///< Key of the node that assembles groups.
   bool stopping = false;
+  TrafficSet work;
 };
 
 /** Names of the gateway's own keys in the store. */
@@ -145,9 +153,14 @@
 
  private:
   boost::asio::awaitable<Result<StateUpdate>> NextUpdate();
-  boost::asio::awaitable<Result<LeaseGrant>> RenewLease();
+  boost::asio::awaitable<Result<LeaseGrant>> RenewLease(const std::optional<LeaseGrant>& held,
+                                                        Milliseconds time);
+  boost::asio::awaitable<Result<StateUpdate>> FetchFromPeer(std::string address, bool wait);
+  boost::asio::awaitable<void> LeadLoop();
+  [[nodiscard]] const Peer* Source() const;
+  [[nodiscard]] PeerStatus Status() const;
+  void SendStatus(PeerStatus& status, const std::string& address, std::uint64_t echo);
   boost::asio::awaitable<void> MirrorLoop();
-  boost::asio::awaitable<void> FallbackLoop();
   boost::asio::awaitable<void> LeaseLoop();
   boost::asio::awaitable<void> OwnerLoop();
   boost::asio::awaitable<void> TickLoop();
@@ -159,7 +172,6 @@
   boost::asio::awaitable<void> ProbeRunner(RunnerOrder order);
   boost::asio::awaitable<Result<OrderAnswer>> CountAndSend(const RunnerOrder& order);
   void OnSighting(const VmId& runner, RunnerSighting sighting);
-  boost::asio::awaitable<void> FetchFromPeer(const std::string& address);
   boost::asio::awaitable<void> WriteRegistration();
   boost::asio::awaitable<void> TryLead();
   boost::asio::awaitable<void> Pause(Milliseconds time);
@@ -180,10 +192,14 @@
   Adapter& adapter;
   StateMirror mirror;
   GroupPlanner planner;
-  std::optional<LeaseGrant> lease;
+  std::optional<LeaseGrant> lease;         ///< Holds the registration of this node.
+  std::optional<LeaseGrant> leader_lease;  ///< Holds the leader's key while this node leads.
+  std::uint64_t status_rounds = 0;
+  std::set<boost::asio::steady_timer*> followers;  ///< Cancelled when the mirror changes.
   bool registered = false;
   bool snapshot_needed = true;
   bool store_ok = true;
+  bool source_failed = false;  ///< The node that was followed did not answer the last time.
   Drain drain;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> peer_server;
--- a/src/gateway/gateway-state.cc
+++ b/src/gateway/gateway-state.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "base/log.h"
 #include "gateway/gateway-node.h"
 #include "gateway/plan-codec.h"
@@ -13,7 +15,7 @@
       dispatch(this->options.dispatch),
       relay(context, this->options.relay, this->dispatch, this->pool, this->metrics),
       peers(PeerOptions{this->options.node}) {
-  this->relay.SetNodes(this->options.max_nodes);
+  this->DivideWork();
 }
 
 void GatewayState::Apply(DeploymentChange change) {
@@ -78,15 +80,46 @@
   return BootClock::now() < this->confirmed + this->options.relay.key_proof_lifetime;
 }
 
+void GatewayState::DivideWork() {
+  std::vector<TrafficNode> nodes;
+  nodes.push_back(
+      {this->options.node, this->options.zone, this->options.capacity, this->IsReady()});
+  for (const Peer* peer : this->peers.Alive(Clock::now())) {
+    nodes.push_back(
+        {peer->status.node, peer->status.zone, peer->status.capacity, peer->status.ready});
+  }
+  const std::size_t alive = nodes.size();
+  this->work = ChooseTrafficSet(std::move(nodes), this->options.traffic);
+  // Nodes beside the active ones get few requests; a fifth of the slack is left for them and for
+  // nodes that see another set.
+  const std::size_t others = alive - this->work.active.size();
+  const bool active = this->IsActive(this->options.node);
+  const double part = active ? 0.8 / static_cast<double>(this->work.active.size())
+                             : 0.1 / static_cast<double>(std::max<std::size_t>(1, others));
+  this->relay.SetRetryPart(part);
+}
+
+bool GatewayState::IsActive(const NodeId& node) const {
+  return std::find(this->work.active.begin(), this->work.active.end(), node) !=
+         this->work.active.end();
+}
+
+bool GatewayState::IsWatcher(const NodeId& node) const {
+  return std::find(this->work.watchers.begin(), this->work.watchers.end(), node) !=
+         this->work.watchers.end();
+}
+
 std::vector<std::string> GatewayState::CallerAddresses(const std::string& zone) const {
   std::vector<std::string> near;
   std::vector<std::string> far;
-  if (this->IsReady()) {
-    (this->options.zone.value == zone ? near : far).push_back(this->options.caller_address);
-  }
-  for (const Peer* peer : this->peers.Alive(Clock::now())) {
-    if (!peer->status.ready) continue;
-    (peer->status.zone.value == zone ? near : far).push_back(peer->status.caller_address);
+  for (const NodeId& node : this->work.active) {
+    const Peer* peer = this->peers.Find(node);
+    const bool own = node == this->options.node;
+    if (!own && peer == nullptr) continue;
+    const ZoneId& node_zone = own ? this->options.zone : peer->status.zone;
+    const std::string& address =
+        own ? this->options.caller_address : peer->status.caller_address;
+    (node_zone.value == zone ? near : far).push_back(address);
   }
   near.insert(near.end(), far.begin(), far.end());
   return near;
--- a/src/gateway/peer-wire.cc
+++ b/src/gateway/peer-wire.cc
@@ -54,6 +54,7 @@
   root.setCallerAddress(Text(status.caller_address));
   root.setPeerAddress(Text(status.peer_address));
   root.setReady(status.ready);
+  root.setCapacity(static_cast<float>(status.capacity));
   root.setSentAtNs(status.sent_at_ns);
   root.setEchoAtNs(status.echo_at_ns);
   root.setProofAgeMs(status.proof_age_ms);
@@ -85,6 +86,7 @@
     status.caller_address = String(root.getCallerAddress());
     status.peer_address = String(root.getPeerAddress());
     status.ready = root.getReady();
+    status.capacity = root.getCapacity();
     status.sent_at_ns = root.getSentAtNs();
     status.echo_at_ns = root.getEchoAtNs();
     status.proof_age_ms = root.getProofAgeMs();
--- a/src/gateway/peer-wire.h
+++ b/src/gateway/peer-wire.h
@@ -20,6 +20,7 @@
   std::string caller_address;
   std::string peer_address;
   bool ready = false;
+  double capacity = 1;  ///< Processor share of the node, in cores.
   std::uint64_t sent_at_ns = 0;
   std::uint64_t echo_at_ns = 0;
   std::int64_t proof_age_ms = -1;
--- a/src/gateway/peer.capnp.h
+++ b/src/gateway/peer.capnp.h
@@ -156,6 +156,8 @@
   inline bool hasDemands() const;
   inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
+  inline float getCapacity() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -249,6 +251,9 @@
   inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>> disownDemands();
 
+  inline float getCapacity();
+  inline void setCapacity(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -958,6 +963,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline float PeerStatus::Reader::getCapacity() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline float PeerStatus::Builder::getCapacity() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PeerStatus::Builder::setCapacity(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerStatus::Demand::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -12,6 +12,7 @@
   const bool same_life = peer.heard + this->options.alive_for > now;
   if (same_life && status.sent_at_ns <= peer.status.sent_at_ns) return false;
   peer.status = status;
+  peer.interval = std::chrono::duration_cast<Milliseconds>(now - peer.heard);
   peer.heard = now;
   // The peer's proof was so old when it sent this, which was after this node sent the echoed time.
   if (status.proof_age_ms >= 0 && status.echo_at_ns > 0) {
@@ -44,14 +45,25 @@
   return found == this->peers.end() ? 0 : found->second.status.sent_at_ns;
 }
 
+bool PeerTable::IsAlive(const Peer& peer, TimePoint now) const {
+  constexpr Milliseconds kLongestInterval{1000};
+  const Milliseconds interval = std::min(peer.interval, kLongestInterval);
+  return now < peer.heard + this->options.alive_for + 2 * interval - interval / 2;
+}
+
 std::vector<const Peer*> PeerTable::Alive(TimePoint now) const {
   std::vector<const Peer*> alive;
   for (const auto& [node, peer] : this->peers) {
-    if (now < peer.heard + this->options.alive_for) alive.push_back(&peer);
+    if (this->IsAlive(peer, now)) alive.push_back(&peer);
   }
   return alive;
 }
 
+const Peer* PeerTable::Find(const NodeId& node) const {
+  const auto found = this->peers.find(node);
+  return found == this->peers.end() ? nullptr : &found->second;
+}
+
 const Peer* PeerTable::Freshest(TimePoint now) const {
   const auto alive = this->Alive(now);
   const auto freshest = std::max_element(
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -14,7 +14,8 @@
 
 struct PeerOptions {
   NodeId self;
-  /** A node that was not heard for this long is not given to callers; five messages lost. */
+  /** A node that was not heard for this long is not given to callers: the longer of this time and
+   * of two intervals between its messages, which nodes that stand by send less often. */
   Milliseconds alive_for{1200};
   /** A node that was not heard for this long is no longer sent messages. */
   Milliseconds remembered_for{60000};
@@ -24,6 +25,7 @@
 struct Peer {
   PeerStatus status;
   TimePoint heard;
+  Milliseconds interval{0};  ///< Between its last two messages.
   BootTime confirmed;  ///< When its copy of the store certainly was the newest.
 
   friend bool operator==(const Peer&, const Peer&) = default;
@@ -54,7 +56,11 @@
   /** Returns the peer whose copy of the store is proven newest, if any is. */
   [[nodiscard]] const Peer* Freshest(TimePoint now) const;
 
+  [[nodiscard]] const Peer* Find(const NodeId& node) const;
+
  private:
+  [[nodiscard]] bool IsAlive(const Peer& peer, TimePoint now) const;
+
   PeerOptions options;
   std::map<NodeId, Peer> peers;
 };
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -78,7 +78,8 @@
   /** Takes over a configuration, or a new proof that it is in force. */
   void SetContext(RelayContext context) { this->context = std::move(context); }
 
-  void SetNodes(int count) { this->budget.SetNodes(count); }
+  /** Takes over the part of the shared retry slack that this node may use. */
+  void SetRetryPart(double part) { this->budget.SetPart(part); }
 
   /** Places waiting requests; called when an upstream may have become free. */
   void Pump();
