End groups that the plan no longer holds before their heads join again; test the new cores

What an owner had noted of groups it planned also outlived a loss of ownership. Change: a runner that is the head of an open or closing group outside the plan is told to leave and is not free until its entry shows that it did; an owner forgets such notes when it gains ownership.

--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -20,6 +20,13 @@
          runner.membership->epoch == group.epoch;
 }
 
+/** Says whether a runner may be serving as the head of a group; it must leave before it joins. */
+bool IsServingHead(const Runner& runner) {
+  if (!runner.membership || runner.membership->rank != 0) return false;
+  const MembershipStage stage = runner.membership->stage;
+  return stage == MembershipStage::kOpen || stage == MembershipStage::kClosing;
+}
+
 bool Has(const std::vector<ModelName>& models, const ModelName& model) {
   return std::find(models.begin(), models.end(), model) != models.end();
 }
@@ -225,6 +232,20 @@
     return entry->second <= this->now;
   }
 
+  /** Ends groups that the plan no longer holds but whose head still serves: one that was cut off
+   * while its group was taken apart has not heard of it. */
+  void ReleaseStrays() {
+    std::set<GroupId> planned;
+    for (const PlannedGroup& group : this->next.groups) planned.insert(group.group);
+    for (const auto& [id, runner] : this->runners) {
+      if (!IsServingHead(runner) || planned.contains(runner.membership->group)) continue;
+      PlannedGroup stray;
+      stray.group = runner.membership->group;
+      stray.epoch = runner.membership->epoch;
+      this->Order(RunnerOrderKind::kLeave, runner, stray);
+    }
+  }
+
   /** Runners that are in no group of the plan and may join one, by domain. */
   [[nodiscard]] std::map<DomainId, std::vector<const Runner*>> FreeRunners() const {
     std::set<VmId> taken;
@@ -236,6 +257,7 @@
       const auto service = this->config.services.find(runner.service);
       if (service == this->config.services.end() || !service->second.engine) continue;
       if (taken.contains(id) || runner.leaving || this->IsSilent(id)) continue;
+      if (IsServingHead(runner)) continue;
       free[runner.domain].push_back(&runner);
     }
     return free;
@@ -548,11 +570,22 @@
   for (PlannedGroup& group : step.next.groups) {
     if (!group.dissolving) step.Advance(group);
   }
+  step.ReleaseStrays();
   step.Form();
   if (step.changed) step.output.proposal = std::move(step.next);
   return std::move(step.output);
 }
 
+void GroupPlanner::OnOwnershipGained() {
+  // Another owner may have opened or rebuilt groups since.
+  this->never_opened.clear();
+  this->head_left.clear();
+  this->member_left.clear();
+  this->broken_by.clear();
+  this->reserved.clear();
+  this->loads = LoadBudget();
+}
+
 void GroupPlanner::OnSighting(const VmId& runner, RunnerSighting sighting, TimePoint now) {
   const auto [entry, added] = this->sightings.try_emplace(runner, Sighting{sighting, now});
   if (!added && entry->second.kind != sighting) entry->second = {sighting, now};
--- a/src/core/group-planner.h
+++ b/src/core/group-planner.h
@@ -121,6 +121,9 @@
                      const GatewayConfig& config, const std::map<ModelName, double>& demand,
                      TimePoint now);
 
+  /** Forgets what only holds while one owner gives all orders; called when ownership is gained. */
+  void OnOwnershipGained();
+
   void OnSighting(const VmId& runner, RunnerSighting sighting, TimePoint now);
 
   /** Allows another order to a runner, after it has answered the last one. */
--- a/src/core/state-mirror.h
+++ b/src/core/state-mirror.h
@@ -29,6 +29,8 @@
   std::int64_t revision = 0;  ///< Store revision up to which the update is complete.
   bool snapshot = false;      ///< Holds all keys; those that it does not name are removed.
   BootTime confirmed;         ///< The store had `revision` as its newest at this time or later.
+
+  friend bool operator==(const StateUpdate&, const StateUpdate&) = default;
 };
 
 /**
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -392,9 +392,15 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::OwnerLoop() {
   using namespace gateway_detail;
+  bool owned = false;
   for (;;) {
     co_await this->Pause(kOwnerInterval);
-    if (!this->shared.routes || !this->Leads()) continue;
+    if (!this->shared.routes || !this->Leads()) {
+      owned = false;
+      continue;
+    }
+    if (!owned) this->planner.OnOwnershipGained();
+    owned = true;
     const TimePoint now = Clock::now();
     this->ProbeSuspects(now);
     PlannerOutput output =
--- /dev/null
+++ b/test/demand-meter-test.cc
@@ -0,0 +1,64 @@
+#include "core/demand-meter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace limpetfall {
+namespace {
+
+const ModelName kModel("folds");
+
+class DemandMeterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DemandMeterTest);
+  CPPUNIT_TEST(PlacesAreRateTimesServiceTime);
+  CPPUNIT_TEST(RefusedRequestsCount);
+  CPPUNIT_TEST(DemandFadesWithoutArrivals);
+  CPPUNIT_TEST(NothingIsStatedBeforeTheFirstAnswer);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a demand that does not follow the load (steady load of one model).
+  void PlacesAreRateTimesServiceTime() {
+    DemandMeter meter;
+    TimePoint now{std::chrono::seconds(100)};
+    for (int i = 0; i < 2000; ++i) {
+      now += Milliseconds(10);
+      meter.OnArrival(kModel, now);
+      meter.OnServed(kModel, std::chrono::milliseconds(500));
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(50, meter.Places(now).at(kModel), 3);
+  }
+
+  // Guards against a model that looks idle because its requests are refused (lost groups).
+  void RefusedRequestsCount() {
+    DemandMeter meter;
+    TimePoint now{std::chrono::seconds(100)};
+    meter.OnServed(kModel, std::chrono::milliseconds(1000));
+    for (int i = 0; i < 1000; ++i) {
+      now += Milliseconds(20);
+      meter.OnArrival(kModel, now);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(50, meter.Places(now).at(kModel), 3);
+  }
+
+  // Guards against capacity that is kept for callers who have left (end of a burst).
+  void DemandFadesWithoutArrivals() {
+    DemandMeter meter;
+    TimePoint now{std::chrono::seconds(100)};
+    meter.OnArrival(kModel, now);
+    meter.OnServed(kModel, std::chrono::milliseconds(1000));
+    const double before = meter.Places(now).at(kModel);
+    CPPUNIT_ASSERT(meter.Places(now + std::chrono::seconds(12)).at(kModel) < before / 20);
+  }
+
+  // Guards against a demand of zero that is only unknown (start of traffic).
+  void NothingIsStatedBeforeTheFirstAnswer() {
+    DemandMeter meter;
+    meter.OnArrival(kModel, TimePoint(std::chrono::seconds(1)));
+    CPPUNIT_ASSERT(meter.Places(TimePoint(std::chrono::seconds(2))).empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DemandMeterTest);
+
+}  // namespace
+}  // namespace limpetfall
--- /dev/null
+++ b/test/event-buffer-test.cc
@@ -0,0 +1,97 @@
+#include "gateway/event-buffer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace limpetfall {
+namespace {
+
+class EventBufferTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EventBufferTest);
+  CPPUNIT_TEST(PartOfAnEventIsHeldBack);
+  CPPUNIT_TEST(GapIsAnError);
+  CPPUNIT_TEST(RepeatedEventIsAnError);
+  CPPUNIT_TEST(SeveralEventsInOneReadStayInOrder);
+  CPPUNIT_TEST(RandomCutsNeverChangeTheStream);
+  CPPUNIT_TEST(RandomBytesAreNeverAnAccident);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a resumed stream that joins two halves of different events (cut in an event).
+  void PartOfAnEventIsHeldBack() {
+    EventBuffer buffer{std::nullopt};
+    buffer.bytes() = "id: 1\ndata: a\n\nid: 2\nda";
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\n"), buffer.TakeWhole().value());
+    CPPUNIT_ASSERT(buffer.has_part());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, *buffer.last_id());
+    buffer.DropPart();
+    buffer.bytes() = "id: 2\ndata: b\n\n";
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 2\ndata: b\n\n"), buffer.TakeWhole().value());
+    CPPUNIT_ASSERT(!buffer.has_part());
+  }
+
+  // Guards against a stream with a missing event (late answer of an earlier run).
+  void GapIsAnError() {
+    EventBuffer buffer(3);
+    buffer.bytes() = "id: 5\ndata: x\n\n";
+    CPPUNIT_ASSERT(buffer.TakeWhole().error().code == ErrorCode::kUpstreamProtocol);
+  }
+
+  // Guards against a piece that a caller gets twice (resume at the wrong event).
+  void RepeatedEventIsAnError() {
+    EventBuffer buffer(3);
+    buffer.bytes() = "id: 3\ndata: x\n\n";
+    CPPUNIT_ASSERT(!buffer.TakeWhole());
+  }
+
+  // Guards against events that are lost when a read carries more than one.
+  void SeveralEventsInOneReadStayInOrder() {
+    EventBuffer buffer{std::nullopt};
+    buffer.bytes() = "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c\n\n";
+    CPPUNIT_ASSERT_EQUAL(std::size_t{45}, buffer.TakeWhole().value().size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, *buffer.last_id());
+  }
+
+  // Guards against events that depend on where the network cuts the bytes (seeded cuts).
+  void RandomCutsNeverChangeTheStream() {
+    std::string stream;
+    for (int i = 0; i < 50; ++i) {
+      stream += "id: " + std::to_string(i) +
+                "\ndata: " + std::string(static_cast<std::size_t>(i % 7), 'x') + "\n\n";
+    }
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+      std::mt19937 random(seed);
+      EventBuffer buffer{std::nullopt};
+      std::string received;
+      for (std::size_t at = 0; at < stream.size();) {
+        const std::size_t length = 1 + random() % 20;
+        buffer.bytes() += stream.substr(at, length);
+        at += length;
+        received += buffer.TakeWhole().value();
+      }
+      CPPUNIT_ASSERT_EQUAL(stream, received);
+    }
+  }
+
+  // Guards against a crash on bytes that are no events (seeded bytes).
+  void RandomBytesAreNeverAnAccident() {
+    for (unsigned seed = 1; seed <= 500; ++seed) {
+      std::mt19937 random(seed);
+      EventBuffer buffer(static_cast<std::int64_t>(random() % 4));
+      for (int i = 0; i < 20; ++i) {
+        constexpr std::string_view kAlphabet = "id: 0123\n\n\r:x-";
+        for (int j = 0; j < 8; ++j) buffer.bytes() += kAlphabet[random() % kAlphabet.size()];
+        const std::size_t before = buffer.bytes().size();
+        const auto taken = buffer.TakeWhole();
+        if (!taken) break;
+        CPPUNIT_ASSERT_EQUAL(before, taken.value().size() + buffer.bytes().size());
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventBufferTest);
+
+}  // namespace
+}  // namespace limpetfall
--- /dev/null
+++ b/test/gateway-config-test.cc
@@ -0,0 +1,63 @@
+#include "core/gateway-config.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+namespace limpetfall {
+namespace {
+
+class GatewayConfigTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GatewayConfigTest);
+  CPPUNIT_TEST(LongestPrefixOfTheHostWins);
+  CPPUNIT_TEST(QueryIsNoPartOfThePath);
+  CPPUNIT_TEST(HostIsComparedWithoutPortAndCase);
+  CPPUNIT_TEST(UnknownHostOrPathHasNoRoute);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against requests that a shorter prefix of the same host takes.
+  void LongestPrefixOfTheHostWins() {
+    const RouteTable table = Table();
+    CPPUNIT_ASSERT_EQUAL(std::string("narrow"), table.Find("a.example", "/x/y/1")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("wide"), table.Find("a.example", "/x/z")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), table.Find("b.example", "/x/y/1")->name);
+  }
+
+  // Guards against a route that is chosen by a query.
+  void QueryIsNoPartOfThePath() {
+    CPPUNIT_ASSERT_EQUAL(std::string("wide"), Table().Find("a.example", "/x/?p=/x/y/")->name);
+  }
+
+  // Guards against a 404 for a proper host.
+  void HostIsComparedWithoutPortAndCase() {
+    CPPUNIT_ASSERT_EQUAL(std::string("wide"), Table().Find("A.Example:8080", "/x/")->name);
+  }
+
+  // Guards against requests that reach a service no configuration allows.
+  void UnknownHostOrPathHasNoRoute() {
+    CPPUNIT_ASSERT(Table().Find("c.example", "/x/") == nullptr);
+    CPPUNIT_ASSERT(Table().Find("a.example", "/xy/") == nullptr);
+    CPPUNIT_ASSERT(Table().Find("", "") == nullptr);
+  }
+
+ private:
+  static RouteTable Table() {
+    auto config = std::make_shared<GatewayConfig>();
+    for (const auto& [name, host, prefix] :
+         {std::array{"wide", "a.example", "/x/"}, std::array{"narrow", "a.example", "/x/y/"},
+          std::array{"other", "b.example", "/"}}) {
+      Route route;
+      route.name = name;
+      route.host = host;
+      route.prefix = prefix;
+      config->routes.push_back(route);
+    }
+    return RouteTable(config);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayConfigTest);
+
+}  // namespace
+}  // namespace limpetfall
--- /dev/null
+++ b/test/group-planner-test.cc
@@ -0,0 +1,435 @@
+#include "core/group-planner.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+namespace limpetfall {
+namespace {
+
+const ModelName kLarge("large");
+const ModelName kSmall("small");
+const ServiceName kService("folds");
+
+class GroupPlannerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GroupPlannerTest);
+  CPPUNIT_TEST(NothingIsOrderedBeforeThePlanIsWritten);
+  CPPUNIT_TEST(GroupsNeverCrossDomainsOrShareRunners);
+  CPPUNIT_TEST(GroupOpensOnlyWhenEveryMemberIsReady);
+  CPPUNIT_TEST(MemberOfAnOlderEpochDoesNotCount);
+  CPPUNIT_TEST(HeadLeavesAtOnceWhenAMemberIsSilent);
+  CPPUNIT_TEST(MembersAreFreeOnlyWhenTheHeadHasLeft);
+  CPPUNIT_TEST(SilentHeadHoldsItsMembersUntilItMustBeBroken);
+  CPPUNIT_TEST(StoppedHeadFreesItsMembersAtOnce);
+  CPPUNIT_TEST(HeadThatReturnsLeavesBeforeItJoins);
+  CPPUNIT_TEST(RestartedMemberBelongsToNoGroup);
+  CPPUNIT_TEST(LapsedEntriesDoNotEndGroups);
+  CPPUNIT_TEST(LeavingMemberLetsTheGroupFinish);
+  CPPUNIT_TEST(RunnersMoveToAModelThatIsShort);
+  CPPUNIT_TEST(BusyGroupsAreNotTakenApart);
+  CPPUNIT_TEST(LoadsKeepToTheRate);
+  CPPUNIT_TEST(NewOwnerStartsWithoutLoads);
+  CPPUNIT_TEST(RandomHistoriesKeepEveryRunnerInOneGroup);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  GroupPlannerTest() {
+    EngineProfile engine;
+    engine.slots = 17;
+    engine.loads_per_second = 5;
+    engine.concurrent_loads = 7;
+    engine.models = {{kLarge, 4, 0.5, 1, Milliseconds(16000), Milliseconds(1600)},
+                     {kSmall, 2, 0.5, 1, Milliseconds(12000), Milliseconds(1100)}};
+    this->config.services[kService] = {kService, "", engine};
+  }
+
+  // Guards against two owners that order different groups: only a written plan is ordered.
+  void NothingIsOrderedBeforeThePlanIsWritten() {
+    this->AddRunners("d1", 4);
+    const PlannerOutput output = this->Step();
+    CPPUNIT_ASSERT(output.proposal.has_value());
+    CPPUNIT_ASSERT(output.orders.empty());
+  }
+
+  // Guards against slow groups across domains and a runner in two groups (first start of a fleet).
+  void GroupsNeverCrossDomainsOrShareRunners() {
+    for (const char* domain : {"d1", "d2", "d3"}) this->AddRunners(domain, 10);
+    this->Write(this->Step());
+    std::set<VmId> seen;
+    for (const PlannedGroup& group : this->plan.groups) {
+      CPPUNIT_ASSERT_EQUAL(group.model == kLarge ? std::size_t{4} : std::size_t{2},
+                           group.members.size());
+      for (const VmId& member : group.members) {
+        CPPUNIT_ASSERT(seen.insert(member).second);
+        CPPUNIT_ASSERT(this->runners.at(member).domain == group.domain);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{30}, seen.size());
+  }
+
+  // Guards against a partial group that serves (one member joins late).
+  void GroupOpensOnlyWhenEveryMemberIsReady() {
+    this->AddRunners("d1", 4);
+    this->Write(this->Step());
+    const PlannedGroup group = this->plan.groups.front();
+    CPPUNIT_ASSERT_EQUAL(group.members.size(), this->Orders(RunnerOrderKind::kJoin).size());
+    for (std::size_t i = 0; i + 1 < group.members.size(); ++i)
+      this->Join(group, i, MembershipStage::kReady);
+    this->Join(group, group.members.size() - 1, MembershipStage::kJoining);
+    CPPUNIT_ASSERT(this->Orders(RunnerOrderKind::kOpen).empty());
+    this->Join(group, group.members.size() - 1, MembershipStage::kReady);
+    const auto opens = this->Orders(RunnerOrderKind::kOpen);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, opens.size());
+    CPPUNIT_ASSERT(opens.front().runner == group.members.front());
+  }
+
+  // Guards against a group that opens with a member which joined an earlier group of that name.
+  void MemberOfAnOlderEpochDoesNotCount() {
+    this->AddRunners("d1", 2);
+    this->demand = {{kSmall, 1}};
+    this->Write(this->Step());
+    const PlannedGroup group = this->plan.groups.front();
+    this->Join(group, 0, MembershipStage::kReady);
+    this->Join(group, 1, MembershipStage::kReady);
+    this->runners.at(group.members[1]).membership->epoch -= 1;
+    CPPUNIT_ASSERT(this->Orders(RunnerOrderKind::kOpen).empty());
+  }
+
+  // Guards against callers at a group that stands still until the platform notices (member goes
+  // dark).
+  void HeadLeavesAtOnceWhenAMemberIsSilent() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    this->Silence(group.members[1]);
+    const PlannerOutput output = this->Step();
+    const auto orders = GroupOrders(output);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+    CPPUNIT_ASSERT(orders.front().kind == RunnerOrderKind::kLeave);
+    CPPUNIT_ASSERT(orders.front().runner == group.members.front());
+    CPPUNIT_ASSERT(output.proposal->groups.front().dissolving);
+  }
+
+  // Guards against a member in two groups while the head of the old one still serves.
+  void MembersAreFreeOnlyWhenTheHeadHasLeft() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    this->AddRunners("d1", 1);
+    this->Silence(group.members[1]);
+    this->Write(this->Step());
+    CPPUNIT_ASSERT(!this->Step().proposal.has_value());
+    this->runners.at(group.members.front()).membership.reset();
+    this->Write(this->Step());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->plan.groups.size());
+    CPPUNIT_ASSERT(!this->plan.groups.front().dissolving);
+  }
+
+  // Guards against a member that is taken from a head which is only cut off from here.
+  void SilentHeadHoldsItsMembersUntilItMustBeBroken() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    this->AddRunners("d1", 1);
+    this->Silence(group.members.front());
+    this->Write(this->Step());
+    this->runners.at(group.members[1]).membership.reset();
+    this->Write(this->Step());
+    this->now += Milliseconds(5900);
+    CPPUNIT_ASSERT(!this->Step().proposal.has_value());
+    this->now += Milliseconds(200);
+    CPPUNIT_ASSERT(this->Step().proposal.has_value());
+  }
+
+  // Guards against members that idle though the head certainly ended (connection refused).
+  void StoppedHeadFreesItsMembersAtOnce() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    this->planner.OnSighting(group.members.front(), RunnerSighting::kGone, this->now);
+    this->now += Milliseconds(300);
+    this->Write(this->Step());
+    this->Write(this->Step());
+    CPPUNIT_ASSERT(this->plan.groups.empty());
+  }
+
+  // Guards against a head that joins a new group while its old one is still open (grown site, TWO).
+  void HeadThatReturnsLeavesBeforeItJoins() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    this->plan.groups.clear();
+    this->AddRunners("d1", 1);
+    this->planner.OnOwnershipGained();
+    this->now += Milliseconds(1100);
+    const PlannerOutput output = this->Step();
+    const auto orders = GroupOrders(output);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+    CPPUNIT_ASSERT(orders.front().kind == RunnerOrderKind::kLeave);
+    CPPUNIT_ASSERT(orders.front().runner == group.members.front());
+    if (output.proposal) {
+      for (const PlannedGroup& planned : output.proposal->groups) {
+        CPPUNIT_ASSERT(std::find(planned.members.begin(), planned.members.end(),
+                                 group.members.front()) == planned.members.end());
+      }
+    }
+  }
+
+  // Guards against a group that counts on a member which lost its state under the same id.
+  void RestartedMemberBelongsToNoGroup() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    this->runners.at(group.members[1]).started_ms = 77;
+    CPPUNIT_ASSERT(this->Step().proposal->groups.front().dissolving);
+  }
+
+  // Guards against the loss of every group when entries lapse with the store and return.
+  void LapsedEntriesDoNotEndGroups() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    const Runner kept = this->runners.at(group.members[1]);
+    this->runners.erase(group.members[1]);
+    CPPUNIT_ASSERT(!this->Step().proposal.has_value());
+    this->now += Milliseconds(2000);
+    CPPUNIT_ASSERT(!this->Step().proposal.has_value());
+    this->runners[kept.id] = kept;
+    CPPUNIT_ASSERT(!this->Step().proposal.has_value());
+    this->runners.erase(kept.id);
+    this->Step();
+    this->now += Milliseconds(2300);
+    CPPUNIT_ASSERT(this->Step().proposal->groups.front().dissolving);
+  }
+
+  // Guards against streams that are cut by a planned release.
+  void LeavingMemberLetsTheGroupFinish() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    this->runners.at(group.members[1]).leaving = true;
+    const PlannerOutput output = this->Step();
+    const auto orders = GroupOrders(output);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+    CPPUNIT_ASSERT(orders.front().kind == RunnerOrderKind::kClose);
+  }
+
+  // Guards against requests that are refused while groups of the other model are idle (large groups
+  // lost).
+  void RunnersMoveToAModelThatIsShort() {
+    this->AddRunners("d1", 10);
+    this->demand = {{kSmall, 5}};
+    this->Write(this->Step());
+    for (const PlannedGroup& group : this->plan.groups) this->JoinAll(group);
+    this->StageEverywhere();
+    this->demand = {{kLarge, 1}, {kSmall, 1}};
+    const PlannerOutput output = this->Step();
+    const auto dissolving =
+        std::count_if(output.proposal->groups.begin(), output.proposal->groups.end(),
+                      [](const PlannedGroup& group) { return group.dissolving; });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, dissolving);
+  }
+
+  // Guards against a shift that makes both models short (burst of both).
+  void BusyGroupsAreNotTakenApart() {
+    this->AddRunners("d1", 10);
+    this->demand = {{kSmall, 5}};
+    this->Write(this->Step());
+    for (const PlannedGroup& group : this->plan.groups) this->JoinAll(group);
+    this->StageEverywhere();
+    this->demand = {{kLarge, 1}, {kSmall, 3}};
+    CPPUNIT_ASSERT(!this->Step().proposal.has_value());
+  }
+
+  // Guards against more loads from the weight store than it allows (many new runners at once).
+  void LoadsKeepToTheRate() {
+    this->now += std::chrono::seconds(60);
+    this->Step();
+    this->now += std::chrono::seconds(10);
+    this->AddRunners("d9", 60);
+    std::size_t loads = 0;
+    for (int i = 0; i < 50; ++i) {
+      for (const RunnerOrder& order : this->Step().orders) {
+        if (order.kind == RunnerOrderKind::kStage || order.kind == RunnerOrderKind::kJoin) ++loads;
+      }
+      this->now += Milliseconds(100);
+    }
+    CPPUNIT_ASSERT(loads > 0);
+    CPPUNIT_ASSERT(loads <= 5 * 5 * 1.1 + 3);
+  }
+
+  // Guards against two owners that use up the same rate one after the other.
+  void NewOwnerStartsWithoutLoads() {
+    this->now += std::chrono::seconds(60);
+    this->Step();
+    this->now += std::chrono::seconds(10);
+    this->AddRunners("d9", 4);
+    this->planner.OnOwnershipGained();
+    CPPUNIT_ASSERT(this->Step().orders.empty());
+  }
+
+  // Guards against orders of losses, returns and moves that nobody thought of (seeded histories).
+  void RandomHistoriesKeepEveryRunnerInOneGroup() {
+    for (unsigned seed = 1; seed <= 60; ++seed) this->PlayRandomHistory(seed);
+  }
+
+ private:
+  void AddRunners(const std::string& domain, int count) {
+    for (int i = 0; i < count; ++i) {
+      Runner runner;
+      runner.id = VmId("i-" + std::to_string(this->runners.size()));
+      runner.service = kService;
+      runner.domain = DomainId(domain);
+      runner.started_ms = 1;
+      this->runners.emplace(runner.id, runner);
+    }
+    // Runners that have just appeared are waited for.
+    this->Step();
+    this->now += Milliseconds(500);
+  }
+
+  PlannerOutput Step() {
+    return this->planner.Step(this->runners, this->plan, this->config, this->demand, this->now);
+  }
+
+  void Write(const PlannerOutput& output) {
+    if (!output.proposal) return;
+    this->plan = *output.proposal;
+    this->plan.revision += 1;
+  }
+
+  std::vector<RunnerOrder> Orders(RunnerOrderKind kind) {
+    this->now += Milliseconds(1100);
+    std::vector<RunnerOrder> found;
+    for (const RunnerOrder& order : this->Step().orders) {
+      if (order.kind == kind) found.push_back(order);
+    }
+    return found;
+  }
+
+  void Join(const PlannedGroup& group, std::size_t rank, MembershipStage stage) {
+    this->runners.at(group.members[rank]).membership =
+        RunnerMembership{group.group, group.epoch, static_cast<int>(rank), stage};
+  }
+
+  void JoinAll(const PlannedGroup& group) {
+    for (std::size_t i = 0; i < group.members.size(); ++i) {
+      this->Join(group, i, i == 0 ? MembershipStage::kOpen : MembershipStage::kReady);
+    }
+  }
+
+  /** Plans one group of a model and opens it. */
+  PlannedGroup OpenGroup(const ModelName& model) {
+    this->demand = {{model, 1}};
+    this->AddRunners("d1", model == kLarge ? 4 : 2);
+    this->Write(this->Step());
+    const PlannedGroup group = this->plan.groups.front();
+    this->JoinAll(group);
+    // Orders that the step gives are answered and out of the way.
+    for (const RunnerOrder& order : this->Step().orders) this->planner.OnOrderDone(order);
+    this->now += Milliseconds(1100);
+    this->planner.OnOwnershipGained();
+    return group;
+  }
+
+  static std::vector<RunnerOrder> GroupOrders(const PlannerOutput& output) {
+    std::vector<RunnerOrder> found;
+    for (const RunnerOrder& order : output.orders) {
+      if (order.kind != RunnerOrderKind::kStage) found.push_back(order);
+    }
+    return found;
+  }
+
+  void StageEverywhere() {
+    for (auto& [id, runner] : this->runners) runner.staged = {kLarge, kSmall};
+  }
+
+  void Silence(const VmId& runner) {
+    this->planner.OnSighting(runner, RunnerSighting::kSilent, this->now);
+    this->now += Milliseconds(300);
+  }
+
+  /** Applies orders to runners as the engines do, with losses and returns in between. */
+  void PlayRandomHistory(unsigned seed) {
+    GroupPlannerTest world;
+    std::mt19937 random(seed);
+    world.AddRunners("d1", 10);
+    world.AddRunners("d2", 9);
+    for (int round = 0; round < 300; ++round) {
+      world.now += Milliseconds(100);
+      const PlannerOutput output = world.Step();
+      for (const RunnerOrder& order : output.orders) {
+        const bool lost = random() % 10 == 0;
+        if (!lost) world.Obey(order);
+      }
+      if (random() % 8 != 0) world.Write(output);
+      for (auto& [id, runner] : world.runners) {
+        if (runner.membership && runner.membership->stage == MembershipStage::kJoining) {
+          runner.membership->stage = MembershipStage::kReady;
+        }
+      }
+      if (random() % 25 == 0) {
+        auto victim = std::next(world.runners.begin(),
+                                static_cast<std::ptrdiff_t>(random() % world.runners.size()));
+        victim->second.started_ms += 1;
+        victim->second.membership.reset();
+      }
+      world.demand = {{kLarge, 1 + random() % 3}, {kSmall, 1 + random() % 6}};
+      world.CheckEveryRunnerIsInOneGroup();
+    }
+  }
+
+  void Obey(const RunnerOrder& order) {
+    Runner& runner = this->runners.at(order.runner);
+    if (runner.started_ms != order.started_ms) return;
+    auto& membership = runner.membership;
+    const bool member = membership && membership->group == order.group.group &&
+                        membership->epoch == order.group.epoch;
+    switch (order.kind) {
+      case RunnerOrderKind::kJoin: {
+        // The promise of the pages: no join while the runner's own group serves.
+        CPPUNIT_ASSERT(!membership || membership->rank != 0 ||
+                       (membership->stage != MembershipStage::kOpen &&
+                        membership->stage != MembershipStage::kClosing));
+        const auto rank =
+            std::find(order.group.members.begin(), order.group.members.end(), order.runner) -
+            order.group.members.begin();
+        membership = RunnerMembership{order.group.group, order.group.epoch, static_cast<int>(rank),
+                                      MembershipStage::kJoining};
+        return;
+      }
+      case RunnerOrderKind::kOpen:
+        if (member) this->CheckWhole(order.group);
+        if (member) membership->stage = MembershipStage::kOpen;
+        return;
+      case RunnerOrderKind::kClose:
+        if (member) membership->stage = MembershipStage::kReady;
+        return;
+      case RunnerOrderKind::kLeave:
+        if (member) membership.reset();
+        return;
+      case RunnerOrderKind::kStage:
+        runner.staged = {order.group.model};
+        return;
+      case RunnerOrderKind::kProbe:
+        this->planner.OnSighting(order.runner, RunnerSighting::kAlive, this->now);
+        return;
+    }
+  }
+
+  void CheckWhole(const PlannedGroup& group) const {
+    for (const VmId& member : group.members) {
+      const auto& membership = this->runners.at(member).membership;
+      CPPUNIT_ASSERT(membership && membership->group == group.group);
+    }
+  }
+
+  void CheckEveryRunnerIsInOneGroup() const {
+    std::set<VmId> seen;
+    for (const PlannedGroup& group : this->plan.groups) {
+      for (const VmId& member : group.members) CPPUNIT_ASSERT(seen.insert(member).second);
+    }
+  }
+
+  GatewayConfig config;
+  std::map<VmId, Runner> runners;
+  std::map<ModelName, double> demand{{kLarge, 1}, {kSmall, 2}};
+  GroupPlan plan;
+  TimePoint now{std::chrono::seconds(1000)};
+  GroupPlanner planner{[] {
+    PlannerOptions options;
+    options.free_loads_until = TimePoint(std::chrono::seconds(1030));
+    return options;
+  }()};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupPlannerTest);
+
+}  // namespace
+}  // namespace limpetfall
--- /dev/null
+++ b/test/shared-retry-budget-test.cc
@@ -0,0 +1,63 @@
+#include "core/shared-retry-budget.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace limpetfall {
+namespace {
+
+const ServiceName kService("folds");
+const TimePoint kStart{std::chrono::seconds(100)};
+
+class SharedRetryBudgetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SharedRetryBudgetTest);
+  CPPUNIT_TEST(PartsNeverAddUpToMoreThanTheWhole);
+  CPPUNIT_TEST(WindowSlides);
+  CPPUNIT_TEST(ServicesDoNotShare);
+  CPPUNIT_TEST(RequestsEarnTheirShareOnlyInTheWindow);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a retry storm of all nodes together (a group is lost under full load).
+  void PartsNeverAddUpToMoreThanTheWhole() {
+    constexpr int kNodes = 6;
+    int taken = 0;
+    for (int node = 0; node < kNodes; ++node) {
+      SharedRetryBudget budget({0.2, 100, Milliseconds(10000)});
+      budget.SetPart(1.0 / kNodes);
+      for (int i = 0; i < 100; ++i) budget.OnRequest(kService, kStart);
+      while (budget.TryTake(kService, kStart)) ++taken;
+    }
+    CPPUNIT_ASSERT(taken <= 0.2 * 100 * kNodes + 100);
+    CPPUNIT_ASSERT(taken >= 0.2 * 100 * kNodes + 100 - kNodes);
+  }
+
+  // Guards against two full budgets within one window (losses on both sides of a fixed edge).
+  void WindowSlides() {
+    SharedRetryBudget budget({0, 10, Milliseconds(10000)});
+    for (int i = 0; i < 10; ++i)
+      CPPUNIT_ASSERT(budget.TryTake(kService, kStart + Milliseconds(900 * i)));
+    CPPUNIT_ASSERT(!budget.TryTake(kService, kStart + Milliseconds(9900)));
+    CPPUNIT_ASSERT(budget.TryTake(kService, kStart + Milliseconds(10001)));
+    CPPUNIT_ASSERT(!budget.TryTake(kService, kStart + Milliseconds(10002)));
+  }
+
+  // Guards against a service whose retries are used up by another one.
+  void ServicesDoNotShare() {
+    SharedRetryBudget budget({0, 1, Milliseconds(10000)});
+    CPPUNIT_ASSERT(budget.TryTake(kService, kStart));
+    CPPUNIT_ASSERT(!budget.TryTake(kService, kStart));
+    CPPUNIT_ASSERT(budget.TryTake(ServiceName("orders"), kStart));
+  }
+
+  // Guards against retries that are saved up in quiet hours.
+  void RequestsEarnTheirShareOnlyInTheWindow() {
+    SharedRetryBudget budget({0.5, 0, Milliseconds(10000)});
+    for (int i = 0; i < 10; ++i) budget.OnRequest(kService, kStart);
+    CPPUNIT_ASSERT(!budget.TryTake(kService, kStart + Milliseconds(10001)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SharedRetryBudgetTest);
+
+}  // namespace
+}  // namespace limpetfall
--- /dev/null
+++ b/test/state-mirror-test.cc
@@ -0,0 +1,101 @@
+#include "core/state-mirror.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace limpetfall {
+namespace {
+
+class StateMirrorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StateMirrorTest);
+  CPPUNIT_TEST(OlderItemChangesNothing);
+  CPPUNIT_TEST(OlderUpdateIsNoProof);
+  CPPUNIT_TEST(SnapshotRemovesWhatItDoesNotName);
+  CPPUNIT_TEST(FollowerEndsWithTheSameState);
+  CPPUNIT_TEST(FollowerThatLagsGetsASnapshot);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a configuration that goes back when changes arrive out of order.
+  void OlderItemChangesNothing() {
+    this->mirror.Apply(Update({Item("a", "new", 7)}, 7));
+    this->mirror.Apply(Update({Item("a", "old", 5)}, 8));
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), *this->mirror.Find("a")->value);
+  }
+
+  // Guards against a proof of currency from a node that knows less than this one.
+  void OlderUpdateIsNoProof() {
+    this->mirror.Apply(Update({Item("a", "x", 7)}, 9, 1));
+    StateUpdate behind = Update({}, 8, 50);
+    this->mirror.Apply(behind);
+    CPPUNIT_ASSERT(this->mirror.confirmed() == Time(1));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, this->mirror.revision());
+  }
+
+  // Guards against runners that stay listed when their removal fell into a lost history.
+  void SnapshotRemovesWhatItDoesNotName() {
+    this->mirror.Apply(Update({Item("a", "x", 3), Item("b", "y", 4)}, 5));
+    StateUpdate snapshot = Update({Item("a", "x", 3)}, 9);
+    snapshot.snapshot = true;
+    this->mirror.Apply(snapshot);
+    CPPUNIT_ASSERT(this->mirror.Find("b") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), this->observed.back().key);
+    CPPUNIT_ASSERT(!this->observed.back().value);
+  }
+
+  // Guards against a node that follows another one and misses writes or removals (seeded changes).
+  void FollowerEndsWithTheSameState() {
+    for (unsigned seed = 1; seed <= 50; ++seed) {
+      std::mt19937 random(seed);
+      StateMirror source([](const StateItem&) {});
+      StateMirror follower([](const StateItem&) {});
+      for (std::int64_t revision = 1; revision <= 200; ++revision) {
+        const std::string key(1, static_cast<char>('a' + random() % 8));
+        StateItem item = Item(key, std::to_string(revision), revision);
+        if (random() % 3 == 0) item.value.reset();
+        source.Apply(Update({item}, revision, revision));
+        if (random() % 5 == 0) follower.Apply(source.Since(follower.revision()));
+      }
+      follower.Apply(source.Since(follower.revision()));
+      for (char key = 'a'; key < 'i'; ++key) {
+        const StateItem* a = source.Find(std::string(1, key));
+        const StateItem* b = follower.Find(std::string(1, key));
+        CPPUNIT_ASSERT_EQUAL(a == nullptr, b == nullptr);
+        if (a != nullptr) CPPUNIT_ASSERT(*a == *b);
+      }
+    }
+  }
+
+  // Guards against removals that are forgotten while a node was away.
+  void FollowerThatLagsGetsASnapshot() {
+    for (std::int64_t revision = 1; revision <= 4000; revision += 2) {
+      this->mirror.Apply(Update({Item("k" + std::to_string(revision), "x", revision)}, revision));
+      StateItem gone = Item("k" + std::to_string(revision), "", revision + 1);
+      gone.value.reset();
+      this->mirror.Apply(Update({gone}, revision + 1));
+    }
+    CPPUNIT_ASSERT(this->mirror.Since(10).snapshot);
+    CPPUNIT_ASSERT(!this->mirror.Since(3990).snapshot);
+  }
+
+ private:
+  static BootTime Time(std::int64_t seconds) { return BootTime(std::chrono::seconds(seconds)); }
+
+  static StateItem Item(const std::string& key, const std::string& value, std::int64_t revision) {
+    return {key, value, revision, revision};
+  }
+
+  static StateUpdate Update(std::vector<StateItem> items, std::int64_t revision,
+                            std::int64_t confirmed_s = 0) {
+    return {std::move(items), revision, false, Time(confirmed_s)};
+  }
+
+  std::vector<StateItem> observed;
+  StateMirror mirror{[this](const StateItem& item) { this->observed.push_back(item); }};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StateMirrorTest);
+
+}  // namespace
+}  // namespace limpetfall
--- /dev/null
+++ b/test/traffic-set-test.cc
@@ -0,0 +1,88 @@
+#include "core/traffic-set.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace limpetfall {
+namespace {
+
+class TrafficSetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TrafficSetTest);
+  CPPUNIT_TEST(FewLargeNodesCarryTheTraffic);
+  CPPUNIT_TEST(SmallFleetIsActiveAsAWhole);
+  CPPUNIT_TEST(CapacityIsReachedWithSmallNodes);
+  CPPUNIT_TEST(NodesThatAreNotReadyCarryNothing);
+  CPPUNIT_TEST(WatchersAreInDifferentZones);
+  CPPUNIT_TEST(WatchersFillUpWithinOneZone);
+  CPPUNIT_TEST(OrderOfInputDoesNotMatter);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against messages between nodes that grow with the square of the fleet.
+  void FewLargeNodesCarryTheTraffic() {
+    std::vector<TrafficNode> nodes;
+    for (int i = 0; i < 70; ++i) nodes.push_back(Node("small-" + std::to_string(i), "a", 0.12));
+    for (int i = 0; i < 6; ++i) nodes.push_back(Node("large-" + std::to_string(i), "b", 0.5));
+    const TrafficSet set = ChooseTrafficSet(nodes, {8, 1.5});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{8}, set.active.size());
+    CPPUNIT_ASSERT(set.active.front() == NodeId("large-0"));
+    CPPUNIT_ASSERT(set.active[6].value.starts_with("small-"));
+  }
+
+  // Guards against a small fleet that leaves nodes idle.
+  void SmallFleetIsActiveAsAWhole() {
+    std::vector<TrafficNode> nodes{Node("n1", "a", 0.25), Node("n2", "b", 0.25),
+                                   Node("n3", "c", 0.25)};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, ChooseTrafficSet(nodes, {8, 1.5}).active.size());
+  }
+
+  // Guards against a set that is too small for the load when no large node is left.
+  void CapacityIsReachedWithSmallNodes() {
+    std::vector<TrafficNode> nodes;
+    for (int i = 0; i < 70; ++i) nodes.push_back(Node("n" + std::to_string(i), "a", 0.12));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{13}, ChooseTrafficSet(nodes, {8, 1.5}).active.size());
+  }
+
+  // Guards against callers that are sent to a node that is stopping.
+  void NodesThatAreNotReadyCarryNothing() {
+    std::vector<TrafficNode> nodes{Node("n1", "a", 0.5), Node("n2", "b", 0.25)};
+    nodes.front().ready = false;
+    const TrafficSet set = ChooseTrafficSet(nodes, {8, 1.5});
+    CPPUNIT_ASSERT(set.active == std::vector<NodeId>{NodeId("n2")});
+  }
+
+  // Guards against the loss of every reader of the store with one zone.
+  void WatchersAreInDifferentZones() {
+    std::vector<TrafficNode> nodes{Node("n1", "a", 0.5), Node("n2", "a", 0.5),
+                                   Node("n3", "b", 0.25), Node("n4", "c", 0.25)};
+    const TrafficSet set = ChooseTrafficSet(nodes, {8, 1.5});
+    CPPUNIT_ASSERT((set.watchers == std::vector<NodeId>{NodeId("n1"), NodeId("n3"), NodeId("n4")}));
+  }
+
+  // Guards against a single reader of the store in a fleet of one zone.
+  void WatchersFillUpWithinOneZone() {
+    std::vector<TrafficNode> nodes{Node("n1", "a", 0.5), Node("n2", "a", 0.5), Node("n3", "a", 0.5),
+                                   Node("n4", "a", 0.5)};
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, ChooseTrafficSet(nodes, {8, 1.5}).watchers.size());
+  }
+
+  // Guards against nodes that disagree on the set although they know the same nodes.
+  void OrderOfInputDoesNotMatter() {
+    std::vector<TrafficNode> nodes{Node("n1", "a", 0.25), Node("n2", "b", 0.25),
+                                   Node("n3", "c", 0.5)};
+    const TrafficSet set = ChooseTrafficSet(nodes, {2, 0.1});
+    std::reverse(nodes.begin(), nodes.end());
+    CPPUNIT_ASSERT(set == ChooseTrafficSet(nodes, {2, 0.1}));
+  }
+
+ private:
+  static TrafficNode Node(const std::string& name, const std::string& zone, double capacity) {
+    return {NodeId(name), ZoneId(zone), capacity, true};
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TrafficSetTest);
+
+}  // namespace
+}  // namespace limpetfall
