--- /dev/null
+++ b/src/base/log-sink.cc
@@ -0,0 +1,56 @@
+#include "base/log-sink.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace limpetfall {
+
+LogSink::LogSink(int file, LogSinkOptions settings)
+    : descriptor(file), options(settings), tokens(settings.burst) {
+  const int flags = fcntl(this->descriptor, F_GETFL);
+  if (flags >= 0) fcntl(this->descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+void LogSink::Flush() {
+  while (!this->pending.empty()) {
+    const ssize_t written = ::write(this->descriptor, this->pending.data(), this->pending.size());
+    if (written <= 0) return;
+    this->pending.erase(0, static_cast<std::size_t>(written));
+  }
+}
+
+void LogSink::Append(const std::string& line) {
+  if (this->pending.size() + line.size() + 1 > this->options.max_pending_bytes) {
+    ++this->dropped_lines;
+    return;
+  }
+  this->pending += line;
+  this->pending += '\n';
+}
+
+void LogSink::Write(const std::string& line, bool routine, TimePoint now) {
+  if (this->refilled != TimePoint()) {
+    const std::chrono::duration<double> passed = now - this->refilled;
+    this->tokens = std::min(this->options.burst,
+                            this->tokens + passed.count() * this->options.lines_per_second);
+  }
+  this->refilled = now;
+  if (routine && this->tokens < 1) {
+    ++this->dropped_lines;
+    return;
+  }
+  if (routine) this->tokens -= 1;
+  this->Flush();
+  if (this->dropped_lines > this->reported && this->pending.empty()) {
+    this->Append("{\"level\":\"warning\",\"event\":\"log_lines_dropped\",\"count\":" +
+                 std::to_string(this->dropped_lines - this->reported) + "}");
+    this->reported = this->dropped_lines;
+  }
+  this->Append(line);
+  this->Flush();
+}
+
+}  // namespace limpetfall
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,6 +1,7 @@
 #include "base/log.h"
 
 #include <easylogging++.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <cstdint>
@@ -10,6 +11,8 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "base/log-sink.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace limpetfall {
@@ -19,6 +22,7 @@
   std::mutex mutex;
   std::string program = "limpetfall";
   LogLevel least = LogLevel::kInfo;
+  std::optional<LogSink> sink;  ///< Standard error when not set.
 };
 
 LogState& State() {
@@ -76,6 +80,14 @@
 }
 
 void Emit(LogLevel level, const std::string& line) {
+  {
+    LogState& state = State();
+    const std::lock_guard lock(state.mutex);
+    if (state.sink) {
+      state.sink->Write(line, level <= LogLevel::kInfo, Clock::now());
+      return;
+    }
+  }
   switch (level) {
     case LogLevel::kDebug:
       LOG(DEBUG) << line;
@@ -94,6 +106,12 @@
 
 }  // namespace
 
+void LogToStandardOutput() {
+  LogState& state = State();
+  const std::lock_guard lock(state.mutex);
+  state.sink.emplace(STDOUT_FILENO, LogSinkOptions{});
+}
+
 Result<void> StartLogging(std::string_view program, std::string_view level) {
   const auto least = ParseLevel(level);
   if (!least) {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -29,6 +29,10 @@
       : name(field), value(static_cast<std::int64_t>(number)) {}
 };
 
+/** Writes log lines to standard output from now on, bounded in rate and without ever waiting for
+ * their reader; see `LogSink`. */
+void LogToStandardOutput();
+
 /** Sets up logging of this process to standard error. `level` is debug, info, warning or error. */
 Result<void> StartLogging(std::string_view program, std::string_view level);
 
--- a/src/core/dispatch.cc
+++ b/src/core/dispatch.cc
@@ -150,9 +150,8 @@
 }
 
 bool DispatchTable::HasEligible(const DispatchRequest& request, TimePoint now) const {
-  return std::any_of(this->targets.begin(), this->targets.end(), [&](const auto& entry) {
-    return this->Matches(*entry.second, request, now);
-  });
+  return std::any_of(this->targets.begin(), this->targets.end(),
+                     [&](const auto& entry) { return this->Matches(*entry.second, request, now); });
 }
 
 void DispatchTable::OnProgress(const DispatchTicket& ticket, TimePoint now) {
@@ -179,8 +178,7 @@
   DispatchTarget& target = *found->second;
   if (target.suspended_until <= now) {
     target.suspended_until = now + target.next_suspension;
-    target.next_suspension =
-        std::min(2 * target.next_suspension, this->options.longest_suspension);
+    target.next_suspension = std::min(2 * target.next_suspension, this->options.longest_suspension);
   }
   for (LossListener* listener : std::set<LossListener*>(target.listeners)) {
     listener->OnUpstreamLost();
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -65,7 +65,7 @@
   TimePoint last_progress;  ///< When a request of this node last received bytes.
   Deadline suspended_until;
   Milliseconds next_suspension{0};
-  bool trial = false;  ///< A first request after a suspension is in flight.
+  bool trial = false;   ///< A first request after a suspension is in flight.
   double slowness = 0;  ///< Smoothed excess of first-answer times, in parts of the objective.
   std::set<LossListener*> listeners;
 };
--- a/src/core/gateway-config.h
+++ b/src/core/gateway-config.h
@@ -65,11 +65,11 @@
 
 /** Published figures of the engines of one service. */
 struct EngineProfile {
-  int slots = 1;            ///< Requests that one group runs at once.
-  double step_ms = 1;       ///< One token step without any request.
+  int slots = 1;       ///< Requests that one group runs at once.
+  double step_ms = 1;  ///< One token step without any request.
   double step_ms_per_request = 0;
   double prefill_tokens_per_ms = 1;
-  int steps_per_pass = 1;   ///< Token steps in one pass, after which events are sent.
+  int steps_per_pass = 1;  ///< Token steps in one pass, after which events are sent.
   int usual_prompt_tokens = 0;
   int usual_answer_tokens = 0;
   double loads_per_second = 1;  ///< Most loads from the weight store that may begin in a second.
--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -127,8 +127,8 @@
       const Runner* runner = this->Find(group.members[rank]);
       lost = lost || this->IsLost(group, rank) || this->IsLeaving(group.members[rank]);
       if (runner == nullptr || !runner->membership) continue;
-      broken = broken || (InGroup(*runner, group) &&
-                          runner->membership->stage == MembershipStage::kBroken);
+      broken = broken ||
+               (InGroup(*runner, group) && runner->membership->stage == MembershipStage::kBroken);
       // A later group took the runner, which only an owner of a later plan can have ordered.
       lost = lost || runner->membership->epoch > group.epoch;
     }
@@ -183,7 +183,8 @@
     }
     if (this->planner.head_left.contains(group.group)) return true;
     if (this->planner.never_opened.contains(group.group)) return true;
-    if (head == nullptr || this->IsSilent(head_id)) return this->DissolveUnreachable(group, head_id);
+    if (head == nullptr || this->IsSilent(head_id))
+      return this->DissolveUnreachable(group, head_id);
     this->DissolveReachable(group, *head);
     return false;
   }
@@ -291,9 +292,8 @@
 
   [[nodiscard]] int GroupsOf(const ModelName& model) const {
     return static_cast<int>(std::count_if(
-        this->next.groups.begin(), this->next.groups.end(), [&](const PlannedGroup& group) {
-          return !group.dissolving && group.model == model;
-        }));
+        this->next.groups.begin(), this->next.groups.end(),
+        [&](const PlannedGroup& group) { return !group.dissolving && group.model == model; }));
   }
 
   /** A model that is about to gain a group waits for it before it takes more runners. */
@@ -313,21 +313,20 @@
                                                   const ServedModel& model) const {
     if (this->now < this->planner.options.free_loads_until) return free;
     std::vector<const Runner*> usable;
-    std::copy_if(free.begin(), free.end(), std::back_inserter(usable), [&](const Runner* runner) {
-      return !this->NeedsLoad(*runner, model.name);
-    });
+    std::copy_if(free.begin(), free.end(), std::back_inserter(usable),
+                 [&](const Runner* runner) { return !this->NeedsLoad(*runner, model.name); });
     return usable;
   }
 
   /** Prefers models that are short, domains with room, and zones with few groups of the model. */
   [[nodiscard]] double Value(const ServedModel& model, const Runner& runner,
                              std::size_t room) const {
-    const auto in_zone = std::count_if(
-        this->next.groups.begin(), this->next.groups.end(), [&](const PlannedGroup& group) {
-          const Runner* head = this->Find(group.members.front());
-          return !group.dissolving && group.model == model.name && head != nullptr &&
-                 head->zone == runner.zone;
-        });
+    const auto in_zone = std::count_if(this->next.groups.begin(), this->next.groups.end(),
+                                       [&](const PlannedGroup& group) {
+                                         const Runner* head = this->Find(group.members.front());
+                                         return !group.dissolving && group.model == model.name &&
+                                                head != nullptr && head->zone == runner.zone;
+                                       });
     constexpr double kSpread = 0.01;
     const double spread = 1 - kSpread * static_cast<double>(in_zone);
     const double fullness = 1 + kSpread * static_cast<double>(room) / 10;
@@ -373,7 +372,8 @@
     }
     std::map<ModelName, int> left;
     candidate.value = this->Need(model.name, this->GroupsOf(model.name));
-    if (this->Utilization(model.name, this->GroupsOf(model.name)) < this->planner.options.shift_from) {
+    if (this->Utilization(model.name, this->GroupsOf(model.name)) <
+        this->planner.options.shift_from) {
       return std::nullopt;
     }
     for (std::size_t i = 0; i < this->next.groups.size(); ++i) {
@@ -405,9 +405,9 @@
         if (this->HasReservation(model.name) || this->planner.reserved.contains(domain)) continue;
         auto candidate = this->Shift(domain, service, model, free);
         if (!candidate || candidate->victims.empty()) continue;
-        const bool better = !best || candidate->value > best->value ||
-                            (candidate->value == best->value &&
-                             candidate->victims.size() < best->victims.size());
+        const bool better =
+            !best || candidate->value > best->value ||
+            (candidate->value == best->value && candidate->victims.size() < best->victims.size());
         if (better) best = std::move(candidate);
       }
     }
@@ -431,18 +431,18 @@
     this->changed = true;
   }
 
-  /** Loads weights onto hosts: of free runners that can join nothing, and of all while it is free. */
+  /** Loads weights onto hosts: of free runners that can join nothing, and of all while it is free.
+   */
   void Stage(const FreeByDomain& free) {
     for (const auto& [domain, runners_there] : free) {
-      const auto& models =
-          this->config.services.at(runners_there.front()->service).engine->models;
+      const auto& models = this->config.services.at(runners_there.front()->service).engine->models;
       for (const Runner* runner : runners_there) {
         if (!runner->staged.empty() || models.empty()) continue;
-        const auto neediest = std::max_element(
-            models.begin(), models.end(), [&](const ServedModel& a, const ServedModel& b) {
-              return this->Need(a.name, this->GroupsOf(a.name)) <
-                     this->Need(b.name, this->GroupsOf(b.name));
-            });
+        const auto neediest = std::max_element(models.begin(), models.end(),
+                                               [&](const ServedModel& a, const ServedModel& b) {
+                                                 return this->Need(a.name, this->GroupsOf(a.name)) <
+                                                        this->Need(b.name, this->GroupsOf(b.name));
+                                               });
         this->OrderStage(*runner, *neediest);
       }
     }
@@ -486,9 +486,8 @@
   [[nodiscard]] bool Settled() const {
     if (this->planner.options.free_loads_until <= this->now) return true;
     return std::none_of(
-        this->planner.first_seen.begin(), this->planner.first_seen.end(), [&](const auto& entry) {
-          return this->now < entry.second + this->planner.options.settle;
-        });
+        this->planner.first_seen.begin(), this->planner.first_seen.end(),
+        [&](const auto& entry) { return this->now < entry.second + this->planner.options.settle; });
   }
 
   /** Before traffic, large groups come first: they are hard to fit in between small ones. */
@@ -512,8 +511,8 @@
         for (const std::size_t victim : shift->victims) {
           this->next.groups[victim].dissolving = true;
         }
-        this->planner.reserved[shift->domain] = {
-            shift->model->name, this->now + this->planner.options.reservation};
+        this->planner.reserved[shift->domain] = {shift->model->name,
+                                                 this->now + this->planner.options.reservation};
         this->changed = true;
         continue;
       }
@@ -544,7 +543,9 @@
   this->loads.updated = now;
 
   for (const auto& [id, runner] : runners) this->first_seen.try_emplace(id, now);
-  struct Step step{*this, runners, config, demand, now, concurrent_loads, plan, {}, false};
+  struct Step step {
+    *this, runners, config, demand, now, concurrent_loads, plan, {}, false
+  };
   for (const PlannedGroup& group : plan.groups) {
     for (const VmId& member : group.members) {
       const Runner* runner = step.Find(member);
--- a/src/core/group-planner.h
+++ b/src/core/group-planner.h
@@ -22,8 +22,8 @@
   ServiceName service;
   ModelName model;
   DomainId domain;
-  std::vector<VmId> members;                ///< The first is the head, which serves requests.
-  std::vector<std::int64_t> started_ms;     ///< Start of each member when it was chosen.
+  std::vector<VmId> members;             ///< The first is the head, which serves requests.
+  std::vector<std::int64_t> started_ms;  ///< Start of each member when it was chosen.
   bool dissolving = false;  ///< Its members are free once the head certainly serves no more.
 
   friend bool operator==(const PlannedGroup&, const PlannedGroup&) = default;
--- a/src/core/stall-rule.h
+++ b/src/core/stall-rule.h
@@ -9,8 +9,8 @@
 
 /** What is known about a request that waits for bytes from its upstream. */
 struct StallState {
-  TimePoint last_bytes;         ///< Last bytes of this request, or when it was sent.
-  TimePoint upstream_progress;  ///< Last bytes of any request of this node at that upstream.
+  TimePoint last_bytes;            ///< Last bytes of this request, or when it was sent.
+  TimePoint upstream_progress;     ///< Last bytes of any request of this node at that upstream.
   Milliseconds group_silence{0};   ///< An upstream that is silent to all for this long is lost.
   Milliseconds single_silence{0};  ///< A request that is silent for this long is stuck by itself.
 
--- a/src/core/state-mirror.cc
+++ b/src/core/state-mirror.cc
@@ -27,9 +27,8 @@
 void StateMirror::Apply(const StateUpdate& update) {
   if (update.revision < this->complete_to) return;
   std::vector<StateItem> ordered = update.items;
-  std::stable_sort(ordered.begin(), ordered.end(), [](const StateItem& a, const StateItem& b) {
-    return a.revision < b.revision;
-  });
+  std::stable_sort(ordered.begin(), ordered.end(),
+                   [](const StateItem& a, const StateItem& b) { return a.revision < b.revision; });
   if (update.snapshot) {
     std::set<std::string> named;
     for (const StateItem& item : ordered) named.insert(item.key);
--- a/src/core/state-mirror.h
+++ b/src/core/state-mirror.h
@@ -63,7 +63,7 @@
   Observer observer;
   std::map<std::string, StateItem> items;
   std::map<std::int64_t, std::string> removed;  ///< Keys by the revision of their removal.
-  std::int64_t removals_from = 0;  ///< Removals after this revision are known.
+  std::int64_t removals_from = 0;               ///< Removals after this revision are known.
   std::int64_t complete_to = 0;
   BootTime confirmed_at;
 };
--- a/src/gateway/event-buffer.cc
+++ b/src/gateway/event-buffer.cc
@@ -33,9 +33,9 @@
     const auto id = EventId(event);
     if (id) {
       if (this->last && *id != *this->last + 1) {
-        return MayHaveRun(ErrorCode::kUpstreamProtocol,
-                          "event " + std::to_string(*id) + " follows event " +
-                              std::to_string(*this->last));
+        return MayHaveRun(
+            ErrorCode::kUpstreamProtocol,
+            "event " + std::to_string(*id) + " follows event " + std::to_string(*this->last));
       }
       this->last = id;
     }
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -95,17 +95,15 @@
 Result<void> GatewayNode<Store, Adapter>::Start() {
   namespace asio = boost::asio;
   BOOST_OUTCOME_TRY(this->caller_server,
-                    HttpServer::Create(
-                        this->io, this->shared.options.caller_address,
-                        [this](HttpExchange& exchange) {
-                          return this->shared.relay.Handle(exchange);
-                        },
-                        {.max_body_bytes = 8 << 20}));
+                    HttpServer::Create(this->io, this->shared.options.caller_address,
+                                       [this](HttpExchange& exchange) {
+                                         return this->shared.relay.Handle(exchange);
+                                       },
+                                       {.max_body_bytes = 8 << 20}));
   BOOST_OUTCOME_TRY(
       this->peer_server,
-      HttpServer::Create(
-          this->io, this->shared.options.peer_address,
-          [this](HttpExchange& exchange) { return this->ServePeer(exchange); }, {}));
+      HttpServer::Create(this->io, this->shared.options.peer_address,
+                         [this](HttpExchange& exchange) { return this->ServePeer(exchange); }, {}));
   BOOST_OUTCOME_TRY(const auto endpoint, ParseEndpoint(this->shared.options.peer_address));
   boost::system::error_code error;
   const asio::ip::udp::endpoint udp_endpoint(endpoint.address(), endpoint.port());
@@ -301,8 +299,7 @@
                              ? kLeaseRenewal
                              : Milliseconds(100 + static_cast<int>(this->random() % 150)));
     const bool leads = this->shared.leader && this->shared.leader->value == this->LeaderValue();
-    const bool candidate =
-        this->MayLead() && this->shared.IsWatcher(this->shared.options.node);
+    const bool candidate = this->MayLead() && this->shared.IsWatcher(this->shared.options.node);
     if (!leads && !candidate) {
       this->leader_lease.reset();
       continue;
@@ -335,9 +332,10 @@
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::TryLead() {
   using namespace gateway_detail;
   StoreWrite write;
-  write.conditions.push_back(
-      {std::string(gateway_keys::kLeader), this->shared.leader ? this->shared.leader->revision : 0});
-  write.puts.push_back({std::string(gateway_keys::kLeader), this->LeaderValue(), this->leader_lease->id});
+  write.conditions.push_back({std::string(gateway_keys::kLeader),
+                              this->shared.leader ? this->shared.leader->revision : 0});
+  write.puts.push_back(
+      {std::string(gateway_keys::kLeader), this->LeaderValue(), this->leader_lease->id});
   const auto written = co_await this->store.Write(std::move(write), Clock::now() + kCallTimeout);
   if (!written) {
     Log(LogLevel::kWarning, "election_failed", {{"detail", written.error().message}});
@@ -355,8 +353,7 @@
   if (!this->shared.leader) return true;
   // The key of this node's last life outlives the process until its lease ends.
   const std::string& holder = *this->shared.leader->value;
-  return holder != this->LeaderValue() &&
-         holder.starts_with(this->shared.options.node.value + " ");
+  return holder != this->LeaderValue() && holder.starts_with(this->shared.options.node.value + " ");
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
@@ -403,26 +400,25 @@
     owned = true;
     const TimePoint now = Clock::now();
     this->ProbeSuspects(now);
-    PlannerOutput output =
-        this->planner.Step(this->shared.runners, this->shared.plan, this->shared.routes->config(),
-                           this->Demand(), now);
+    PlannerOutput output = this->planner.Step(this->shared.runners, this->shared.plan,
+                                              this->shared.routes->config(), this->Demand(), now);
     this->LogCapacity(now);
     for (RunnerOrder& order : output.orders) {
       boost::asio::co_spawn(this->io, this->SendOrder(std::move(order)), boost::asio::detached);
     }
     if (!output.proposal) continue;
     StoreWrite write;
-    write.conditions.push_back(
-        {std::string(gateway_keys::kLeader), this->shared.leader->revision});
-    write.conditions.push_back(
-        {std::string(gateway_keys::kPlan), this->shared.plan.revision});
+    write.conditions.push_back({std::string(gateway_keys::kLeader), this->shared.leader->revision});
+    write.conditions.push_back({std::string(gateway_keys::kPlan), this->shared.plan.revision});
     write.puts.push_back({std::string(gateway_keys::kPlan), EncodePlan(*output.proposal), 0});
     const std::int64_t before = this->shared.plan.revision;
     const auto written = co_await this->store.Write(std::move(write), now + kCallTimeout);
     Log(LogLevel::kInfo, "plan",
         {{"groups", output.proposal->groups.size()},
          {"from", before},
-         {"outcome", !written ? written.error().message : written.value() ? "written" : "lost"}});
+         {"outcome", !written          ? written.error().message
+                     : written.value() ? "written"
+                                       : "lost"}});
     // The next step starts from the plan that the store holds.
     for (int i = 0; written && written.value() && i < 20; ++i) {
       if (this->shared.plan.revision != before) break;
@@ -440,9 +436,9 @@
     if (!service.engine) continue;
     for (const ServedModel& model : service.engine->models) {
       const auto [slots, load] = this->shared.dispatch.SlotsAndLoad(name, model.name, now);
-      const auto planned = std::count_if(
-          this->shared.plan.groups.begin(), this->shared.plan.groups.end(),
-          [&](const PlannedGroup& group) { return group.model == model.name; });
+      const auto planned =
+          std::count_if(this->shared.plan.groups.begin(), this->shared.plan.groups.end(),
+                        [&](const PlannedGroup& group) { return group.model == model.name; });
       Log(LogLevel::kInfo, "capacity",
           {{"model", model.name.value},
            {"open", slots / service.engine->slots},
@@ -510,7 +506,9 @@
   this->OnSighting(order.runner, sighting);
   Log(LogLevel::kInfo, "runner_probe",
       {{"runner", order.runner.value},
-       {"outcome", !count ? count.error().message : count.value() ? "alive" : "elsewhere"}});
+       {"outcome", !count          ? count.error().message
+                   : count.value() ? "alive"
+                                   : "elsewhere"}});
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
@@ -519,8 +517,8 @@
   const Deadline deadline = Clock::now() + gateway_detail::kOrderTimeout;
   const std::pair life{order.runner, order.started_ms};
   if (!this->accepted_orders.contains(life)) {
-    BOOST_OUTCOME_CO_TRY(const auto count, co_await this->adapter.FetchOrderCount(
-                                               this->shared.pool, order, deadline));
+    BOOST_OUTCOME_CO_TRY(const auto count, co_await this->adapter.FetchOrderCount(this->shared.pool,
+                                                                                  order, deadline));
     if (!count) co_return OrderAnswer::kElsewhere;
     this->accepted_orders[life] = *count;
   }
@@ -543,7 +541,8 @@
   }
   auto answer = co_await this->CountAndSend(order);
   // The count was wrong, or the state does not fit; a report tells which.
-  if (answer && answer.value() == OrderAnswer::kRefused) answer = co_await this->CountAndSend(order);
+  if (answer && answer.value() == OrderAnswer::kRefused)
+    answer = co_await this->CountAndSend(order);
   const char* outcome = "no answer";
   if (answer) {
     constexpr std::array<const char*, 4> kOutcomes{"begun", "holds", "refused", "elsewhere"};
@@ -610,8 +609,7 @@
   boost::system::error_code lost;  // A datagram may be lost on the way as well.
   this->peer_socket.send_to(
       boost::asio::buffer(message),
-      boost::asio::ip::udp::endpoint(endpoint.value().address(), endpoint.value().port()), 0,
-      lost);
+      boost::asio::ip::udp::endpoint(endpoint.value().address(), endpoint.value().port()), 0, lost);
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -69,13 +69,13 @@
 struct GatewayOptions {
   NodeId node;
   ZoneId zone;
-  std::string caller_address;          ///< Where callers connect.
-  std::string peer_address;            ///< Where other nodes connect, UDP and TCP.
-  std::vector<std::string> peer_seeds; ///< Peer addresses to try before any node has registered.
-  Milliseconds stop_grace{8000};       ///< The process is killed this long after SIGTERM.
-  Milliseconds address_lifetime{1000}; ///< For which callers keep an answer with addresses.
-  Milliseconds free_load_time{0};  ///< After the start, in which loads count for no rate.
-  double capacity = 1;                 ///< Processor share of this node, in cores.
+  std::string caller_address;           ///< Where callers connect.
+  std::string peer_address;             ///< Where other nodes connect, UDP and TCP.
+  std::vector<std::string> peer_seeds;  ///< Peer addresses to try before any node has registered.
+  Milliseconds stop_grace{8000};        ///< The process is killed this long after SIGTERM.
+  Milliseconds address_lifetime{1000};  ///< For which callers keep an answer with addresses.
+  Milliseconds free_load_time{0};       ///< After the start, in which loads count for no rate.
+  double capacity = 1;                  ///< Processor share of this node, in cores.
   TrafficSetOptions traffic;
   DispatchOptions dispatch;
   PlannerOptions planner;
--- a/src/gateway/gateway-state.cc
+++ b/src/gateway/gateway-state.cc
@@ -117,8 +117,7 @@
     const bool own = node == this->options.node;
     if (!own && peer == nullptr) continue;
     const ZoneId& node_zone = own ? this->options.zone : peer->status.zone;
-    const std::string& address =
-        own ? this->options.caller_address : peer->status.caller_address;
+    const std::string& address = own ? this->options.caller_address : peer->status.caller_address;
     (node_zone.value == zone ? near : far).push_back(address);
   }
   near.insert(near.end(), far.begin(), far.end());
--- a/src/gateway/peer-wire.cc
+++ b/src/gateway/peer-wire.cc
@@ -116,8 +116,8 @@
     items[i].setKey(Text(item.key));
     items[i].setRemoved(!item.value);
     if (item.value) {
-      items[i].setValue({reinterpret_cast<const kj::byte*>(item.value->data()),
-                         item.value->size()});
+      items[i].setValue(
+          {reinterpret_cast<const kj::byte*>(item.value->data()), item.value->size()});
     }
     items[i].setRevision(item.revision);
     items[i].setCreatedRevision(item.created_revision);
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -66,9 +66,9 @@
 
 const Peer* PeerTable::Freshest(TimePoint now) const {
   const auto alive = this->Alive(now);
-  const auto freshest = std::max_element(
-      alive.begin(), alive.end(),
-      [](const Peer* a, const Peer* b) { return a->confirmed < b->confirmed; });
+  const auto freshest =
+      std::max_element(alive.begin(), alive.end(),
+                       [](const Peer* a, const Peer* b) { return a->confirmed < b->confirmed; });
   if (freshest == alive.end() || (*freshest)->confirmed == BootTime()) return nullptr;
   return *freshest;
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -26,7 +26,7 @@
   PeerStatus status;
   TimePoint heard;
   Milliseconds interval{0};  ///< Between its last two messages.
-  BootTime confirmed;  ///< When its copy of the store certainly was the newest.
+  BootTime confirmed;        ///< When its copy of the store certainly was the newest.
 
   friend bool operator==(const Peer&, const Peer&) = default;
 };
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -86,7 +86,11 @@
   std::optional<HttpResponse> failure;  ///< Complete failure answer of an upstream.
   std::shared_ptr<HttpConnection> connection;
   StallState stall;
-  Error error;  ///< Why the last attempt failed.
+  Error error;                     ///< Why the last attempt failed.
+  VmId upstream;                   ///< The last one that the request was sent to.
+  const char* outcome = "failed";  ///< For the log line at the end.
+  Milliseconds waited{0};          ///< For a place, over all attempts.
+  Milliseconds proof_age{0};       ///< Of the configuration when the request was let in.
 
   [[nodiscard]] bool Repeatable() const {
     return this->route->repetition == Repetition::kIdempotent || this->route->resumable;
@@ -167,6 +171,8 @@
   Milliseconds allowed = call.route->timeout.count() > 0 ? call.route->timeout : kDefaultTimeout;
   if (given) allowed = std::min(allowed, Milliseconds(std::max<std::int64_t>(0, *given)));
   call.deadline = call.arrived + allowed;
+  call.proof_age =
+      std::chrono::duration_cast<Milliseconds>(BootClock::now() - this->context.confirmed);
   call.model = ModelName(Find(request.headers, this->options.headers.model));
   call.service = this->PickService(*call.route);
   const auto service = call.routes->config().services.find(call.service);
@@ -212,8 +218,8 @@
   while (const auto id = this->queue.Next(blocked, now)) {
     const auto waiter = this->waiters.find(*id);
     const Call& call = waiter->second->call;
-    auto ticket = this->table.Choose({call.service, call.model, call.excluded},
-                                     &waiter->second->call, now);
+    auto ticket =
+        this->table.Choose({call.service, call.model, call.excluded}, &waiter->second->call, now);
     if (!ticket) {
       blocked.insert(this->queue.LaneOf(*id));
       continue;
@@ -297,8 +303,7 @@
 
 asio::awaitable<Relay::Outcome> Relay::Attempt(Call& call, Place& place, HttpExchange& exchange) {
   const bool once = !call.Repeatable();
-  const Deadline connect_by =
-      std::min(call.deadline, Clock::now() + this->options.connect_timeout);
+  const Deadline connect_by = std::min(call.deadline, Clock::now() + this->options.connect_timeout);
   const std::string address = place.ticket.address();
   // A pooled connection that its peer has just closed leaves open whether the request ran.
   if (once) this->pool.Drop(address);
@@ -315,8 +320,7 @@
 
   const TimePoint sent = Clock::now();
   Deadline answer_by = call.deadline;
-  call.stall = {sent, TimePoint(), this->options.first_event_silence,
-                this->options.single_silence};
+  call.stall = {sent, TimePoint(), this->options.first_event_silence, this->options.single_silence};
   if (call.route->stream && call.CanMove()) {
     connection->SetExpiryHook([this, &call, &place](TimePoint now) {
       call.stall.upstream_progress = place.ticket.last_progress();
@@ -363,8 +367,7 @@
   constexpr int kMisdirected = 421;
   if (head.value().Find(names.not_run) || status == kMisdirected) {
     std::string ignored;
-    const auto done =
-        co_await connection->ReadSome(ignored, Clock::now() + kRefusalReadTime);
+    const auto done = co_await connection->ReadSome(ignored, Clock::now() + kRefusalReadTime);
     if (done && done.value()) this->pool.Release(connection);
     call.error = NotRun(ErrorCode::kResourceExhausted,
                         "the upstream refused with " + std::to_string(status));
@@ -377,16 +380,16 @@
   co_return co_await this->RelayPlain(call, place, exchange, std::move(head.value()));
 }
 
-asio::awaitable<Relay::Outcome> Relay::RelayPlain(Call& call, Place& place,
-                                                  HttpExchange& exchange, ResponseHead head) {
+asio::awaitable<Relay::Outcome> Relay::RelayPlain(Call& call, Place& place, HttpExchange& exchange,
+                                                  ResponseHead head) {
   HttpResponse response{head.status, EndToEnd(head.headers), {}};
   for (;;) {
     std::string piece;
     const auto done = co_await call.connection->ReadSome(piece, call.deadline);
     const bool too_large = response.body.size() + piece.size() > kMaxAnswerBytes;
     if (!done || too_large) {
-      call.error = done ? MayHaveRun(ErrorCode::kUpstreamProtocol, "the answer is too large")
-                        : done.error();
+      call.error =
+          done ? MayHaveRun(ErrorCode::kUpstreamProtocol, "the answer is too large") : done.error();
       call.may_have_run = true;
       this->OnUpstreamFailure(call, place, "cut", call.error.message);
       co_return Outcome::kLost;
@@ -419,8 +422,8 @@
   co_return sent ? Outcome::kAnswered : Outcome::kCallerGone;
 }
 
-asio::awaitable<Relay::Outcome> Relay::RelayStream(Call& call, Place& place,
-                                                   HttpExchange& exchange, ResponseHead head) {
+asio::awaitable<Relay::Outcome> Relay::RelayStream(Call& call, Place& place, HttpExchange& exchange,
+                                                   ResponseHead head) {
   const TimePoint sent = call.stall.last_bytes;
   const auto pause = call.route->gap_objective + this->options.group_silence_margin;
   bool first = true;
@@ -481,13 +484,18 @@
   // Upstreams that cannot be reached are passed over; there are never more than this to try.
   constexpr int kMaxPlaces = 6;
   for (int places = 0; places < kMaxPlaces; ++places) {
+    const TimePoint asked = Clock::now();
     auto place = co_await this->Acquire(call);
+    call.waited += std::chrono::duration_cast<Milliseconds>(Clock::now() - asked);
+    if (place) call.upstream = place.value().ticket.upstream();
     if (!place) {
       if (call.sends == 0) call.error = place.error();
       break;
     }
     const Outcome outcome = co_await this->Attempt(call, place.value(), exchange);
     call.connection.reset();
+    if (outcome == Outcome::kAnswered) call.outcome = "answered";
+    if (outcome == Outcome::kCallerGone) call.outcome = "caller_gone";
     if (outcome == Outcome::kAnswered || outcome == Outcome::kCallerGone) co_return;
     call.events.DropPart();
     call.excluded.push_back(place.value().ticket.upstream());
@@ -534,8 +542,8 @@
     co_return co_await this->Refuse(exchange, 503, call.error, this->RetryAfter(call));
   }
   constexpr int kUnavailable = 503;
-  const bool promises = call.failure && (call.failure->status == kUnavailable ||
-                                         call.failure->status == 429);
+  const bool promises =
+      call.failure && (call.failure->status == kUnavailable || call.failure->status == 429);
   if (call.failure && (!promises || call.Repeatable())) {
     Log(LogLevel::kInfo, "failure_relayed",
         {{"request", call.request_id}, {"status", call.failure->status}});
@@ -562,6 +570,18 @@
   }
   co_await this->Run(call, exchange);
   const std::chrono::duration<double> passed = Clock::now() - call.arrived;
+  constexpr double kMsPerS = 1000;
+  Log(LogLevel::kInfo, "request",
+      {{"request", call.request_id},
+       {"route", call.route->name},
+       {"team", call.team.value},
+       {"upstream", call.upstream.value},
+       {"outcome", call.outcome},
+       {"sends", call.sends},
+       {"ms", std::lround(passed.count() * kMsPerS)},
+       {"waited_ms", call.waited.count()},
+       {"config", call.routes->config().version},
+       {"proof_age_ms", call.proof_age.count()}});
   this->metrics->Observe("request_seconds",
                          {{"team", call.team.value}, {"route", call.route->name}}, passed.count());
 }
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -25,13 +25,13 @@
 /** Names of the headers that the relay reads and sets. The deployment's adapter supplies them. */
 struct RelayHeaders {
   std::string request_id;
-  std::string deadline_ms;       ///< Milliseconds that are left for the request.
-  std::string key;               ///< The caller's key; never handed on.
-  std::string team;              ///< Set for the upstream, whatever the caller sent.
+  std::string deadline_ms;  ///< Milliseconds that are left for the request.
+  std::string key;          ///< The caller's key; never handed on.
+  std::string team;         ///< Set for the upstream, whatever the caller sent.
   std::string model;
-  std::string upstream_id;       ///< The only upstream that may run the request.
-  std::string not_run;           ///< In an answer: the upstream has not run the request.
-  std::string digest;            ///< In an answer: signs its body.
+  std::string upstream_id;  ///< The only upstream that may run the request.
+  std::string not_run;      ///< In an answer: the upstream has not run the request.
+  std::string digest;       ///< In an answer: signs its body.
   std::string last_event_id;
 
   friend bool operator==(const RelayHeaders&, const RelayHeaders&) = default;
--- /dev/null
+++ b/src/gateway/server-context.h
@@ -0,0 +1,22 @@
+#ifndef LIMPETFALL_GATEWAY_SERVER_CONTEXT_H_
+#define LIMPETFALL_GATEWAY_SERVER_CONTEXT_H_
+
+#include <boost/asio/io_context.hpp>
+
+namespace limpetfall {
+
+/**
+ * An event loop whose pending work can be dropped while the objects that it refers to still exist.
+ * Coroutines that wait when the loop ends hold references to the node they belong to.
+ */
+class ServerContext : public boost::asio::io_context {
+ public:
+  using io_context::io_context;
+
+  /** Destroys all pending work; nothing may be started afterwards. */
+  void DropPending() { this->shutdown(); }
+};
+
+}  // namespace limpetfall
+
+#endif  // LIMPETFALL_GATEWAY_SERVER_CONTEXT_H_
--- /dev/null
+++ b/test/harness/fake-deployment.cc
@@ -0,0 +1,367 @@
+#include "harness/fake-deployment.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "base/base64.h"
+
+namespace limpetfall::testing {
+namespace {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+
+std::string Query(const std::string& target, const std::string& name) {
+  const auto start = target.find(name + "=");
+  if (start == std::string::npos) return "";
+  const auto value = start + name.size() + 1;
+  return target.substr(value, target.find('&', value) - value);
+}
+
+std::string HeaderOf(const HttpRequest& request, const std::string& name) {
+  const auto found = request.headers.find(name);
+  return found == request.headers.end() ? "" : found->second;
+}
+
+}  // namespace
+
+FakeDeployment::FakeDeployment(asio::io_context& context) : io(context) {
+  this->store_server =
+      HttpServer::Create(this->io, "127.0.0.1:0",
+                         [this](HttpExchange& exchange) { return this->ServeStore(exchange); }, {})
+          .value();
+  asio::co_spawn(this->io, this->ExpireLeases(), asio::detached);
+}
+
+void FakeDeployment::AddRunner(const std::string& id, const std::string& service,
+                               const std::string& domain) {
+  auto runner = std::make_unique<FakeRunner>();
+  runner->id = id;
+  runner->service = service;
+  runner->domain = domain;
+  FakeRunner& added = *runner;
+  added.server =
+      HttpServer::Create(
+          this->io, "127.0.0.1:0",
+          [this, &added](HttpExchange& exchange) { return this->ServeRunner(added, exchange); }, {})
+          .value();
+  this->runners.emplace(id, std::move(runner));
+  this->Publish(added);
+}
+
+void FakeDeployment::Publish(const FakeRunner& runner) {
+  json entry{{"service", runner.service},
+             {"addr", runner.server->address()},
+             {"zone", "z1"},
+             {"version", "v1"},
+             {"slots", 6},
+             {"state", "ready"},
+             {"seq", 1},
+             {"born", 1},
+             {"domain", runner.domain},
+             {"staged", runner.staged}};
+  if (!runner.group.is_null()) entry["group"] = runner.group;
+  this->Put("servers/" + runner.id, entry.dump());
+}
+
+void FakeDeployment::Changed(const std::string& key, bool removed) {
+  this->events.push_back({this->revision, key, removed});
+  for (asio::steady_timer* watcher : this->watchers) watcher->cancel();
+}
+
+void FakeDeployment::Put(const std::string& key, const std::string& value, std::int64_t lease) {
+  ++this->revision;
+  Item& item = this->items[key];
+  if (item.created == 0) item.created = this->revision;
+  item.value = value;
+  item.revision = this->revision;
+  item.lease = lease;
+  this->Changed(key, false);
+}
+
+void FakeDeployment::Remove(const std::string& key) {
+  if (this->items.erase(key) == 0) return;
+  ++this->revision;
+  this->Changed(key, true);
+}
+
+std::vector<std::string> FakeDeployment::OpenHeads() const {
+  std::vector<std::string> heads;
+  for (const auto& [id, runner] : this->runners) {
+    if (!runner->group.is_null() && runner->group.at("state") == "open") heads.push_back(id);
+  }
+  return heads;
+}
+
+int FakeDeployment::Runs(const std::string& request_id) const {
+  return static_cast<int>(
+      std::count_if(this->arrivals.begin(), this->arrivals.end(), [&](const auto& arrival) {
+        const auto id = arrival.headers.find("X-Request-Id");
+        return arrival.ran && id != arrival.headers.end() && id->second == request_id;
+      }));
+}
+
+asio::awaitable<void> FakeDeployment::Pause(Milliseconds time) {
+  asio::steady_timer timer(this->io, Clock::now() + time);
+  co_await timer.async_wait(kNoThrow);
+}
+
+asio::awaitable<void> FakeDeployment::Reply(HttpExchange& exchange, int status, json body) {
+  HttpResponse response;
+  response.status = status;
+  response.headers["Content-Type"] = "application/json";
+  response.body = body.dump();
+  [[maybe_unused]] const auto sent = co_await exchange.Send(std::move(response));
+}
+
+asio::awaitable<void> FakeDeployment::ExpireLeases() {
+  for (;;) {
+    co_await this->Pause(Milliseconds(50));
+    if (this->store_mode != StoreMode::kServing) continue;
+    std::vector<std::string> gone;
+    for (const auto& [id, lease] : this->leases) {
+      if (Clock::now() < lease.until) continue;
+      for (const auto& [key, item] : this->items) {
+        if (item.lease == id) gone.push_back(key);
+      }
+    }
+    std::erase_if(this->leases,
+                  [](const auto& entry) { return entry.second.until <= Clock::now(); });
+    for (const std::string& key : gone) this->Remove(key);
+  }
+}
+
+json FakeDeployment::ItemJson(const std::string& key, const Item& item) const {
+  return {{"key", key},
+          {"value", EncodeBase64(item.value)},
+          {"revision", item.revision},
+          {"createdRev", item.created},
+          {"lease", item.lease}};
+}
+
+json FakeDeployment::Transact(const json& body, int& status) {
+  for (const json& row : body.at("expected")) {
+    const auto found = this->items.find(row.at("key").get<std::string>());
+    const std::int64_t present = found == this->items.end() ? 0 : found->second.revision;
+    if (present == row.at("revision").get<std::int64_t>()) continue;
+    status = 412;
+    return {{"items", json::array()}};
+  }
+  for (const json& put : body.at("puts")) {
+    const std::int64_t lease = put.value("lease", std::int64_t{0});
+    if (lease == 0 || this->leases.contains(lease)) continue;
+    status = 404;
+    return json::object();
+  }
+  status = 200;
+  for (const json& put : body.at("puts")) {
+    this->Put(put.at("key"), *DecodeBase64(put.at("value").get<std::string>()),
+              put.value("lease", std::int64_t{0}));
+  }
+  for (const json& key : body.at("deletes")) this->Remove(key);
+  return {{"revision", this->revision}};
+}
+
+asio::awaitable<void> FakeDeployment::ServeWatch(HttpExchange& exchange) {
+  const std::string target = exchange.request().target;
+  const std::int64_t after = std::stoll(Query(target, "after"));
+  const Milliseconds wait(std::stoll(Query(target, "waitMs")));
+  if (this->revision <= after) {
+    asio::steady_timer timer(this->io, Clock::now() + wait);
+    this->watchers.insert(&timer);
+    const std::shared_ptr<void> registered(nullptr,
+                                           [this, &timer](void*) { this->watchers.erase(&timer); });
+    co_await timer.async_wait(kNoThrow);
+  }
+  json found = json::array();
+  for (const Event& event : this->events) {
+    if (event.revision <= after) continue;
+    const auto item = this->items.find(event.key);
+    if (event.removed) {
+      found.push_back({{"key", event.key}, {"revision", event.revision}, {"tombstone", true}});
+    } else if (item != this->items.end() && item->second.revision == event.revision) {
+      found.push_back(this->ItemJson(event.key, item->second));
+    }
+  }
+  json body;
+  body["events"] = std::move(found);
+  body["currentRev"] = this->revision;
+  co_await this->Reply(exchange, 200, std::move(body));
+}
+
+asio::awaitable<void> FakeDeployment::ServeStore(HttpExchange& exchange) {
+  ++this->store_calls;
+  const std::string target = exchange.request().target;
+  if (this->store_mode == StoreMode::kRefusing) {
+    co_await this->Reply(exchange, 503, json::object());
+    co_return;
+  }
+  if (this->store_mode == StoreMode::kSilent) {
+    co_await this->Pause(Milliseconds(60000));
+    co_return;
+  }
+  const std::string& body = exchange.request().body;
+  if (target.starts_with("/api/kv-range")) {
+    json found = json::array();
+    for (const auto& [key, item] : this->items) found.push_back(this->ItemJson(key, item));
+    json answer;
+    answer["items"] = std::move(found);
+    answer["hasMore"] = false;
+    answer["currentRev"] = this->revision;
+    co_await this->Reply(exchange, 200, std::move(answer));
+  } else if (target.starts_with("/api/kv-watch")) {
+    co_await this->ServeWatch(exchange);
+  } else if (target == "/api/kv-txn") {
+    int status = 0;
+    const json answer = this->Transact(json::parse(body), status);
+    if (this->store_mode == StoreMode::kLosingWrites) {
+      exchange.Abort();
+      co_return;
+    }
+    co_await this->Reply(exchange, status, answer);
+  } else if (target == "/api/kv-lease") {
+    const Milliseconds time(json::parse(body).at("ttlMs").get<std::int64_t>());
+    this->leases[++this->last_lease] = {Clock::now() + time, time};
+    json answer;
+    answer["lease"] = this->last_lease;
+    answer["ttlMs"] = time.count();
+    co_await this->Reply(exchange, 200, std::move(answer));
+  } else if (target.starts_with("/api/kv-keep/")) {
+    const auto lease = this->leases.find(std::stoll(target.substr(13)));
+    if (lease == this->leases.end()) {
+      co_await this->Reply(exchange, 404, json::object());
+      co_return;
+    }
+    lease->second.until = Clock::now() + lease->second.time;
+    json answer;
+    answer["ttlMs"] = lease->second.time.count();
+    co_await this->Reply(exchange, 200, std::move(answer));
+  } else if (target.starts_with("/api/kv-lease-end/")) {
+    const auto lease = this->leases.find(std::stoll(target.substr(18)));
+    if (lease != this->leases.end()) lease->second.until = Clock::now();
+    co_await this->Reply(exchange, 200, json::object());
+  } else {
+    co_await this->Reply(exchange, 404, json::object());
+  }
+}
+
+int FakeDeployment::Order(FakeRunner& runner, const json& body) {
+  if (body.at("expected").get<std::int64_t>() != runner.orders) return 409;
+  const std::string op = body.at("op");
+  if (op == "stage") {
+    runner.staged = {body.at("model").get<std::string>()};
+    ++runner.orders;
+    return 202;
+  }
+  const bool member = !runner.group.is_null() && runner.group.at("name") == body.at("group") &&
+                      runner.group.at("epoch") == body.at("epoch");
+  if (op == "join") {
+    const auto members = body.at("members").get<std::vector<std::string>>();
+    const auto rank = std::find(members.begin(), members.end(), runner.id) - members.begin();
+    runner.group = {{"name", body.at("group")},
+                    {"epoch", body.at("epoch")},
+                    {"rank", rank},
+                    {"state", "ready"}};
+  } else if (!member) {
+    return 409;
+  } else if (op == "open") {
+    runner.group["state"] = "open";
+  } else if (op == "close") {
+    runner.group["state"] = "ready";
+  } else if (op == "leave") {
+    runner.group = json();
+    ++runner.orders;
+    return 200;
+  }
+  ++runner.orders;
+  return 202;
+}
+
+asio::awaitable<void> FakeDeployment::StreamEvents(FakeRunner& runner, HttpExchange& exchange,
+                                                   std::size_t arrival) {
+  const std::string last = HeaderOf(exchange.request(), "Last-Event-Id");
+  int next = last.empty() ? 0 : std::stoi(last) + 1;
+  Headers headers;
+  headers["Content-Type"] = "text/event-stream";
+  headers["X-Request-Id"] = HeaderOf(exchange.request(), "X-Request-Id");
+  headers["X-Server-Stamp"] = runner.id;
+  [[maybe_unused]] const auto started = co_await exchange.StartStream(200, std::move(headers));
+  // The flag is cleared at the clean end; cancellation leaves it.
+  this->arrivals[arrival].caller_left = true;
+  for (int sent = 0; next < this->events_in_stream; ++next, ++sent) {
+    if (runner.mode == RunnerMode::kDark ||
+        (runner.mode == RunnerMode::kStoppingMidway && sent == 2)) {
+      co_await this->Pause(Milliseconds(60000));
+      co_return;
+    }
+    co_await this->Pause(this->event_interval);
+    const std::string event =
+        "id: " + std::to_string(next) + "\ndata: " + std::to_string(next) + "\n\n";
+    const auto written = co_await exchange.WriteChunk(event);
+    if (!written) co_return;
+  }
+  this->arrivals[arrival].caller_left = false;
+  [[maybe_unused]] const auto finished = co_await exchange.FinishStream();
+}
+
+asio::awaitable<void> FakeDeployment::ServeRunner(FakeRunner& runner, HttpExchange& exchange) {
+  const HttpRequest request = exchange.request();
+  if (runner.mode == RunnerMode::kDark) {
+    co_await this->Pause(Milliseconds(60000));
+    co_return;
+  }
+  if (HeaderOf(request, "X-Expect-Instance") != runner.id) {
+    co_await this->Reply(exchange, 421, json::object());
+    co_return;
+  }
+  if (request.target == "/api/report") {
+    json report;
+    report["seq"] = runner.orders;
+    co_await this->Reply(exchange, 200, std::move(report));
+    co_return;
+  }
+  if (request.target == "/api/order") {
+    const int status = this->Order(runner, json::parse(request.body));
+    this->Publish(runner);
+    co_await this->Reply(exchange, status, json::object());
+    co_return;
+  }
+  RunnerArrival seen;
+  seen.runner = runner.id;
+  seen.target = request.target;
+  seen.headers = request.headers;
+  this->arrivals.push_back(std::move(seen));
+  const std::size_t arrival = this->arrivals.size() - 1;
+  const std::string id = HeaderOf(request, "X-Request-Id");
+  if (runner.mode == RunnerMode::kRefusing) {
+    HttpResponse refusal;
+    refusal.status = 503;
+    refusal.headers["X-Request-Id"] = id;
+    refusal.headers["X-Not-Run"] = "1";
+    [[maybe_unused]] const auto sent = co_await exchange.Send(std::move(refusal));
+    co_return;
+  }
+  this->arrivals[arrival].ran = true;
+  if (runner.mode == RunnerMode::kLosingAnswers) {
+    exchange.Abort();
+    co_return;
+  }
+  if (!HeaderOf(request, "X-Model").empty()) {
+    co_await this->StreamEvents(runner, exchange, arrival);
+    co_return;
+  }
+  HttpResponse answer;
+  answer.status = 200;
+  answer.headers["X-Request-Id"] = id;
+  answer.headers["X-Server-Stamp"] = runner.id;
+  answer.body = "done by " + runner.id;
+  [[maybe_unused]] const auto sent = co_await exchange.Send(std::move(answer));
+}
+
+}  // namespace limpetfall::testing
--- /dev/null
+++ b/test/http-connection-test.cc
@@ -0,0 +1,168 @@
+#include "gateway/http-connection.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/lexical_cast.hpp>
+#include <random>
+
+namespace limpetfall {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+
+class HttpConnectionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpConnectionTest);
+  CPPUNIT_TEST(LengthAndChunksEndAnAnswer);
+  CPPUNIT_TEST(AnswerWithoutLengthEndsWithItsConnection);
+  CPPUNIT_TEST(CutAnswersAreErrors);
+  CPPUNIT_TEST(BytesAfterAnAnswerSpoilTheConnection);
+  CPPUNIT_TEST(StatedIdleTimeIsKept);
+  CPPUNIT_TEST(SilentPeerTimesOut);
+  CPPUNIT_TEST(RefusedConnectionDidNotRun);
+  CPPUNIT_TEST(BytesThatAreNoAnswerAreErrors);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against answers that are taken for whole too early or too late.
+  void LengthAndChunksEndAnAnswer() {
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"),
+                         this->Fetch({"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"}).value());
+    CPPUNIT_ASSERT(this->reusable);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("abcd"),
+        this->Fetch({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+                     "2\r\ncd\r\n0\r\n\r\n"})
+            .value());
+    CPPUNIT_ASSERT(this->reusable);
+  }
+
+  // Guards against an answer without a length that is refused although it is whole.
+  void AnswerWithoutLengthEndsWithItsConnection() {
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), this->Fetch({"HTTP/1.1 200 OK\r\n\r\nabc"}).value());
+    CPPUNIT_ASSERT(!this->reusable);
+  }
+
+  // Guards against a cut answer that looks whole (reset or close in the body).
+  void CutAnswersAreErrors() {
+    CPPUNIT_ASSERT(!this->Fetch({"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc"}));
+    CPPUNIT_ASSERT(!this->Fetch({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc"}));
+    CPPUNIT_ASSERT(
+        !this->Fetch({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"}));
+    this->reset = true;
+    CPPUNIT_ASSERT(!this->Fetch({"HTTP/1.1 200 OK\r\n\r\nabc"}));
+  }
+
+  // Guards against an extra answer that the next request would take for its own.
+  void BytesAfterAnAnswerSpoilTheConnection() {
+    CPPUNIT_ASSERT(
+        this->Fetch({"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n\r\n"})
+            .has_value());
+    CPPUNIT_ASSERT(!this->reusable);
+  }
+
+  // Guards against a request on a connection that its peer is about to close.
+  void StatedIdleTimeIsKept() {
+    CPPUNIT_ASSERT(
+        this->Fetch({"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\na"})
+            .has_value());
+    CPPUNIT_ASSERT(!this->reusable);
+    CPPUNIT_ASSERT(
+        this->Fetch({"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 1\r\n\r\na"})
+            .has_value());
+    CPPUNIT_ASSERT(!this->reusable);
+  }
+
+  // Guards against a request that waits for a dark peer without end.
+  void SilentPeerTimesOut() {
+    const auto answer = this->Fetch({"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"}, true);
+    CPPUNIT_ASSERT(answer.error().code == ErrorCode::kDeadlineExceeded);
+  }
+
+  // Guards against an order that counts as sent though nobody listened.
+  void RefusedConnectionDidNotRun() {
+    asio::io_context io;
+    std::optional<Error> error;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          const auto connection = co_await HttpConnection::Connect(
+              io, "127.0.0.1:1", Clock::now() + Milliseconds(2000));
+          if (!connection) error = connection.error();
+        },
+        asio::detached);
+    io.run();
+    CPPUNIT_ASSERT(error && error->code == ErrorCode::kUnavailable);
+    CPPUNIT_ASSERT(error->verdict == Verdict::kNotRun);
+  }
+
+  // Guards against a crash on bytes that are no HTTP (seeded bytes).
+  void BytesThatAreNoAnswerAreErrors() {
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+      std::mt19937 random(seed);
+      std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\nX-A: b\r\n\r\n";
+      for (int i = 0; i < 4; ++i) bytes[random() % bytes.size()] = static_cast<char>(random());
+      [[maybe_unused]] const auto answer = this->Fetch({bytes});
+    }
+  }
+
+ private:
+  /** Sends a request to a peer that answers with `pieces` and then closes or stays silent. */
+  Result<std::string> Fetch(std::vector<std::string> pieces, bool silent = false) {
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string address = boost::lexical_cast<std::string>(acceptor.local_endpoint());
+    Result<std::string> answer = NotRun(ErrorCode::kInternal, "no answer");
+    asio::co_spawn(io, this->Serve(acceptor, std::move(pieces), silent), asio::detached);
+    asio::co_spawn(io, this->Ask(io, address, answer), asio::detached);
+    io.run_for(std::chrono::seconds(5));
+    return answer;
+  }
+
+  asio::awaitable<void> Serve(tcp::acceptor& acceptor, std::vector<std::string> pieces,
+                              bool silent) {
+    tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::array<char, 1024> request{};
+    co_await socket.async_read_some(asio::buffer(request), kNoThrow);
+    for (const std::string& piece : pieces) {
+      co_await asio::async_write(socket, asio::buffer(piece), kNoThrow);
+    }
+    asio::steady_timer timer(socket.get_executor(),
+                             Clock::now() + Milliseconds(silent ? 1000 : 30));
+    co_await timer.async_wait(kNoThrow);
+    if (this->reset) socket.set_option(asio::socket_base::linger(true, 0));
+    boost::system::error_code ignored;
+    socket.close(ignored);
+  }
+
+  asio::awaitable<void> Ask(asio::io_context& io, std::string address,
+                            Result<std::string>& answer) {
+    const Deadline deadline = Clock::now() + Milliseconds(500);
+    auto connection = co_await HttpConnection::Connect(io, address, deadline);
+    if (!connection) co_return;
+    HttpRequest request;
+    request.headers["Host"] = address;
+    auto response = co_await connection.value()->Call(request, deadline);
+    this->reusable = response && connection.value()->IsReusable(Clock::now());
+    if (response) {
+      answer = std::move(response.value().body);
+    } else {
+      answer = response.error();
+    }
+    connection.value()->Close();
+  }
+
+  bool reset = false;
+  bool reusable = false;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpConnectionTest);
+
+}  // namespace
+}  // namespace limpetfall
--- /dev/null
+++ b/test/platform-wire-test.cc
@@ -0,0 +1,138 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "platform/wire.h"
+
+namespace limpetfall {
+namespace {
+
+const std::string kEntry = R"({"service":"llm","addr":"10.9.0.1:80","zone":"z1","version":"v1",
+  "slots":17,"state":"ready","seq":99,"born":1700,"domain":"rack-1","staged":["folds"],
+  "group":{"name":"g1","epoch":12,"rank":1,"state":"ready"}})";
+
+const std::string kConfig = R"({"version":9,
+  "routes":[
+    {"name":"r1","host":"h","prefix":"/s/","kind":"stream","timeoutMs":8000,"goalMs":400,"priority":1,
+     "split":[{"service":"llm","weight":90},{"service":"orders","weight":10}],"attempts":2,
+     "public":false,"sticky":true,"resumable":true,"gapTargetMs":300},
+    {"name":"r2","host":"h","prefix":"/l/","kind":"idempotent","timeoutMs":800,"goalMs":300,
+     "priority":2,"service":"orders","attempts":2,"public":true}],
+  "services":[
+    {"name":"llm","healthPath":"/healthz","engine":{"slots":17,"stride":5,"step_ms":7.8,
+     "read_per_s":45900.0,"loadsPerS":5.0,"loads_at_once":7,
+     "models":[{"name":"folds","size":4,"share":0.5,"pace":1.0,"loadS":16.0,"warmS":1.6}]}},
+    {"name":"orders","healthPath":"/healthz"}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+            "idleTimeoutMs":15000},
+  "tenants":[{"name":"clubs","apiKeys":["k1"],"priority":1},{"name":"councils","apiKeys":["k2"]}]})";
+
+class PlatformWireTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformWireTest);
+  CPPUNIT_TEST(RunnerEntryIsDecodedWhole);
+  CPPUNIT_TEST(UnknownStateNamesNoRunner);
+  CPPUNIT_TEST(UnreadableEntryLeavesTheOthers);
+  CPPUNIT_TEST(ConfigurationIsDecodedWhole);
+  CPPUNIT_TEST(OrderCarriesItsCondition);
+  CPPUNIT_TEST(DamagedTextsAreErrors);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against fields of an entry that are read under a misleading name.
+  void RunnerEntryIsDecodedWhole() {
+    const Runner runner = platform::DecodeRunner("i-1", kEntry, 17).value();
+    CPPUNIT_ASSERT(runner.id == VmId("i-1"));
+    CPPUNIT_ASSERT_EQUAL(std::string("10.9.0.1:80"), runner.address);
+    CPPUNIT_ASSERT(runner.domain == DomainId("rack-1"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1700}, runner.started_ms);
+    CPPUNIT_ASSERT(runner.staged == std::vector<ModelName>{ModelName("folds")});
+    CPPUNIT_ASSERT(
+        (*runner.membership == RunnerMembership{GroupId("g1"), 12, 1, MembershipStage::kReady}));
+    CPPUNIT_ASSERT(!runner.leaving);
+  }
+
+  // Guards against work for an entry that another writer left.
+  void UnknownStateNamesNoRunner() {
+    for (const char* text : {R"({"service":"s","addr":"a","zone":"z","state":"odd","slots":1})", "",
+                             "[]", "\xff\xfe", R"({"service":7})", R"({"state":"ready"})"}) {
+      CPPUNIT_ASSERT(!platform::DecodeRunner("i-1", text, 1));
+    }
+  }
+
+  // Guards against one bad entry that hides all runners.
+  void UnreadableEntryLeavesTheOthers() {
+    platform::WireAdapter adapter;
+    CPPUNIT_ASSERT(!adapter.Decode({"servers/i-1", "{", 1, 1}));
+    CPPUNIT_ASSERT(
+        std::holds_alternative<Runner>(adapter.Decode({"servers/i-2", kEntry, 2, 2}).value()));
+    CPPUNIT_ASSERT(std::holds_alternative<RunnerRemoved>(
+        adapter.Decode({"servers/i-2", std::nullopt, 3, 0}).value()));
+    CPPUNIT_ASSERT(
+        std::holds_alternative<std::monostate>(adapter.Decode({"other/key", "x", 4, 4}).value()));
+  }
+
+  // Guards against routes that are repeated or resumed against their kind.
+  void ConfigurationIsDecodedWhole() {
+    const GatewayConfig config = platform::DecodeConfig(kConfig).value();
+    CPPUNIT_ASSERT_EQUAL(ConfigVersion{9}, config.version);
+    const Route& stream = config.routes.at(0);
+    CPPUNIT_ASSERT(stream.stream && stream.resumable && stream.needs_key);
+    CPPUNIT_ASSERT(stream.repetition == Repetition::kAtMostOnce);
+    CPPUNIT_ASSERT(stream.timeout == Milliseconds(8000));
+    CPPUNIT_ASSERT(stream.objective == Milliseconds(400));
+    CPPUNIT_ASSERT(stream.gap_objective == Milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, stream.services.size());
+    const Route& lookup = config.routes.at(1);
+    CPPUNIT_ASSERT(lookup.repetition == Repetition::kIdempotent && !lookup.needs_key);
+    const EngineProfile& engine = *config.services.at(ServiceName("llm")).engine;
+    CPPUNIT_ASSERT_EQUAL(17, engine.slots);
+    CPPUNIT_ASSERT(engine.models.at(0).load_time == Milliseconds(16000));
+    CPPUNIT_ASSERT(!config.services.at(ServiceName("orders")).engine);
+    CPPUNIT_ASSERT(config.keys.at("k2").team == TeamName("councils"));
+    CPPUNIT_ASSERT_EQUAL(1, *config.keys.at("k1").priority);
+    CPPUNIT_ASSERT(config.limits.idle_timeout == Milliseconds(15000));
+  }
+
+  // Guards against an order that takes effect seconds later, after newer ones.
+  void OrderCarriesItsCondition() {
+    RunnerOrder order;
+    order.kind = RunnerOrderKind::kJoin;
+    order.group.group = GroupId("g1");
+    order.group.epoch = 4;
+    order.group.model = ModelName("folds");
+    order.group.members = {VmId("a"), VmId("b")};
+    const auto body = nlohmann::json::parse(platform::EncodeOrder(order, 3));
+    CPPUNIT_ASSERT(
+        body ==
+        nlohmann::json::parse(
+            R"({"op":"join","group":"g1","epoch":4,"model":"folds","members":["a","b"],"expected":3})"));
+    order.kind = RunnerOrderKind::kStage;
+    CPPUNIT_ASSERT(nlohmann::json::parse(platform::EncodeOrder(order, 3)) ==
+                   nlohmann::json::parse(R"({"op":"stage","model":"folds","expected":3})"));
+  }
+
+  // Guards against a crash on entries and configurations of other writers (seeded damage).
+  void DamagedTextsAreErrors() {
+    for (unsigned seed = 1; seed <= 3000; ++seed) {
+      std::mt19937 random(seed);
+      std::string text = seed % 2 == 0 ? kEntry : kConfig;
+      for (unsigned i = 0; i < 1 + seed % 5; ++i) {
+        const std::size_t at = random() % text.size();
+        if (random() % 2 == 0) {
+          text[at] = static_cast<char>(random());
+        } else {
+          text.erase(at, 1 + random() % 10);
+        }
+        if (text.empty()) break;
+      }
+      [[maybe_unused]] const auto runner = platform::DecodeRunner("i-1", text, 1);
+      [[maybe_unused]] const auto config = platform::DecodeConfig(text);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformWireTest);
+
+}  // namespace
+}  // namespace limpetfall
