Free the members of a group only when its head has certainly ended

Change: lapsed members stay in the plan; a refused connection shows a crash only of a runner that is listed and not leaving on a settled copy; an owner acts only on a fresh copy; followers leave a reader whose proof is older than one watch.

--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -57,6 +57,26 @@
     return seen->second.since + this->planner.options.silent_grace <= this->now;
   }
 
+  /**
+   * Says whether a runner has certainly ended. A refused connection shows a crash only of a runner
+   * that is listed and not leaving: one that leaves stops listening before it ends, and its entry
+   * is as old as the last outage of the store.
+   */
+  [[nodiscard]] bool IsGone(const VmId& id) {
+    const auto seen = this->planner.sightings.find(id);
+    if (seen == this->planner.sightings.end()) return false;
+    Sighting& sighting = seen->second;
+    if (sighting.kind == RunnerSighting::kGone) return true;
+    if (sighting.kind != RunnerSighting::kRefused) return false;
+    if (!sighting.crashed) {
+      const Runner* runner = this->Find(id);
+      sighting.crashed =
+          runner != nullptr && !runner->leaving &&
+          this->planner.owned_since + this->planner.options.entry_settle <= sighting.since;
+    }
+    return *sighting.crashed;
+  }
+
   /** Says whether the member still runs in the life in which it was chosen. */
   [[nodiscard]] bool IsLost(const PlannedGroup& group, std::size_t rank) const {
     const VmId& id = group.members[rank];
@@ -203,15 +223,21 @@
     }
   }
 
+  /** Says whether none of the members has been listed for so long that none will return. */
+  [[nodiscard]] bool IsForgotten(const PlannedGroup& group) const {
+    return std::all_of(group.members.begin(), group.members.end(), [&](const VmId& member) {
+      const auto missing = this->planner.vanished.find(member);
+      return missing != this->planner.vanished.end() &&
+             missing->second + this->planner.options.forgotten_after <= this->now;
+    });
+  }
+
   /**
    * A head that cannot be reached from here may still serve others. It certainly stops once another
    * member has left and the stall bound has passed.
    */
   bool DissolveUnreachable(const PlannedGroup& group, const VmId& head_id) {
-    const auto seen = this->planner.sightings.find(head_id);
-    if (seen != this->planner.sightings.end() && seen->second.kind == RunnerSighting::kGone) {
-      return true;
-    }
+    if (this->IsGone(head_id)) return true;
     if (const Runner* head = this->Find(head_id); head != nullptr) {
       this->Order(RunnerOrderKind::kProbe, *head, group);
     }
@@ -226,7 +252,8 @@
         this->Order(RunnerOrderKind::kLeave, *member, group);
       }
     }
-    if (!any_alive) return true;
+    // Members whose entries lapsed may return and still be in the group of a head that serves.
+    if (!any_alive) return this->IsForgotten(group);
     if (!left) return false;
     const auto [entry, added] = this->planner.broken_by.try_emplace(
         group.group, this->now + this->planner.options.stall_bound);
@@ -577,7 +604,8 @@
   return std::move(step.output);
 }
 
-void GroupPlanner::OnOwnershipGained() {
+void GroupPlanner::OnOwnershipGained(TimePoint now) {
+  this->owned_since = now;
   // Another owner may have opened or rebuilt groups since.
   this->never_opened.clear();
   this->head_left.clear();
@@ -588,8 +616,9 @@
 }
 
 void GroupPlanner::OnSighting(const VmId& runner, RunnerSighting sighting, TimePoint now) {
-  const auto [entry, added] = this->sightings.try_emplace(runner, Sighting{sighting, now});
-  if (!added && entry->second.kind != sighting) entry->second = {sighting, now};
+  const auto [entry, added] =
+      this->sightings.try_emplace(runner, Sighting{sighting, now, std::nullopt});
+  if (!added && entry->second.kind != sighting) entry->second = {sighting, now, std::nullopt};
 }
 
 void GroupPlanner::OnOrderDone(const RunnerOrder& order) {
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -23,7 +23,7 @@
 inline constexpr auto kNoThrow = boost::asio::as_tuple(boost::asio::use_awaitable);
 
 // A watch that answers without a change renews the proof that the configuration is in force.
-inline constexpr Milliseconds kWatchTime{1200};
+inline constexpr Milliseconds kWatchTime{800};
 
 // Changes that come in close succession are fetched with one call.
 inline constexpr Milliseconds kWatchPause{40};
@@ -38,16 +38,28 @@
 // A leader stops this long before its lease may end: its last orders must have arrived by then.
 inline constexpr Milliseconds kLeaseMargin{500};
 
+// An owner acts only on a copy of the store that was the newest this long ago: a watch, its way,
+// and the time of a slow answer.
+inline constexpr Milliseconds kOwnerProofAge{1600};
+
+// A plan that was written is seen by the watch within this; a watch that hangs ends before.
+inline constexpr Milliseconds kPlanSeenTimeout{2000};
+
 inline constexpr Milliseconds kPeerInterval{200};
 inline constexpr Milliseconds kOwnerInterval{100};
 inline constexpr Milliseconds kTickInterval{50};
 inline constexpr Milliseconds kOrderTimeout{800};
 
-// A node whose proof is older than this is not followed: the store may answer more.
-inline constexpr Milliseconds kSourceAge{2500};
+// A node whose proof is older than this reads nothing new at present and is not followed: the
+// proof of one that does is at most one watch old. With the time of one answer of a followed node
+// this stays below the 2 s in which a configuration must be in force.
+inline constexpr Milliseconds kSourceAge{1100};
+
+// A node that the store refuses follows any node with a proof of up to this age.
+inline constexpr Milliseconds kLastResortAge{2500};
 
 // A node that follows another one gets changes at once and otherwise a new proof this often.
-inline constexpr Milliseconds kPeerWait{800};
+inline constexpr Milliseconds kPeerWait{400};
 inline constexpr Milliseconds kPeerTimeout{500};
 
 // Length of the lease that holds a node's registration, by which nodes find each other.
@@ -174,10 +186,12 @@
     const bool near = peer->status.zone == this->shared.options.zone;
     if (best == nullptr || near) best = peer;
   }
-  if (best == nullptr) best = this->shared.peers.Freshest(Clock::now());
-  // Without a peer that knows more, the store may still answer this node.
-  const bool helps = best != nullptr && best->confirmed + kSourceAge >= now;
-  return helps && !this->source_failed ? best : nullptr;
+  if (best == nullptr && !this->store_ok) {
+    best = this->shared.peers.Freshest(Clock::now());
+    if (best != nullptr && best->confirmed + kLastResortAge < now) best = nullptr;
+  }
+  // A node that could not be followed is tried again after the store was asked.
+  return this->source_failed ? nullptr : best;
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
@@ -360,6 +374,8 @@
 bool GatewayNode<Store, Adapter>::Leads() const {
   if (this->shared.stopping || !this->shared.leader || !this->leader_lease) return false;
   if (this->shared.leader->value != this->LeaderValue()) return false;
+  // Orders that follow from an old copy can break groups that others have rebuilt since.
+  if (this->shared.confirmed + gateway_detail::kOwnerProofAge < BootClock::now()) return false;
   return BootClock::now() + gateway_detail::kLeaseMargin < this->leader_lease->until;
 }
 
@@ -396,7 +412,7 @@
       owned = false;
       continue;
     }
-    if (!owned) this->planner.OnOwnershipGained();
+    if (!owned) this->planner.OnOwnershipGained(Clock::now());
     owned = true;
     const TimePoint now = Clock::now();
     this->ProbeSuspects(now);
@@ -420,8 +436,9 @@
                      : written.value() ? "written"
                                        : "lost"}});
     // The next step starts from the plan that the store holds.
-    for (int i = 0; written && written.value() && i < 20; ++i) {
-      if (this->shared.plan.revision != before) break;
+    const Deadline seen_by = now + kPlanSeenTimeout;
+    while (written && written.value() && this->shared.plan.revision == before) {
+      if (seen_by <= Clock::now()) break;
       co_await this->Pause(Milliseconds(25));
     }
   }
@@ -499,7 +516,7 @@
   RunnerSighting sighting = RunnerSighting::kAlive;
   if (!count) {
     const bool refused = count.error().code == ErrorCode::kUnavailable;
-    sighting = refused ? RunnerSighting::kGone : RunnerSighting::kSilent;
+    sighting = refused ? RunnerSighting::kRefused : RunnerSighting::kSilent;
   } else if (!count.value()) {
     sighting = RunnerSighting::kGone;
   }
@@ -554,7 +571,7 @@
     if (done) this->planner.OnOrderDone(order);
   } else {
     const bool refused = answer.error().code == ErrorCode::kUnavailable;
-    this->OnSighting(order.runner, refused ? RunnerSighting::kGone : RunnerSighting::kSilent);
+    this->OnSighting(order.runner, refused ? RunnerSighting::kRefused : RunnerSighting::kSilent);
   }
   Log(LogLevel::kInfo, "runner_order",
       {{"runner", order.runner.value},
--- a/test/gateway-integration-test.cc
+++ b/test/gateway-integration-test.cc
@@ -63,7 +63,9 @@
   CPPUNIT_TEST(CallerThatLeavesEndsTheWork);
   CPPUNIT_TEST(OutageOfTheStoreKeepsServing);
   CPPUNIT_TEST(LostWritesOfThePlanAreRecovered);
+  CPPUNIT_TEST(OwnerWithAnOldCopyPlansNothing);
   CPPUNIT_TEST(NodeCutOffFromTheStoreFollowsAnother);
+  CPPUNIT_TEST(FollowerLeavesANodeThatTheStoreRefuses);
   CPPUNIT_TEST(DarkMemberEndsItsGroupAndAnotherServes);
   CPPUNIT_TEST(StopServesWhatIsOpenAndGivesUpTheLead);
   CPPUNIT_TEST_SUITE_END();
@@ -236,6 +238,20 @@
     this->Until([&] { return this->deployment->OpenHeads().size() == 3; }, 20000);
   }
 
+  // Guards against orders that follow from an old copy of the store (hunt day cb80-23 of
+  // speilbod-prod: writes were answered for 2 s while the watch of before the outage still hung).
+  void OwnerWithAnOldCopyPlansNothing() {
+    this->StartServing();
+    this->deployment->store_mode = StoreMode::kHoldingWatches;
+    this->RunFor(2000);
+    const std::uint64_t writes = this->deployment->writes;
+    const std::string head = this->deployment->OpenHeads().front();
+    this->deployment->SetRunnerMode(head, RunnerMode::kDark);
+    for (int i = 0; i < 4; ++i) this->Ask("GET", "/chat/1", "s" + std::to_string(i), "k1");
+    this->RunFor(1500);
+    CPPUNIT_ASSERT_EQUAL(writes, this->deployment->writes);
+  }
+
   // Guards against a node that stops serving though another one can prove the configuration.
   void NodeCutOffFromTheStoreFollowsAnother() {
     this->StartServing();
@@ -250,6 +266,24 @@
     CPPUNIT_ASSERT_EQUAL(200, this->Ask("GET", "/lookup/1", "l2", "k9").status);
   }
 
+  // Guards against a configuration that comes late because the followed node lost the store
+  // (scale-2 of odalaigh-fold, seed 1057202741051: the store turned two of three readers away).
+  void FollowerLeavesANodeThatTheStoreRefuses() {
+    this->StartServing();
+    std::vector<std::string> stores;
+    for (int i = 2; i <= 4; ++i) {
+      stores.push_back(this->deployment->AddStoreAddress());
+      this->StartNode("n" + std::to_string(i), FreeAddress(), this->peer_addresses, stores.back());
+    }
+    this->RunFor(1500);
+    CPPUNIT_ASSERT(!this->nodes.back()->state().IsWatcher(NodeId("n4")));
+    this->deployment->refused_stores = {stores[0], stores[1]};
+    this->RunFor(300);
+    this->deployment->Put("op/config", Config(9, R"("k9")"));
+    this->caller_address = this->caller_addresses.back();
+    this->Until([&] { return this->Ask("GET", "/lookup/1", "l1", "k9").status == 200; }, 1800);
+  }
+
   // Guards against a group that stays down after the loss of a member while spares are there.
   void DarkMemberEndsItsGroupAndAnotherServes() {
     this->StartServing();
--- a/test/group-planner-test.cc
+++ b/test/group-planner-test.cc
@@ -22,7 +22,10 @@
   CPPUNIT_TEST(HeadLeavesAtOnceWhenAMemberIsSilent);
   CPPUNIT_TEST(MembersAreFreeOnlyWhenTheHeadHasLeft);
   CPPUNIT_TEST(SilentHeadHoldsItsMembersUntilItMustBeBroken);
+  CPPUNIT_TEST(LapsedMembersOfASilentHeadAreNotFree);
   CPPUNIT_TEST(StoppedHeadFreesItsMembersAtOnce);
+  CPPUNIT_TEST(CrashedHeadFreesItsMembersAtOnce);
+  CPPUNIT_TEST(HeadThatStoppedListeningMayStillServe);
   CPPUNIT_TEST(HeadThatReturnsLeavesBeforeItJoins);
   CPPUNIT_TEST(RestartedMemberBelongsToNoGroup);
   CPPUNIT_TEST(LapsedEntriesDoNotEndGroups);
@@ -137,6 +140,25 @@
     CPPUNIT_ASSERT(this->Step().proposal.has_value());
   }
 
+  // Guards against members that return after a lapse of the store and join another group while the
+  // head, which is cut off, still serves (hunt day cb80-23 of speilbod-prod, TWO).
+  void LapsedMembersOfASilentHeadAreNotFree() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    const auto kept = this->runners;
+    this->Silence(group.members.front());
+    this->Write(this->Step());
+    this->runners.clear();
+    for (int i = 0; i < 30; ++i) {
+      this->now += Milliseconds(100);
+      this->Write(this->Step());
+    }
+    this->runners = kept;
+    this->AddRunners("d1", 1);
+    this->Write(this->Step());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->plan.groups.size());
+    CPPUNIT_ASSERT(this->plan.groups.front().group == group.group);
+  }
+
   // Guards against members that idle though the head certainly ended (connection refused).
   void StoppedHeadFreesItsMembersAtOnce() {
     const PlannedGroup group = this->OpenGroup(kSmall);
@@ -147,12 +169,39 @@
     CPPUNIT_ASSERT(this->plan.groups.empty());
   }
 
+  // Guards against members that idle though the head certainly crashed (connection refused while
+  // the runner is listed and not leaving).
+  void CrashedHeadFreesItsMembersAtOnce() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    this->now += Milliseconds(5000);
+    this->planner.OnSighting(group.members.front(), RunnerSighting::kRefused, this->now);
+    this->now += Milliseconds(300);
+    this->Write(this->Step());
+    this->Write(this->Step());
+    CPPUNIT_ASSERT(this->plan.groups.empty());
+  }
+
+  // Guards against members that are taken from a head which leaves and finishes its work without
+  // listening any more; the outage of the store hid its leave (hunt day cb80-23, TWO).
+  void HeadThatStoppedListeningMayStillServe() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    this->AddRunners("d1", 1);
+    this->planner.OnOwnershipGained(this->now);
+    this->planner.OnSighting(group.members.front(), RunnerSighting::kRefused, this->now);
+    for (int i = 0; i < 20; ++i) {
+      this->now += Milliseconds(100);
+      this->Write(this->Step());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->plan.groups.size());
+    CPPUNIT_ASSERT(this->plan.groups.front().dissolving);
+  }
+
   // Guards against a head that joins a new group while its old one is still open (grown site, TWO).
   void HeadThatReturnsLeavesBeforeItJoins() {
     const PlannedGroup group = this->OpenGroup(kSmall);
     this->plan.groups.clear();
     this->AddRunners("d1", 1);
-    this->planner.OnOwnershipGained();
+    this->planner.OnOwnershipGained(this->now);
     this->now += Milliseconds(1100);
     const PlannerOutput output = this->Step();
     const auto orders = GroupOrders(output);
@@ -250,7 +299,7 @@
     this->Step();
     this->now += std::chrono::seconds(10);
     this->AddRunners("d9", 4);
-    this->planner.OnOwnershipGained();
+    this->planner.OnOwnershipGained(this->now);
     CPPUNIT_ASSERT(this->Step().orders.empty());
   }
 
@@ -314,7 +363,7 @@
     // Orders that the step gives are answered and out of the way.
     for (const RunnerOrder& order : this->Step().orders) this->planner.OnOrderDone(order);
     this->now += Milliseconds(1100);
-    this->planner.OnOwnershipGained();
+    this->planner.OnOwnershipGained(this->now);
     return group;
   }
 
--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -39,6 +39,23 @@
   asio::co_spawn(this->io, this->ExpireLeases(), asio::detached);
 }
 
+std::string FakeDeployment::AddStoreAddress() {
+  // The handler needs the address, which is known only when the server listens.
+  auto address = std::make_shared<std::string>();
+  this->store_addresses.push_back(
+      HttpServer::Create(this->io, "127.0.0.1:0",
+                         [this, address](HttpExchange& exchange) -> asio::awaitable<void> {
+                           if (this->refused_stores.contains(*address)) {
+                             return this->Reply(exchange, 429, json::object());
+                           }
+                           return this->ServeStore(exchange);
+                         },
+                         {})
+          .value());
+  *address = this->store_addresses.back()->address();
+  return *address;
+}
+
 void FakeDeployment::AddRunner(const std::string& id, const std::string& service,
                                const std::string& domain) {
   auto runner = std::make_unique<FakeRunner>();
@@ -196,7 +213,6 @@
 }
 
 asio::awaitable<void> FakeDeployment::ServeStore(HttpExchange& exchange) {
-  ++this->store_calls;
   const std::string target = exchange.request().target;
   if (this->store_mode == StoreMode::kRefusing) {
     co_await this->Reply(exchange, 503, json::object());
@@ -216,8 +232,10 @@
     answer["currentRev"] = this->revision;
     co_await this->Reply(exchange, 200, std::move(answer));
   } else if (target.starts_with("/api/kv-watch")) {
+    if (this->store_mode == StoreMode::kHoldingWatches) co_await this->Pause(Milliseconds(60000));
     co_await this->ServeWatch(exchange);
   } else if (target == "/api/kv-txn") {
+    ++this->writes;
     int status = 0;
     const json answer = this->Transact(json::parse(body), status);
     if (this->store_mode == StoreMode::kLosingWrites) {
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -19,9 +19,10 @@
 /** How the store answers calls. */
 enum class StoreMode {
   kServing,
-  kRefusing,     ///< 503: nothing is done.
-  kSilent,       ///< No answer; nothing is done.
-  kLosingWrites  ///< Writes are done and not answered.
+  kRefusing,       ///< 503: nothing is done.
+  kSilent,         ///< No answer; nothing is done.
+  kLosingWrites,   ///< Writes are done and not answered.
+  kHoldingWatches  ///< Watches are not answered; all other calls are.
 };
 
 /** How a runner treats requests; orders and reports are answered unless it is dark. */
@@ -52,6 +53,9 @@
 
   [[nodiscard]] std::string store_address() const { return this->store_server->address(); }
 
+  /** Opens another address of the same store, so that it can refuse some nodes. */
+  std::string AddStoreAddress();
+
   void AddRunner(const std::string& id, const std::string& service, const std::string& domain);
   void SetRunnerMode(const std::string& id, RunnerMode mode) { this->runners.at(id)->mode = mode; }
 
@@ -69,11 +73,11 @@
   [[nodiscard]] int Runs(const std::string& request_id) const;
 
   StoreMode store_mode = StoreMode::kServing;
-  /** Remote ports are not known to tests, so a node is told apart by its own client's header. */
+  std::set<std::string> refused_stores;  ///< Addresses of the store that answer 429.
   std::vector<RunnerArrival> arrivals;
   int events_in_stream = 6;
   Milliseconds event_interval{20};
-  std::uint64_t store_calls = 0;
+  std::uint64_t writes = 0;  ///< Conditional writes that reached the store.
 
  private:
   struct Item {
@@ -121,6 +125,7 @@
 
   boost::asio::io_context& io;
   std::unique_ptr<HttpServer> store_server;
+  std::list<std::unique_ptr<HttpServer>> store_addresses;
   std::map<std::string, Item> items;
   std::vector<Event> events;
   std::map<std::int64_t, Lease> leases;
