Take an impossible age of a proof in a node's message for none

Cause: UndefinedBehaviorSanitizer found an overflow in the seeded damage of peers-test. Change: ages over an hour are none; ImpossibleProofIsNone.

--- a/src/gateway/peer-wire.cc
+++ b/src/gateway/peer-wire.cc
@@ -24,6 +24,11 @@
 
 std::string String(capnp::Text::Reader text) { return {text.cStr(), text.size()}; }
 
+// A proof that is older proves nothing; a greater number in a damaged message would overflow.
+constexpr std::int64_t kOldestProofMs = 3'600'000;
+
+bool IsProofAge(std::int64_t age_ms) { return age_ms >= 0 && age_ms <= kOldestProofMs; }
+
 /** Reads a message; Cap'n Proto reports malformed ones by exception. */
 template <typename Schema, typename Read>
 auto Parse(std::string_view bytes, Read read)
@@ -89,7 +94,7 @@
     status.capacity = root.getCapacity();
     status.sent_at_ns = root.getSentAtNs();
     status.echo_at_ns = root.getEchoAtNs();
-    status.proof_age_ms = root.getProofAgeMs();
+    status.proof_age_ms = IsProofAge(root.getProofAgeMs()) ? root.getProofAgeMs() : -1;
     status.mirror_revision = root.getMirrorRevision();
     for (const auto load : root.getLoads()) {
       status.loads[load.getUpstream()] = load.getInFlight();
@@ -130,7 +135,7 @@
     StateUpdate update;
     update.revision = root.getRevision();
     update.snapshot = root.getSnapshot();
-    if (root.getProofAgeMs() >= 0) {
+    if (IsProofAge(root.getProofAgeMs())) {
       update.confirmed = asked - std::chrono::milliseconds(root.getProofAgeMs());
     }
     for (const auto item : root.getItems()) {
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
 #include <random>
 
 namespace limpetfall {
@@ -17,6 +18,7 @@
   CPPUNIT_TEST(NodeThatStandsByHasMoreTime);
   CPPUNIT_TEST(MessageSurvivesTheWire);
   CPPUNIT_TEST(ChangesSurviveTheWire);
+  CPPUNIT_TEST(ImpossibleProofIsNone);
   CPPUNIT_TEST(MalformedMessagesAreErrors);
   CPPUNIT_TEST_SUITE_END();
 
@@ -97,6 +99,15 @@
     CPPUNIT_ASSERT(decoded.value() == update);
   }
 
+  // Guards against an overflow that turns a damaged age into a proof (found by the seeded damage).
+  void ImpossibleProofIsNone() {
+    PeerStatus status = Status("n2", 1);
+    status.proof_age_ms = std::numeric_limits<std::int64_t>::max();
+    status.echo_at_ns = 5;
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{-1},
+                         DecodePeerStatus(EncodePeerStatus(status)).value().proof_age_ms);
+  }
+
   // Guards against a crash on datagrams of anyone (seeded damage).
   void MalformedMessagesAreErrors() {
     PeerStatus status = Status("n2", 7);
