Share what the gateway wrote again and drop what nothing uses

Reading the change again found copies, dead code and repeated work. Behaviour towards callers stays. - One pause (base/pause, before daemon/pause), one HeaderOf, one parser of "IP:port", one check of group membership, one lookup of a service's models, one proof age, one mapping of a failed call to a sighting, one step of the answer parser. - Gone, as nothing called or read it: the smoothed slowness of upstreams, HeaderField, several accessors and fields. - A followed node no longer copies its state to see whether anything changed; routing no longer copies every runner's entry twenty times a second; the owner computes the demand once a step. - A request that must run once takes a new connection of its own and no longer drops the idle ones that other requests use. Checked: the ten test programs of the parts touched, gateway integration among them.

--- a/src/daemon/pause.cc
+++ b/src/base/pause.cc
@@ -1,4 +1,4 @@
-#include "daemon/pause.h"
+#include "base/pause.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/daemon/pause.h
+++ b/src/base/pause.h
@@ -1,5 +1,5 @@
-#ifndef LIMPETFALL_DAEMON_PAUSE_H_
-#define LIMPETFALL_DAEMON_PAUSE_H_
+#ifndef LIMPETFALL_BASE_PAUSE_H_
+#define LIMPETFALL_BASE_PAUSE_H_
 
 #include <boost/asio/awaitable.hpp>
 
@@ -12,4 +12,4 @@
 
 }  // namespace limpetfall::detail
 
-#endif  // LIMPETFALL_DAEMON_PAUSE_H_
+#endif  // LIMPETFALL_BASE_PAUSE_H_
--- a/src/caller/caller-api.cc
+++ b/src/caller/caller-api.cc
@@ -45,18 +45,13 @@
   return mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
 }
 
-std::string_view HeaderOf(const HttpRequest& request, const std::string& name) {
-  const auto found = request.headers.find(name);
-  return found == request.headers.end() ? std::string_view() : std::string_view(found->second);
-}
-
 bool IsName(std::string_view text) {
   if (text.empty() || text.size() > kMaxNameLength) return false;
   return std::all_of(text.begin(), text.end(), [](char c) { return c > 0x20 && c < 0x7f; });
 }
 
 std::string RequiredName(const HttpRequest& request, const std::string& header, Faults& faults) {
-  const std::string_view text = HeaderOf(request, header);
+  const std::string_view text = HeaderOf(request.headers, header);
   if (text.empty()) {
     faults.Add("header " + header + ": is required");
   } else if (!IsName(text)) {
@@ -75,7 +70,7 @@
 
 Deadline ParseDeadline(const HttpRequest& request, const CallerApiOptions& options, TimePoint now,
                        Faults& faults) {
-  const std::string_view text = HeaderOf(request, "X-Deadline-Ms");
+  const std::string_view text = HeaderOf(request.headers, "X-Deadline-Ms");
   if (text.empty()) return now + options.request_timeout;
   const auto left = ParseNumber<std::int64_t>(text);
   if (!left || *left < 1 || *left > options.longest_timeout.count()) {
@@ -87,7 +82,7 @@
 }
 
 Priority ParsePriority(const HttpRequest& request, Faults& faults) {
-  const std::string_view text = HeaderOf(request, "X-Priority");
+  const std::string_view text = HeaderOf(request.headers, "X-Priority");
   if (text.empty() || text == "normal") return Priority::kNormal;
   if (text == "high") return Priority::kHigh;
   if (text == "low") return Priority::kLow;
@@ -277,12 +272,12 @@
   call.team = TeamName(RequiredName(request, "X-Team", faults));
   call.deadline = ParseDeadline(request, options, now, faults);
   call.method = request.method;
-  call.content_type = std::string(HeaderOf(request, "Content-Type"));
+  call.content_type = std::string(HeaderOf(request.headers, "Content-Type"));
   call.body = request.body;
   if (request.headers.contains("Idempotency-Key")) {
     call.idempotency_key = RequiredName(request, "Idempotency-Key", faults);
   }
-  call.first_attempt = HeaderOf(request, "X-Attempt") == "1";
+  call.first_attempt = HeaderOf(request.headers, "X-Attempt") == "1";
   static constexpr std::array<std::string_view, 7> kMethods = {"GET",   "HEAD",   "POST",   "PUT",
                                                                "PATCH", "DELETE", "OPTIONS"};
   if (std::find(kMethods.begin(), kMethods.end(), request.method) == kMethods.end()) {
--- a/src/core/dispatch.cc
+++ b/src/core/dispatch.cc
@@ -8,10 +8,9 @@
 
 using detail::DispatchTarget;
 
-bool IsMember(const Runner& runner, const PlannedGroup& group) {
-  return runner.membership && runner.membership->group == group.group &&
-         runner.membership->epoch == group.epoch &&
-         runner.membership->stage != MembershipStage::kJoining;
+/** Says whether the runner has joined the group and is not still on its way in. */
+bool HasJoined(const Runner& runner, const PlannedGroup& group) {
+  return InGroup(runner, group) && runner.membership->stage != MembershipStage::kJoining;
 }
 
 }  // namespace
@@ -57,7 +56,6 @@
   target->started_ms = runner.started_ms;
   target->slots = slots;
   target->model = group != nullptr ? group->model : ModelName();
-  target->group = group != nullptr ? group->group : GroupId();
   target->eligible = true;
 }
 
@@ -68,7 +66,8 @@
   }
   for (const auto& [id, runner] : runners) {
     this->vanished.erase(id);
-    this->remembered.insert_or_assign(id, runner);
+    const auto [known, added] = this->remembered.try_emplace(id, runner);
+    if (!added && known->second != runner) known->second = runner;
   }
   std::erase_if(this->vanished, [&](const auto& entry) {
     if (now < entry.second + this->options.vanished_grace) return false;
@@ -89,7 +88,7 @@
     const bool whole =
         std::all_of(group.members.begin(), group.members.end(), [&](const VmId& member) {
           const Runner* runner = find(member);
-          return runner != nullptr && IsMember(*runner, group);
+          return runner != nullptr && HasJoined(*runner, group);
         });
     const auto slots = engine_slots.find(head->service);
     if (whole && slots != engine_slots.end()) this->Refresh(*head, &group, slots->second);
@@ -132,7 +131,7 @@
     const double load = static_cast<double>(this->LoadOf(*target, now)) / target->slots;
     if (load >= request.fill) continue;
     const double distance = target->zone == this->options.zone ? 0 : this->options.zone_preference;
-    const double cost = load + distance + target->slowness;
+    const double cost = load + distance;
     constexpr double kEqual = 1e-3;
     if (cost < best_cost - kEqual) best.clear();
     if (cost < best_cost + kEqual) {
@@ -164,14 +163,6 @@
   }
 }
 
-void DispatchTable::OnFirstAnswer(const DispatchTicket& ticket, double parts_of_objective) {
-  constexpr double kSmoothing = 0.2;
-  constexpr double kLongest = 2;
-  const double excess = std::clamp(parts_of_objective - 1, 0.0, kLongest);
-  double& slowness = ticket.target->slowness;
-  slowness += kSmoothing * (excess - slowness);
-}
-
 void DispatchTable::OnLost(const VmId& upstream, TimePoint now) {
   const auto found = this->targets.find(upstream);
   if (found == this->targets.end()) return;
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -2,7 +2,6 @@
 #define LIMPETFALL_CORE_DISPATCH_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -57,7 +56,6 @@
   ZoneId zone;
   ServiceName service;
   ModelName model;
-  GroupId group;
   int slots = 1;
   std::int64_t started_ms = 0;
   bool eligible = false;
@@ -65,8 +63,7 @@
   TimePoint last_progress;  ///< When a request of this node last received bytes.
   Deadline suspended_until;
   Milliseconds next_suspension{0};
-  bool trial = false;   ///< A first request after a suspension is in flight.
-  double slowness = 0;  ///< Smoothed excess of first-answer times, in parts of the objective.
+  bool trial = false;  ///< A first request after a suspension is in flight.
   std::set<LossListener*> listeners;
 };
 
@@ -121,9 +118,6 @@
 
   void OnProgress(const DispatchTicket& ticket, TimePoint now);
 
-  /** Smooths how long requests wait for their first bytes, to pass over slow upstreams. */
-  void OnFirstAnswer(const DispatchTicket& ticket, double parts_of_objective);
-
   /** Takes an upstream for lost: suspends it and tells the requests that were sent there. */
   void OnLost(const VmId& upstream, TimePoint now);
 
--- a/src/core/gateway-config.h
+++ b/src/core/gateway-config.h
@@ -40,7 +40,6 @@
   Repetition repetition = Repetition::kAtMostOnce;
   bool stream = false;     ///< Answers are server-sent events.
   bool resumable = false;  ///< A stream may go on at another upstream after the last whole event.
-  bool needs_model = false;
   bool needs_key = true;
   int attempts = 1;  ///< Most upstreams that one request may be sent to.
   int priority = 0;  ///< 0 is the most urgent.
@@ -81,7 +80,6 @@
 
 struct GatewayService {
   ServiceName name;
-  std::string health_path;
   std::optional<EngineProfile> engine;  ///< Absent for a plain service.
 
   friend bool operator==(const GatewayService&, const GatewayService&) = default;
--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -15,11 +15,6 @@
 // Smooths the need of a model that has no group yet.
 constexpr double kFirstGroup = 0.5;
 
-bool InGroup(const Runner& runner, const PlannedGroup& group) {
-  return runner.membership && runner.membership->group == group.group &&
-         runner.membership->epoch == group.epoch;
-}
-
 /** Says whether a runner may be serving as the head of a group; it must leave before it joins. */
 bool IsServingHead(const Runner& runner) {
   if (!runner.membership || runner.membership->rank != 0) return false;
@@ -33,6 +28,11 @@
 
 }  // namespace
 
+bool InGroup(const Runner& runner, const PlannedGroup& group) {
+  return runner.membership && runner.membership->group == group.group &&
+         runner.membership->epoch == group.epoch;
+}
+
 /** One step of the planner with its inputs. */
 struct GroupPlanner::Step {
   GroupPlanner& planner;
@@ -95,10 +95,16 @@
     return runner != nullptr && runner->leaving;
   }
 
+  /** Returns the models of a service with engines; none for any other service. */
+  [[nodiscard]] const std::vector<ServedModel>& ModelsOf(const ServiceName& service) const {
+    static const std::vector<ServedModel> none;
+    const auto found = this->config.services.find(service);
+    if (found == this->config.services.end() || !found->second.engine) return none;
+    return found->second.engine->models;
+  }
+
   [[nodiscard]] const ServedModel* ModelOf(const PlannedGroup& group) const {
-    const auto service = this->config.services.find(group.service);
-    if (service == this->config.services.end() || !service->second.engine) return nullptr;
-    for (const ServedModel& model : service->second.engine->models) {
+    for (const ServedModel& model : this->ModelsOf(group.service)) {
       if (model.name == group.model) return &model;
     }
     return nullptr;
@@ -282,8 +288,7 @@
     }
     std::map<DomainId, std::vector<const Runner*>> free;
     for (const auto& [id, runner] : this->runners) {
-      const auto service = this->config.services.find(runner.service);
-      if (service == this->config.services.end() || !service->second.engine) continue;
+      if (this->ModelsOf(runner.service).empty()) continue;
       if (taken.contains(id) || runner.leaving || this->IsSilent(id)) continue;
       if (IsServingHead(runner)) continue;
       free[runner.domain].push_back(&runner);
@@ -364,7 +369,7 @@
     std::optional<Candidate> best;
     for (const auto& [domain, runners_there] : free) {
       const ServiceName& service = runners_there.front()->service;
-      for (const ServedModel& model : this->config.services.at(service).engine->models) {
+      for (const ServedModel& model : this->ModelsOf(service)) {
         if (this->IsReserved(domain, model.name)) continue;
         auto members = this->Usable(runners_there, model);
         if (members.size() < static_cast<std::size_t>(model.group_size)) continue;
@@ -426,9 +431,7 @@
       domains.emplace(group.domain, group.service);
     }
     for (const auto& [domain, service] : domains) {
-      const auto found = this->config.services.find(service);
-      if (found == this->config.services.end() || !found->second.engine) continue;
-      for (const ServedModel& model : found->second.engine->models) {
+      for (const ServedModel& model : this->ModelsOf(service)) {
         if (this->HasReservation(model.name) || this->planner.reserved.contains(domain)) continue;
         auto candidate = this->Shift(domain, service, model, free);
         if (!candidate || candidate->victims.empty()) continue;
@@ -462,9 +465,9 @@
    */
   void Stage(const FreeByDomain& free) {
     for (const auto& [domain, runners_there] : free) {
-      const auto& models = this->config.services.at(runners_there.front()->service).engine->models;
+      const auto& models = this->ModelsOf(runners_there.front()->service);
       for (const Runner* runner : runners_there) {
-        if (!runner->staged.empty() || models.empty()) continue;
+        if (!runner->staged.empty()) continue;
         const auto neediest = std::max_element(models.begin(), models.end(),
                                                [&](const ServedModel& a, const ServedModel& b) {
                                                  return this->Need(a.name, this->GroupsOf(a.name)) <
@@ -475,9 +478,7 @@
     }
     if (this->planner.options.free_loads_until <= this->now) return;
     for (const PlannedGroup& group : this->next.groups) {
-      const auto service = this->config.services.find(group.service);
-      if (service == this->config.services.end() || !service->second.engine) continue;
-      for (const ServedModel& model : service->second.engine->models) {
+      for (const ServedModel& model : this->ModelsOf(group.service)) {
         if (model.name != group.model) this->StageMembers(group, model);
       }
     }
--- a/src/core/group-planner.h
+++ b/src/core/group-planner.h
@@ -29,6 +29,9 @@
   friend bool operator==(const PlannedGroup&, const PlannedGroup&) = default;
 };
 
+/** Says whether the runner's own entry shows it in the group under this epoch. */
+[[nodiscard]] bool InGroup(const Runner& runner, const PlannedGroup& group);
+
 /** All groups; one key of the platform's store, written under a condition on its revision. */
 struct GroupPlan {
   std::int64_t revision = 0;  ///< 0 when the key does not exist.
--- a/src/core/state-mirror.cc
+++ b/src/core/state-mirror.cc
@@ -65,6 +65,12 @@
   return update;
 }
 
+bool StateMirror::HasChangesSince(std::int64_t after) const {
+  if (this->removed.upper_bound(after) != this->removed.end()) return true;
+  return std::any_of(this->items.begin(), this->items.end(),
+                     [after](const auto& entry) { return entry.second.revision > after; });
+}
+
 const StateItem* StateMirror::Find(const std::string& key) const {
   const auto found = this->items.find(key);
   return found == this->items.end() ? nullptr : &found->second;
--- a/src/core/state-mirror.h
+++ b/src/core/state-mirror.h
@@ -49,6 +49,9 @@
   /** Returns what changed after a revision; a snapshot if that is no longer known. */
   [[nodiscard]] StateUpdate Since(std::int64_t after) const;
 
+  /** Says whether `Since` would name any item. */
+  [[nodiscard]] bool HasChangesSince(std::int64_t after) const;
+
   [[nodiscard]] const StateItem* Find(const std::string& key) const;
 
   /** Returns the revision up to which the copy is complete, 0 before the first update. */
--- a/src/daemon/config-service.h
+++ b/src/daemon/config-service.h
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "base/pause.h"
 #include "core/config-document.h"
 #include "core/config-state.h"
-#include "daemon/pause.h"
 #include "limpetfall/result.h"
 #include "platform/store.h"
 
--- a/src/daemon/domain-owner.h
+++ b/src/daemon/domain-owner.h
@@ -15,12 +15,12 @@
 #include <vector>
 
 #include "base/log.h"
+#include "base/pause.h"
 #include "base/settings.h"
 #include "core/assembly.h"
 #include "core/document.h"
 #include "core/domain-record.h"
 #include "core/shared-state.h"
-#include "daemon/pause.h"
 #include "daemon/weight-slots.h"
 #include "platform/store.h"
 #include "upstream/engine-control.h"
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -22,6 +22,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/pause.h"
 #include "caller/caller-api.h"
 #include "core/capacity-measures.h"
 #include "core/drain.h"
@@ -30,7 +31,6 @@
 #include "daemon/domain-owner.h"
 #include "daemon/node-context.h"
 #include "daemon/order-runner.h"
-#include "daemon/pause.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "node/node-service.h"
--- a/src/daemon/order-runner.h
+++ b/src/daemon/order-runner.h
@@ -19,9 +19,9 @@
 #include <utility>
 
 #include "base/ids.h"
+#include "base/pause.h"
 #include "core/order-claims.h"
 #include "core/request.h"
-#include "daemon/pause.h"
 #include "limpetfall/result.h"
 #include "platform/store.h"
 
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/pause.h"
 #include "gateway/gateway-node.h"
 #include "gateway/plan-codec.h"
 #include "http/address.h"
@@ -81,6 +82,12 @@
 
 inline constexpr std::size_t kMaxDatagram = 64 << 10;
 
+/** What a call that failed shows about the runner. */
+inline RunnerSighting SightingOf(const Error& error) {
+  const bool refused = error.code == ErrorCode::kUnavailable;
+  return refused ? RunnerSighting::kRefused : RunnerSighting::kSilent;
+}
+
 }  // namespace gateway_detail
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
@@ -135,12 +142,6 @@
   return success();
 }
 
-template <CoordinationStore Store, DeploymentAdapter Adapter>
-boost::asio::awaitable<void> GatewayNode<Store, Adapter>::Pause(Milliseconds time) {
-  boost::asio::steady_timer timer(this->io, Clock::now() + time);
-  co_await timer.async_wait(gateway_detail::kNoThrow);
-}
-
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 void GatewayNode<Store, Adapter>::OnItem(const StateItem& item) {
   if (item.key.starts_with(gateway_keys::kPrefix)) return this->shared.ApplyOwn(item);
@@ -212,7 +213,8 @@
       this->source_failed = false;
       this->snapshot_needed = false;
       this->Take(update.value());
-      if (!update.value().items.empty()) co_await this->Pause(gateway_detail::kWatchPause);
+      if (!update.value().items.empty())
+        co_await detail::PauseUntil(Clock::now() + gateway_detail::kWatchPause);
       continue;
     }
     if (from_peer) {
@@ -230,7 +232,7 @@
       Log(LogLevel::kWarning, "store_lost", {{"detail", update.error().message}});
     }
     this->store_ok = false;
-    co_await this->Pause(gateway_detail::kStoreRetry);
+    co_await detail::PauseUntil(Clock::now() + gateway_detail::kStoreRetry);
   }
 }
 
@@ -269,7 +271,7 @@
     response = ErrorResponse(after < 0 ? 404 : 503,
                              NotRun(ErrorCode::kUnavailable, "no such state here"), "");
   } else {
-    if (wait && this->mirror.Since(after).items.empty()) {
+    if (wait && !this->mirror.HasChangesSince(after)) {
       boost::asio::steady_timer timer(this->io, Clock::now() + gateway_detail::kPeerWait);
       this->followers.insert(&timer);
       [[maybe_unused]] const auto [ended] = co_await timer.async_wait(gateway_detail::kNoThrow);
@@ -295,8 +297,8 @@
       this->registered = false;
       continue;
     }
-    co_await this->Pause(this->registered ? gateway_detail::kNodeLeaseRenewal
-                                          : gateway_detail::kStoreRetry);
+    co_await detail::PauseUntil(Clock::now() + (this->registered ? gateway_detail::kNodeLeaseRenewal
+                                                                 : gateway_detail::kStoreRetry));
   }
 }
 
@@ -304,9 +306,10 @@
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::LeadLoop() {
   while (!this->shared.stopping) {
     // While nobody leads, the election is tried again soon, at a random time of each node.
-    co_await this->Pause(this->leader_lease && !this->MayLead()
-                             ? gateway_detail::kLeaseRenewal
-                             : Milliseconds(100 + static_cast<int>(this->random() % 150)));
+    co_await detail::PauseUntil(Clock::now() +
+                                (this->leader_lease && !this->MayLead()
+                                     ? gateway_detail::kLeaseRenewal
+                                     : Milliseconds(100 + static_cast<int>(this->random() % 150))));
     const bool leads = this->shared.leader && this->shared.leader->value == this->LeaderValue();
     const bool candidate = this->MayLead() && this->shared.IsWatcher(this->shared.options.node);
     if (!leads && !candidate) {
@@ -402,7 +405,7 @@
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::OwnerLoop() {
   bool owned = false;
   for (;;) {
-    co_await this->Pause(gateway_detail::kOwnerInterval);
+    co_await detail::PauseUntil(Clock::now() + gateway_detail::kOwnerInterval);
     if (!this->shared.routes || !this->Leads()) {
       owned = false;
       continue;
@@ -411,9 +414,10 @@
     owned = true;
     const TimePoint now = Clock::now();
     this->ProbeSuspects(now);
+    const std::map<ModelName, double> demand = this->Demand();
     PlannerOutput output = this->planner.Step(this->shared.runners, this->shared.plan,
-                                              this->shared.routes->config(), this->Demand(), now);
-    this->LogCapacity(now);
+                                              this->shared.routes->config(), demand, now);
+    this->LogCapacity(demand, now);
     for (RunnerOrder& order : output.orders) {
       boost::asio::co_spawn(this->io, this->SendOrder(std::move(order)), boost::asio::detached);
     }
@@ -435,16 +439,16 @@
     const Deadline seen_by = now + gateway_detail::kPlanSeenTimeout;
     while (written && written.value() && this->shared.plan.revision == before) {
       if (seen_by <= Clock::now()) break;
-      co_await this->Pause(Milliseconds(25));
+      co_await detail::PauseUntil(Clock::now() + Milliseconds(25));
     }
   }
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
-void GatewayNode<Store, Adapter>::LogCapacity(TimePoint now) {
+void GatewayNode<Store, Adapter>::LogCapacity(const std::map<ModelName, double>& demand,
+                                              TimePoint now) {
   if (now < this->capacity_logged + gateway_detail::kCapacityInterval) return;
   this->capacity_logged = now;
-  const auto demand = this->Demand();
   for (const auto& [name, service] : this->shared.routes->config().services) {
     if (!service.engine) continue;
     for (const ServedModel& model : service.engine->models) {
@@ -468,8 +472,7 @@
   std::vector<VmId> suspects = this->shared.dispatch.Suspended(now);
   for (const Peer* peer : this->shared.peers.Alive(now)) {
     for (const std::uint64_t hash : peer->status.suspended) {
-      const auto found = this->shared.runner_by_hash.find(hash);
-      if (found != this->shared.runner_by_hash.end()) suspects.push_back(found->second);
+      if (const VmId* runner = this->shared.FindByHash(hash)) suspects.push_back(*runner);
     }
   }
   std::set<VmId> asked = this->unseen;
@@ -510,8 +513,7 @@
       this->shared.pool, order, Clock::now() + gateway_detail::kProbeTimeout);
   RunnerSighting sighting = RunnerSighting::kAlive;
   if (!count) {
-    const bool refused = count.error().code == ErrorCode::kUnavailable;
-    sighting = refused ? RunnerSighting::kRefused : RunnerSighting::kSilent;
+    sighting = gateway_detail::SightingOf(count.error());
   } else if (!count.value()) {
     sighting = RunnerSighting::kGone;
   }
@@ -565,8 +567,7 @@
         answer.value() == OrderAnswer::kBegun || answer.value() == OrderAnswer::kHolds;
     if (done) this->planner.OnOrderDone(order);
   } else {
-    const bool refused = answer.error().code == ErrorCode::kUnavailable;
-    this->OnSighting(order.runner, refused ? RunnerSighting::kRefused : RunnerSighting::kSilent);
+    this->OnSighting(order.runner, gateway_detail::SightingOf(answer.error()));
   }
   Log(LogLevel::kInfo, "runner_order",
       {{"runner", order.runner.value},
@@ -579,7 +580,7 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::TickLoop() {
   for (;;) {
-    co_await this->Pause(gateway_detail::kTickInterval);
+    co_await detail::PauseUntil(Clock::now() + gateway_detail::kTickInterval);
     this->shared.relay.ExpireWaiting();
     this->shared.Refresh();
   }
@@ -597,10 +598,7 @@
   status.capacity = this->shared.options.capacity;
   status.sent_at_ns = static_cast<std::uint64_t>(now.time_since_epoch().count());
   status.mirror_revision = this->mirror.revision();
-  if (this->shared.confirmed != BootTime()) {
-    status.proof_age_ms =
-        std::chrono::ceil<std::chrono::milliseconds>(now - this->shared.confirmed).count();
-  }
+  status.proof_age_ms = ProofAgeMs(this->shared.confirmed, now);
   for (const auto& [upstream, in_flight] : this->shared.dispatch.OwnLoad()) {
     status.loads[UpstreamHash(upstream)] = in_flight;
   }
@@ -626,7 +624,7 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::SendPeersLoop() {
   for (;;) {
-    co_await this->Pause(gateway_detail::kPeerInterval);
+    co_await detail::PauseUntil(Clock::now() + gateway_detail::kPeerInterval);
     this->shared.DivideWork();
     ++this->status_rounds;
     const TimePoint now = Clock::now();
@@ -661,7 +659,7 @@
         boost::asio::buffer(datagram), from, gateway_detail::kNoThrow);
     // An earlier datagram to a node that is down is reported as an error here.
     if (error) {
-      co_await this->Pause(Milliseconds(1));
+      co_await detail::PauseUntil(Clock::now() + Milliseconds(1));
       continue;
     }
     const auto status = DecodePeerStatus({datagram.data(), length});
@@ -675,8 +673,7 @@
   if (!this->shared.peers.OnStatus(status, now)) return;
   std::map<VmId, int> loads;
   for (const auto& [hash, in_flight] : status.loads) {
-    const auto found = this->shared.runner_by_hash.find(hash);
-    if (found != this->shared.runner_by_hash.end()) loads.emplace(found->second, in_flight);
+    if (const VmId* runner = this->shared.FindByHash(hash)) loads.emplace(*runner, in_flight);
   }
   this->shared.dispatch.SetPeerLoad(status.node, std::move(loads), now);
 }
@@ -711,7 +708,7 @@
       closed = true;
     }
     if (stage == DrainStage::kFinished || last <= now) break;
-    co_await this->Pause(Milliseconds(20));
+    co_await detail::PauseUntil(Clock::now() + Milliseconds(20));
   }
   Log(LogLevel::kInfo, "stopped", {{"in_flight", this->caller_server->in_flight()}});
   on_finished();
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -103,12 +103,14 @@
   /** Chooses anew who carries traffic and who reads the store. */
   void DivideWork();
 
+  /** Returns the runner that a hash in another node's message stands for, or null. */
+  [[nodiscard]] const VmId* FindByHash(std::uint64_t hash) const;
+
   [[nodiscard]] bool IsActive(const NodeId& node) const;
   [[nodiscard]] bool IsWatcher(const NodeId& node) const;
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] std::vector<std::string> CallerAddresses(const std::string& zone) const;
 
-  boost::asio::io_context& io;
   const GatewayOptions options;
   const std::shared_ptr<Metrics> metrics;
   ConnectionPool pool;
@@ -174,13 +176,12 @@
   void OnSighting(const VmId& runner, RunnerSighting sighting);
   boost::asio::awaitable<void> WriteRegistration();
   boost::asio::awaitable<void> TryLead();
-  boost::asio::awaitable<void> Pause(Milliseconds time);
 
   void OnItem(const StateItem& item);
   void Take(const StateUpdate& update);
   void OnPeerStatus(const PeerStatus& status);
   void ProbeSuspects(TimePoint now);
-  void LogCapacity(TimePoint now);
+  void LogCapacity(const std::map<ModelName, double>& demand, TimePoint now);
   [[nodiscard]] std::map<ModelName, double> Demand();
   [[nodiscard]] std::string LeaderValue() const;
   [[nodiscard]] bool MayLead() const;
--- a/src/gateway/gateway-state.cc
+++ b/src/gateway/gateway-state.cc
@@ -8,8 +8,7 @@
 
 GatewayState::GatewayState(boost::asio::io_context& context, GatewayOptions settings,
                            std::shared_ptr<Metrics> counters)
-    : io(context),
-      options(std::move(settings)),
+    : options(std::move(settings)),
       metrics(std::move(counters)),
       pool(context),
       dispatch(this->options.dispatch),
@@ -66,14 +65,11 @@
     if (service.engine) slots.emplace(name, service.engine->slots);
   }
   this->dispatch.Update(this->runners, this->plan, slots, Clock::now());
-  this->relay.SetContext({this->routes, this->confirmed, this->stopping});
+  this->relay.SetContext({this->routes, this->confirmed});
   this->relay.Pump();
 }
 
-void GatewayState::Confirm(BootTime time) {
-  this->confirmed = std::max(this->confirmed, time);
-  this->relay.SetContext({this->routes, this->confirmed, this->stopping});
-}
+void GatewayState::Confirm(BootTime time) { this->confirmed = std::max(this->confirmed, time); }
 
 bool GatewayState::IsReady() const {
   if (!this->routes || this->stopping) return false;
@@ -99,6 +95,11 @@
   this->relay.SetRetryPart(part);
 }
 
+const VmId* GatewayState::FindByHash(std::uint64_t hash) const {
+  const auto found = this->runner_by_hash.find(hash);
+  return found == this->runner_by_hash.end() ? nullptr : &found->second;
+}
+
 bool GatewayState::IsActive(const NodeId& node) const {
   return std::find(this->work.active.begin(), this->work.active.end(), node) !=
          this->work.active.end();
--- a/src/gateway/http-connection.cc
+++ b/src/gateway/http-connection.cc
@@ -134,20 +134,25 @@
   co_return success();
 }
 
+Result<std::size_t> HttpConnection::ParseBuffer() {
+  if (this->buffer.size() == 0) return 0;
+  error_code error;
+  const std::size_t used = this->parser->put(this->buffer.data(), error);
+  this->buffer.consume(used);
+  if (error && error != http::error::need_more) return this->Failure("reading from", error);
+  return used;
+}
+
 asio::awaitable<Result<ResponseHead>> HttpConnection::ReadHead(Deadline end) {
   this->SetDeadline(end);
   this->parser.emplace();
   this->parser->header_limit(kMaxHeaderBytes);
   this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   this->parser->eager(true);
-  while (!this->parser->is_header_done()) {
-    if (this->buffer.size() > 0) {
-      error_code error;
-      const std::size_t used = this->parser->put(this->buffer.data(), error);
-      this->buffer.consume(used);
-      if (error && error != http::error::need_more) co_return this->Failure("reading from", error);
-      if (this->parser->is_header_done()) break;
-    }
+  for (;;) {
+    const auto parsed = this->ParseBuffer();
+    if (!parsed) co_return parsed.error();
+    if (this->parser->is_header_done()) break;
     const auto [error, length] =
         co_await this->socket.async_read_some(this->buffer.prepare(kReadBytes), kNoThrow);
     if (error) co_return this->Failure("reading from", error);
@@ -181,18 +186,13 @@
       this->FinishAnswer();
       co_return true;
     }
-    error_code parse_error;
-    if (this->buffer.size() > 0) {
-      const std::size_t used = this->parser->put(this->buffer.data(), parse_error);
-      this->buffer.consume(used);
-      if (parse_error && parse_error != http::error::need_more) {
-        co_return this->Failure("reading from", parse_error);
-      }
-      if (used > 0) continue;
-    }
+    const auto parsed = this->ParseBuffer();
+    if (!parsed) co_return parsed.error();
+    if (parsed.value() > 0) continue;
     const auto [error, length] =
         co_await this->socket.async_read_some(this->buffer.prepare(kReadBytes), kNoThrow);
     if (error == asio::error::eof) {
+      error_code parse_error;
       this->parser->put_eof(parse_error);
       if (parse_error) co_return this->Failure("reading from", parse_error);
       this->reusable_until = Deadline();
--- a/src/gateway/http-connection.h
+++ b/src/gateway/http-connection.h
@@ -21,14 +21,6 @@
 
 namespace limpetfall {
 
-/** A header as it came over the wire; names may repeat. */
-struct HeaderField {
-  std::string name;
-  std::string value;
-
-  friend bool operator==(const HeaderField&, const HeaderField&) = default;
-};
-
 struct ResponseHead {
   int status = 0;
   Headers headers;
@@ -81,13 +73,15 @@
   [[nodiscard]] bool IsReusable(TimePoint now);
 
   [[nodiscard]] const std::string& address() const { return this->peer_address; }
-  [[nodiscard]] bool timed_out() const { return this->expired; }
 
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void SetDeadline(Deadline end);
   void FinishAnswer();
+
+  /** Hands what has arrived to the parser; returns how many bytes it took. */
+  [[nodiscard]] Result<std::size_t> ParseBuffer();
   [[nodiscard]] Error Failure(const std::string& step, const boost::system::error_code& error);
 
   boost::asio::ip::tcp::socket socket;
--- a/src/gateway/peer-wire.cc
+++ b/src/gateway/peer-wire.cc
@@ -51,6 +51,11 @@
   return XXH3_64bits(upstream.value.data(), upstream.value.size());
 }
 
+std::int64_t ProofAgeMs(BootTime confirmed, BootTime now) {
+  if (confirmed == BootTime()) return -1;
+  return std::chrono::ceil<std::chrono::milliseconds>(now - confirmed).count();
+}
+
 std::string EncodePeerStatus(const PeerStatus& status) {
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<wire::PeerStatus>();
@@ -112,9 +117,7 @@
   auto root = message.initRoot<wire::MirrorChanges>();
   root.setRevision(update.revision);
   root.setSnapshot(update.snapshot);
-  const bool proven = update.confirmed != BootTime();
-  const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - update.confirmed);
-  root.setProofAgeMs(proven ? age.count() : -1);
+  root.setProofAgeMs(ProofAgeMs(update.confirmed, now));
   auto items = root.initItems(static_cast<unsigned>(update.items.size()));
   for (unsigned i = 0; i < items.size(); ++i) {
     const StateItem& item = update.items[i];
--- a/src/gateway/peer-wire.h
+++ b/src/gateway/peer-wire.h
@@ -35,6 +35,9 @@
 /** Hash that stands for an upstream in messages between nodes. */
 std::uint64_t UpstreamHash(const VmId& upstream);
 
+/** Returns how long ago the proof was, as messages state it; -1 without one. */
+std::int64_t ProofAgeMs(BootTime confirmed, BootTime now);
+
 std::string EncodePeerStatus(const PeerStatus& status);
 Result<PeerStatus> DecodePeerStatus(std::string_view bytes);
 
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -50,9 +50,6 @@
 
   [[nodiscard]] std::vector<const Peer*> Alive(TimePoint now) const;
 
-  /** Returns how many nodes were heard within the time for which they are remembered. */
-  [[nodiscard]] int known() const { return static_cast<int>(this->peers.size()); }
-
   /** Returns the peer whose copy of the store is proven newest, if any is. */
   [[nodiscard]] const Peer* Freshest(TimePoint now) const;
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -48,12 +48,7 @@
   return kept;
 }
 
-std::string Find(const Headers& headers, const std::string& name) {
-  const auto found = headers.find(name);
-  return found == headers.end() ? std::string() : found->second;
-}
-
-std::optional<std::int64_t> ParseNumber(const std::string& text) {
+std::optional<std::int64_t> ParseNumber(std::string_view text) {
   std::int64_t number = 0;
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
   if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) return std::nullopt;
@@ -162,23 +157,24 @@
     return NotRun(ErrorCode::kUnavailable, "this node has no configuration yet");
   }
   call.routes = this->context.routes;
-  call.route = call.routes->Find(Find(request.headers, "Host"), request.target);
+  call.route = call.routes->Find(HeaderOf(request.headers, "Host"), request.target);
   if (call.route == nullptr) {
     return NotRun(ErrorCode::kNotFound, "no route leads to " + request.target);
   }
   BOOST_OUTCOME_TRY(this->Authenticate(call, request));
-  const auto given = ParseNumber(Find(request.headers, this->options.headers.deadline_ms));
+  const auto given = ParseNumber(HeaderOf(request.headers, this->options.headers.deadline_ms));
   Milliseconds allowed = call.route->timeout.count() > 0 ? call.route->timeout : kDefaultTimeout;
   if (given) allowed = std::min(allowed, Milliseconds(std::max<std::int64_t>(0, *given)));
   call.deadline = call.arrived + allowed;
   call.proof_age =
       std::chrono::duration_cast<Milliseconds>(BootClock::now() - this->context.confirmed);
-  call.model = ModelName(Find(request.headers, this->options.headers.model));
+  call.model = ModelName(std::string(HeaderOf(request.headers, this->options.headers.model)));
   call.service = this->PickService(*call.route);
   const auto service = call.routes->config().services.find(call.service);
   const bool engine = service != call.routes->config().services.end() && service->second.engine;
   if (!engine) call.model = ModelName();
-  if (const auto last = ParseNumber(Find(request.headers, this->options.headers.last_event_id))) {
+  if (const auto last =
+          ParseNumber(HeaderOf(request.headers, this->options.headers.last_event_id))) {
     call.events = EventBuffer(*last);
   }
   return success();
@@ -192,7 +188,8 @@
       this->context.confirmed + this->options.key_proof_lifetime < BootClock::now()) {
     return NotRun(ErrorCode::kUnavailable, "the configuration cannot be confirmed at present");
   }
-  const auto holder = config.keys.find(Find(request.headers, this->options.headers.key));
+  const auto holder =
+      config.keys.find(std::string(HeaderOf(request.headers, this->options.headers.key)));
   if (holder == config.keys.end()) {
     return NotRun(ErrorCode::kPermissionDenied, "the key is not known");
   }
@@ -301,13 +298,17 @@
        {"sends", call.sends}});
 }
 
-asio::awaitable<Relay::Outcome> Relay::Attempt(Call& call, Place& place, HttpExchange& exchange) {
-  const bool once = !call.Repeatable();
+asio::awaitable<Result<std::shared_ptr<HttpConnection>>> Relay::ConnectTo(const Place& place,
+                                                                          const Call& call) {
   const Deadline connect_by = std::min(call.deadline, Clock::now() + this->options.connect_timeout);
-  const std::string address = place.ticket.address();
+  const std::string& address = place.ticket.address();
+  if (call.Repeatable()) return this->pool.Acquire(address, connect_by);
   // A pooled connection that its peer has just closed leaves open whether the request ran.
-  if (once) this->pool.Drop(address);
-  const auto connected = co_await this->pool.Acquire(address, connect_by);
+  return HttpConnection::Connect(this->io, address, connect_by);
+}
+
+asio::awaitable<Relay::Outcome> Relay::Attempt(Call& call, Place& place, HttpExchange& exchange) {
+  const auto connected = co_await this->ConnectTo(place, call);
   if (!connected) {
     call.error = connected.error();
     this->OnUpstreamFailure(call, place, "connect", call.error.message);
@@ -513,8 +514,9 @@
 
 asio::awaitable<void> Relay::Refuse(HttpExchange& exchange, int status, const Error& error,
                                     double retry_after_s) {
-  const std::string id = Find(exchange.request().headers, this->options.headers.request_id);
-  HttpResponse response = ErrorResponse(status, error, IsRequestId(id) ? id : "");
+  const std::string_view id =
+      HeaderOf(exchange.request().headers, this->options.headers.request_id);
+  HttpResponse response = ErrorResponse(status, error, IsRequestId(id) ? id : std::string_view());
   if (retry_after_s > 0) {
     char text[16];
     std::snprintf(text, sizeof text, "%.2f", retry_after_s);
@@ -558,7 +560,7 @@
 asio::awaitable<void> Relay::Handle(HttpExchange& exchange) {
   Call call;
   call.arrived = Clock::now();
-  call.request_id = Find(exchange.request().headers, this->options.headers.request_id);
+  call.request_id = HeaderOf(exchange.request().headers, this->options.headers.request_id);
   const auto checked = this->Check(call, exchange.request());
   if (!checked) {
     int status = 503;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -59,7 +59,6 @@
 struct RelayContext {
   std::shared_ptr<const RouteTable> routes;  ///< Null before the first configuration.
   BootTime confirmed;                        ///< When `routes` certainly was in force.
-  bool stopping = false;
 };
 
 /**
@@ -102,6 +101,8 @@
   [[nodiscard]] Result<void> Authenticate(Call& call, const HttpRequest& request);
   [[nodiscard]] const ServiceName& PickService(const Route& route);
   boost::asio::awaitable<Result<Place>> Acquire(Call& call);
+  boost::asio::awaitable<Result<std::shared_ptr<HttpConnection>>> ConnectTo(const Place& place,
+                                                                            const Call& call);
   boost::asio::awaitable<Outcome> Attempt(Call& call, Place& place, HttpExchange& exchange);
   boost::asio::awaitable<Outcome> RelayPlain(Call& call, Place& place, HttpExchange& exchange,
                                              ResponseHead head);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -22,6 +22,8 @@
 #include <utility>
 #include <vector>
 
+#include "http/address.h"
+
 namespace limpetfall {
 namespace {
 
@@ -134,19 +136,8 @@
 }
 
 bool IsAddress(const std::string& address) {
-  const auto colon = address.rfind(':');
-  if (colon == std::string::npos) return false;
-  std::string host = address.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  boost::system::error_code error;
-  asio::ip::make_address(host, error);
-  if (error) return false;
-  std::uint16_t port = 0;
-  const char* end = address.data() + address.size();
-  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-  return parsed.ec == std::errc() && parsed.ptr == end && port != 0;
+  const auto endpoint = ParseEndpoint(address);
+  return endpoint && endpoint.value().port() != 0;
 }
 
 /** Refuses requests that could not be sent exactly as given, or that come too late. */
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "limpetfall/result.h"
 #include "limpetfall/time.h"
@@ -20,6 +21,9 @@
 
 using Headers = std::map<std::string, std::string, HeaderNameLess>;
 
+/** Returns the value of a header, empty if it is absent; refers into `headers`. */
+std::string_view HeaderOf(const Headers& headers, const std::string& name);
+
 struct HttpRequest {
   std::string method = "GET";
   std::string address;  ///< "IP:port".
--- a/src/upstream/service-call.cc
+++ b/src/upstream/service-call.cc
@@ -24,11 +24,6 @@
   return request;
 }
 
-std::string HeaderOf(const Headers& headers, const std::string& name) {
-  const auto found = headers.find(name);
-  return found == headers.end() ? "" : found->second;
-}
-
 }  // namespace
 
 boost::asio::awaitable<Result<ServiceAnswer>> SendServiceCall(HttpClient& client,
@@ -38,7 +33,7 @@
   HttpRequest request = RequestOf(address, std::move(call), deadline);
   BOOST_OUTCOME_CO_TRY(auto response, co_await client.Fetch(std::move(request), deadline));
   // A service need not return the id, but one that returns another id answers another call.
-  const std::string echoed = HeaderOf(response.headers, "X-Request-Id");
+  const std::string_view echoed = HeaderOf(response.headers, "X-Request-Id");
   if (!echoed.empty() && echoed != id) {
     co_return MayHaveRun(ErrorCode::kUpstreamProtocol,
                          "upstream " + address + " answered another request");
--- a/test/group-planner-test.cc
+++ b/test/group-planner-test.cc
@@ -45,7 +45,7 @@
     engine.concurrent_loads = 7;
     engine.models = {{kLarge, 4, 0.5, 1, Milliseconds(16000), Milliseconds(1600)},
                      {kSmall, 2, 0.5, 1, Milliseconds(12000), Milliseconds(1100)}};
-    this->config.services[kService] = {kService, "", engine};
+    this->config.services[kService] = {kService, engine};
   }
 
   // Guards against two owners that order different groups: only a written plan is ordered.
--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/base64.h"
+#include "base/pause.h"
 
 namespace limpetfall::testing {
 namespace {
@@ -24,11 +25,6 @@
   return target.substr(value, target.find('&', value) - value);
 }
 
-std::string HeaderOf(const HttpRequest& request, const std::string& name) {
-  const auto found = request.headers.find(name);
-  return found == request.headers.end() ? "" : found->second;
-}
-
 }  // namespace
 
 FakeDeployment::FakeDeployment(asio::io_context& context) : io(context) {
@@ -124,11 +120,6 @@
       }));
 }
 
-asio::awaitable<void> FakeDeployment::Pause(Milliseconds time) {
-  asio::steady_timer timer(this->io, Clock::now() + time);
-  co_await timer.async_wait(kNoThrow);
-}
-
 asio::awaitable<void> FakeDeployment::Reply(HttpExchange& exchange, int status, json body) {
   HttpResponse response;
   response.status = status;
@@ -139,7 +130,7 @@
 
 asio::awaitable<void> FakeDeployment::ExpireLeases() {
   for (;;) {
-    co_await this->Pause(Milliseconds(50));
+    co_await limpetfall::detail::PauseUntil(Clock::now() + Milliseconds(50));
     if (this->store_mode != StoreMode::kServing) continue;
     std::vector<std::string> gone;
     for (const auto& [id, lease] : this->leases) {
@@ -219,7 +210,7 @@
     co_return;
   }
   if (this->store_mode == StoreMode::kSilent) {
-    co_await this->Pause(Milliseconds(60000));
+    co_await limpetfall::detail::PauseUntil(Clock::now() + Milliseconds(60000));
     co_return;
   }
   const std::string& body = exchange.request().body;
@@ -232,7 +223,8 @@
     answer["currentRev"] = this->revision;
     co_await this->Reply(exchange, 200, std::move(answer));
   } else if (target.starts_with("/api/kv-watch")) {
-    if (this->store_mode == StoreMode::kHoldingWatches) co_await this->Pause(Milliseconds(60000));
+    if (this->store_mode == StoreMode::kHoldingWatches)
+      co_await limpetfall::detail::PauseUntil(Clock::now() + Milliseconds(60000));
     co_await this->ServeWatch(exchange);
   } else if (target == "/api/kv-txn") {
     ++this->writes;
@@ -303,11 +295,11 @@
 
 asio::awaitable<void> FakeDeployment::StreamEvents(FakeRunner& runner, HttpExchange& exchange,
                                                    std::size_t arrival) {
-  const std::string last = HeaderOf(exchange.request(), "Last-Event-Id");
+  const std::string last(HeaderOf(exchange.request().headers, "Last-Event-Id"));
   int next = last.empty() ? 0 : std::stoi(last) + 1;
   Headers headers;
   headers["Content-Type"] = "text/event-stream";
-  headers["X-Request-Id"] = HeaderOf(exchange.request(), "X-Request-Id");
+  headers["X-Request-Id"] = HeaderOf(exchange.request().headers, "X-Request-Id");
   headers["X-Server-Stamp"] = runner.id;
   [[maybe_unused]] const auto started = co_await exchange.StartStream(200, std::move(headers));
   // The flag is cleared at the clean end; cancellation leaves it.
@@ -315,10 +307,10 @@
   for (int sent = 0; next < this->events_in_stream; ++next, ++sent) {
     if (runner.mode == RunnerMode::kDark ||
         (runner.mode == RunnerMode::kStoppingMidway && sent == 2)) {
-      co_await this->Pause(Milliseconds(60000));
+      co_await limpetfall::detail::PauseUntil(Clock::now() + Milliseconds(60000));
       co_return;
     }
-    co_await this->Pause(this->event_interval);
+    co_await limpetfall::detail::PauseUntil(Clock::now() + this->event_interval);
     const std::string event =
         "id: " + std::to_string(next) + "\ndata: " + std::to_string(next) + "\n\n";
     const auto written = co_await exchange.WriteChunk(event);
@@ -331,10 +323,10 @@
 asio::awaitable<void> FakeDeployment::ServeRunner(FakeRunner& runner, HttpExchange& exchange) {
   const HttpRequest request = exchange.request();
   if (runner.mode == RunnerMode::kDark) {
-    co_await this->Pause(Milliseconds(60000));
+    co_await limpetfall::detail::PauseUntil(Clock::now() + Milliseconds(60000));
     co_return;
   }
-  if (HeaderOf(request, "X-Expect-Instance") != runner.id) {
+  if (HeaderOf(request.headers, "X-Expect-Instance") != runner.id) {
     co_await this->Reply(exchange, 421, json::object());
     co_return;
   }
@@ -356,7 +348,7 @@
   seen.headers = request.headers;
   this->arrivals.push_back(std::move(seen));
   const std::size_t arrival = this->arrivals.size() - 1;
-  const std::string id = HeaderOf(request, "X-Request-Id");
+  const std::string id(HeaderOf(request.headers, "X-Request-Id"));
   if (runner.mode == RunnerMode::kRefusing) {
     HttpResponse refusal;
     refusal.status = 503;
@@ -370,7 +362,7 @@
     exchange.Abort();
     co_return;
   }
-  if (!HeaderOf(request, "X-Model").empty()) {
+  if (!HeaderOf(request.headers, "X-Model").empty()) {
     co_await this->StreamEvents(runner, exchange, arrival);
     co_return;
   }
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -115,7 +115,6 @@
   boost::asio::awaitable<void> StreamEvents(FakeRunner& runner, HttpExchange& exchange,
                                             std::size_t arrival);
   boost::asio::awaitable<void> ExpireLeases();
-  boost::asio::awaitable<void> Pause(Milliseconds time);
   boost::asio::awaitable<void> Reply(HttpExchange& exchange, int status, nlohmann::json body);
   [[nodiscard]] nlohmann::json Transact(const nlohmann::json& body, int& status);
   [[nodiscard]] nlohmann::json ItemJson(const std::string& key, const Item& item) const;
