Bound endless responses of upstreams, runners' control answers, peers and the store

Cause: a peer in trouble may send bytes that never become an answer. Four places had no bound: an event without an end grew the event buffer and counted as progress of its stream; chunk headers and trailers grew the read buffer; buffered responses could take 16 MiB each; control calls had no limit at all. An event that does not follow the one before it in the same read also made the relay skip the valid one when another upstream continued the stream.

Change: limits in bytes for heads, framing, events and bodies, a shared memory budget for buffered responses, the time limit of an idempotent request also for its body, and progress of a stream only by complete events. The fixture of the gateway's tests moved into a header that two tests share.

--- a/include/limpetfall/result.h
+++ b/include/limpetfall/result.h
@@ -21,6 +21,7 @@
   kDeadlineExceeded,   ///< The deadline passed first.
   kCancelled,          ///< The caller disconnected or cancelled the request.
   kUpstreamProtocol,   ///< An upstream's response is invalid, mismatched or incomplete.
+  kResponseTooLarge,   ///< An upstream sent more bytes than any valid response has.
   kUpstreamLost,       ///< The connection to the upstream failed during the request.
   kQuarantined,        ///< The request is blocked because upstreams crashed while running it.
   kInternal,           ///< A bug in this program.
--- a/src/base/result.cc
+++ b/src/base/result.cc
@@ -22,6 +22,8 @@
       return "cancelled";
     case ErrorCode::kUpstreamProtocol:
       return "upstream_protocol";
+    case ErrorCode::kResponseTooLarge:
+      return "response_too_large";
     case ErrorCode::kUpstreamLost:
       return "upstream_lost";
     case ErrorCode::kQuarantined:
--- a/src/caller/caller-api.cc
+++ b/src/caller/caller-api.cc
@@ -326,6 +326,7 @@
     case ErrorCode::kInternal:
       return 500;
     case ErrorCode::kUpstreamProtocol:
+    case ErrorCode::kResponseTooLarge:
     case ErrorCode::kUpstreamLost:
       return 502;
     case ErrorCode::kResourceExhausted:
--- a/src/gateway/event-buffer.cc
+++ b/src/gateway/event-buffer.cc
@@ -1,5 +1,6 @@
 #include "gateway/event-buffer.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace limpetfall {
@@ -26,23 +27,31 @@
 
 Result<std::string> EventBuffer::TakeCompleteEvents() {
   std::size_t complete_bytes = 0;
+  std::optional<std::int64_t> complete_id = this->last;
   for (;;) {
-    const std::size_t end = this->buffer.find("\n\n", complete_bytes);
+    const std::size_t end =
+        this->buffer.find("\n\n", std::max(complete_bytes, this->searched_bytes));
     if (end == std::string::npos) break;
     const std::string_view event(this->buffer.data() + complete_bytes, end + 2 - complete_bytes);
-    const auto id = EventId(event);
-    if (id) {
-      if (this->last && *id != *this->last + 1) {
+    if (const auto id = EventId(event)) {
+      if (complete_id && *id != *complete_id + 1) {
         return MayHaveRun(
             ErrorCode::kUpstreamProtocol,
-            "event " + std::to_string(*id) + " follows event " + std::to_string(*this->last));
+            "event " + std::to_string(*id) + " follows event " + std::to_string(*complete_id));
       }
-      this->last = id;
+      complete_id = id;
     }
     complete_bytes = end + 2;
   }
+  if (complete_bytes == 0 && this->buffer.size() > kMaxEventBytes) {
+    return MayHaveRun(ErrorCode::kResponseTooLarge,
+                      "an event exceeds " + std::to_string(kMaxEventBytes) + " bytes");
+  }
+  this->last = complete_id;
   std::string complete = this->buffer.substr(0, complete_bytes);
   this->buffer.erase(0, complete_bytes);
+  // The last byte may be the first of the two that end an event.
+  this->searched_bytes = this->buffer.empty() ? 0 : this->buffer.size() - 1;
   return complete;
 }
 
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -87,6 +87,10 @@
 
 inline constexpr std::size_t kMaxDatagramBytes = 64 << 10;
 
+// Maximum size of the changes that a peer sends. A copy of the whole store at the target size of
+// the fleet, 5,200 entries of runners and a configuration of 4 MiB, is less than half of it.
+inline constexpr std::size_t kMaxChangesBytes = 24 << 20;
+
 }  // namespace gateway_detail
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
@@ -261,7 +265,9 @@
   request.target = "/v1/changes?after=" + std::to_string(this->mirror.revision());
   if (this->mirror.revision() > 0) request.target += "&wait=1";
   request.headers["Host"] = address;
-  BOOST_OUTCOME_CO_TRY(const auto response, co_await connection->Call(request, deadline));
+  BOOST_OUTCOME_CO_TRY(
+      const auto response,
+      co_await connection->Call(request, deadline, gateway_detail::kMaxChangesBytes));
   this->gateway_state.pool.Release(connection);
   if (response.status != 200) {
     co_return NotRun(ErrorCode::kUnavailable,
--- a/src/gateway/http-connection.cc
+++ b/src/gateway/http-connection.cc
@@ -22,7 +22,10 @@
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
 constexpr std::size_t kReadBytes = 8 << 10;
-constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
+constexpr std::uint32_t kMaxHeaderBytes = 32 << 10;
+
+// Maximum size of a chunk header or trailer. The parser does not limit them itself.
+constexpr std::size_t kMaxFramingBytes = 8 << 10;
 
 // Idle timeout when the peer states none. Common servers keep idle connections for 5 s or more.
 constexpr Milliseconds kDefaultIdleTimeout{4000};
@@ -87,6 +90,7 @@
   const std::string message = step + " " + this->peer_address + ": " +
                               (timed_out ? std::string("time-out") : error.message());
   if (timed_out) return MayHaveRun(ErrorCode::kDeadlineExceeded, message);
+  if (error == http::error::header_limit) return MayHaveRun(ErrorCode::kResponseTooLarge, message);
   const bool refused = error == asio::error::connection_refused;
   return MayHaveRun(refused ? ErrorCode::kUnavailable : ErrorCode::kUpstreamLost, message);
 }
@@ -156,6 +160,8 @@
   const std::size_t used = this->parser->put(this->buffer.data(), error);
   this->buffer.consume(used);
   if (error && error != http::error::need_more) return this->Failure("reading from", error);
+  if (this->parser->is_header_done() && used == 0 && this->buffer.size() > kMaxFramingBytes)
+    return this->Failure("reading from", http::error::header_limit);
   return used;
 }
 
@@ -229,13 +235,19 @@
   this->complete = this->buffer.size() == 0;
 }
 
-asio::awaitable<Result<HttpResponse>> HttpConnection::Call(const HttpRequest& request,
-                                                           Deadline end) {
+asio::awaitable<Result<HttpResponse>> HttpConnection::Call(const HttpRequest& request, Deadline end,
+                                                           std::size_t max_body_bytes) {
   BOOST_OUTCOME_CO_TRY(co_await this->Send(request, end));
   BOOST_OUTCOME_CO_TRY(auto head, co_await this->ReadHead(end));
   HttpResponse response{head.status, std::move(head.headers), {}};
   for (;;) {
     BOOST_OUTCOME_CO_TRY(const bool done, co_await this->ReadSome(response.body, end));
+    if (response.body.size() > max_body_bytes) {
+      this->Close();
+      co_return MayHaveRun(ErrorCode::kResponseTooLarge,
+                           "the response of " + this->peer_address + " exceeds " +
+                               std::to_string(max_body_bytes) + " bytes");
+    }
     if (done) co_return response;
   }
 }
--- a/src/gateway/http-connection.h
+++ b/src/gateway/http-connection.h
@@ -7,7 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/optional.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,6 +21,43 @@
 
 namespace limpetfall {
 
+namespace detail {
+
+/**
+ * Body of a response as a string. Unlike `string_body` of Beast, it does not reserve the length
+ * that the peer announces, which may be larger than the memory.
+ */
+struct UnreservedStringBody {
+  using value_type = std::string;  // NOLINT(readability-identifier-naming): required by Beast.
+
+  class reader {  // NOLINT(readability-identifier-naming): required by Beast.
+   public:
+    template <bool isRequest, typename Fields>
+    reader(boost::beast::http::header<isRequest, Fields>& /*header*/, std::string& target)
+        : body(target) {}
+
+    void init(const boost::optional<std::uint64_t>& /*length*/, boost::system::error_code& error) {
+      error = {};
+    }
+
+    template <typename Buffers>
+    std::size_t put(const Buffers& buffers, boost::system::error_code& error) {
+      error = {};
+      const std::size_t length = boost::asio::buffer_size(buffers);
+      const std::size_t start = this->body.size();
+      this->body.resize(start + length);
+      return boost::asio::buffer_copy(boost::asio::buffer(this->body) + start, buffers);
+    }
+
+    void finish(boost::system::error_code& error) { error = {}; }
+
+   private:
+    std::string& body;
+  };
+};
+
+}  // namespace detail
+
 struct ResponseHead {
   int status = 0;
   Headers headers;
@@ -52,13 +89,14 @@
 
   /**
    * Appends the next bytes of the body to `body`. Returns whether the response is complete. It is
-   * an error if the response is truncated, according to its length or chunks, or the connection
-   * reset.
+   * an error if the response is truncated, according to its length or chunks, the connection
+   * reset, or the header or trailer of a chunk too long.
    */
   boost::asio::awaitable<Result<bool>> ReadSome(std::string& body, Deadline deadline);
 
-  /** Sends a request and reads the complete response. */
-  boost::asio::awaitable<Result<HttpResponse>> Call(const HttpRequest& request, Deadline deadline);
+  /** Sends a request and reads the complete response, whose body has at most `max_body_bytes`. */
+  boost::asio::awaitable<Result<HttpResponse>> Call(const HttpRequest& request, Deadline deadline,
+                                                    std::size_t max_body_bytes);
 
   /**
    * Called when a deadline has passed. It may return a later deadline to continue waiting, so that
@@ -87,7 +125,7 @@
   [[nodiscard]] const std::string& address() const { return this->peer_address; }
 
  private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<detail::UnreservedStringBody>;
 
   void SetDeadline(Deadline end);
   void FinishResponse();
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -30,8 +30,6 @@
 constexpr double kRetryAfterFraction = 0.3;
 constexpr double kMaxRetryAfterS = 2.0;
 
-constexpr std::size_t kMaxResponseBytes = 16 << 20;
-
 /** Returns whether a header applies to a single connection and must not be forwarded. */
 bool IsHopByHop(const std::string& name) {
   static const std::set<std::string, HeaderNameLess> names{
@@ -171,6 +169,7 @@
       pool(connections),
       metrics(std::move(counters)),
       budget(this->options.retry_budget),
+      response_buffers(this->options.response_buffers),
       queue(AdmissionOptions{}),
       random(std::random_device{}()) {}
 
@@ -339,16 +338,20 @@
 void Relay::ReportUpstreamFailure(const Call& call, const UpstreamSlot& slot, const char* what,
                                   const std::string& detail) {
   this->metrics->Add("upstream_failures_total", {{"kind", what}});
+  const bool oversized = call.error.code == ErrorCode::kResponseTooLarge;
+  if (oversized && !this->oversized_log_limit.TryTake(Clock::now())) return;
   Log(LogLevel::kWarning, "upstream_failure",
       {{"request", call.request_id},
        {"upstream", slot.ticket.upstream().value},
        {"kind", what},
        {"detail", detail},
-       {"sends", call.sends}});
+       {"sends", call.sends},
+       {"suppressed", oversized ? this->oversized_log_limit.TakeSuppressed() : 0}});
 }
 
 void Relay::RecordUpstreamFault(const Call& call, const UpstreamSlot& slot, const char* what,
                                 UpstreamFault fault) {
+  if (call.error.code == ErrorCode::kResponseTooLarge) what = "oversized";
   this->ReportUpstreamFailure(call, slot, what, call.error.message);
   const bool slow = call.error.code == ErrorCode::kDeadlineExceeded;
   if (this->table.OnFault(slot.ticket, slow ? UpstreamFault::kTimeout : fault, Clock::now())) {
@@ -435,7 +438,7 @@
   if (call.route->stream && status == 200) {
     co_return co_await this->RelayStream(call, slot, exchange, std::move(head.value()));
   }
-  co_return co_await this->RelayBuffered(call, slot, exchange, std::move(head.value()));
+  co_return co_await this->RelayBuffered(call, slot, exchange, std::move(head.value()), respond_by);
 }
 
 void Relay::WatchForStall(Call& call, UpstreamSlot& slot) {
@@ -455,15 +458,18 @@
 }
 
 asio::awaitable<Relay::Outcome> Relay::RelayBuffered(Call& call, UpstreamSlot& slot,
-                                                     HttpExchange& exchange, ResponseHead head) {
+                                                     HttpExchange& exchange, ResponseHead head,
+                                                     Deadline respond_by) {
   HttpResponse response{head.status, EndToEndHeaders(head.headers), {}};
+  BufferBudget::Reservation reserved(this->response_buffers);
   for (;;) {
     std::string chunk;
-    const auto done = co_await call.connection->ReadSome(chunk, call.deadline);
-    const bool too_large = response.body.size() + chunk.size() > kMaxResponseBytes;
+    const auto done = co_await call.connection->ReadSome(chunk, respond_by);
+    const bool too_large = !reserved.GrowTo(response.body.size() + chunk.size());
     if (!done || too_large) {
-      call.error = done ? MayHaveRun(ErrorCode::kUpstreamProtocol,
-                                     "the response exceeds the maximum body size")
+      call.error = done ? MayHaveRun(ErrorCode::kResponseTooLarge,
+                                     "the response exceeds the memory limit after " +
+                                         std::to_string(response.body.size()) + " bytes")
                         : done.error();
       call.may_have_run = true;
       this->RecordUpstreamFault(call, slot, "cut", UpstreamFault::kBrokenResponse);
@@ -515,8 +521,6 @@
       co_return Outcome::kLost;
     }
     const TimePoint now = Clock::now();
-    this->table.OnProgress(slot.ticket, now);
-    call.stall.last_bytes = now;
     auto complete = call.events.TakeCompleteEvents();
     if (!complete || (done.value() && call.events.has_partial_event())) {
       call.error =
@@ -526,6 +530,11 @@
       this->RecordUpstreamFault(call, slot, "garbled", UpstreamFault::kBrokenResponse);
       co_return Outcome::kLost;
     }
+    // Bytes that complete no event are no progress; otherwise one byte a second would hide a stall.
+    if (!complete.value().empty() || done.value()) {
+      this->table.OnProgress(slot.ticket, now);
+      call.stall.last_bytes = now;
+    }
     if (!complete.value().empty() && first) {
       first = false;
       if (call.sends == 1) this->start_policy.OnFirstBytes(call.Lane(), now - sent);
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -11,8 +11,10 @@
 #include <unordered_map>
 
 #include "base/boot-clock.h"
+#include "base/log-rate-limit.h"
 #include "base/metrics.h"
 #include "core/admission.h"
+#include "core/buffer-budget.h"
 #include "core/demand-meter.h"
 #include "core/dispatch.h"
 #include "core/gateway-config.h"
@@ -44,6 +46,7 @@
   Milliseconds key_proof_lifetime{4000};
   bool strict_keys = true;
   RetryBudgetOptions retry_budget;
+  BufferBudgetOptions response_buffers;
   /** Connect timeout for an upstream in the same region. When it passes, the upstream is lost. */
   Milliseconds connect_timeout{400};
   /**
@@ -130,7 +133,8 @@
   boost::asio::awaitable<Outcome> AttemptOnce(Call& call, UpstreamSlot& slot,
                                               HttpExchange& exchange);
   boost::asio::awaitable<Outcome> RelayBuffered(Call& call, UpstreamSlot& slot,
-                                                HttpExchange& exchange, ResponseHead head);
+                                                HttpExchange& exchange, ResponseHead head,
+                                                Deadline respond_by);
   boost::asio::awaitable<Outcome> RelayStream(Call& call, UpstreamSlot& slot,
                                               HttpExchange& exchange, ResponseHead head);
   void WatchForStall(Call& call, UpstreamSlot& slot);
@@ -162,6 +166,8 @@
   std::shared_ptr<Metrics> metrics;
   RelayContext context;
   SharedRetryBudget budget;
+  BufferBudget response_buffers;
+  LogRateLimit oversized_log_limit;
   AdmissionQueue queue;
   DemandMeter demand;
   StartDeadlinePolicy start_policy;
--- a/test/event-buffer-test.cc
+++ b/test/event-buffer-test.cc
@@ -12,6 +12,8 @@
   CPPUNIT_TEST(PartialEventIsNotReturned);
   CPPUNIT_TEST(GapInEventIdsIsAnError);
   CPPUNIT_TEST(RepeatedEventIdIsAnError);
+  CPPUNIT_TEST(EventBeforeAGapIsNotCountedAsReturned);
+  CPPUNIT_TEST(EventWithoutEndIsAnErrorAtTheLimit);
   CPPUNIT_TEST(SeveralEventsInOneReadAreAllReturned);
   CPPUNIT_TEST(RandomChunkingReturnsTheSameStream);
   CPPUNIT_TEST(RandomBytesLoseNoData);
@@ -47,6 +49,31 @@
     CPPUNIT_ASSERT(!buffer.TakeCompleteEvents());
   }
 
+  // Guards against an event that no caller receives: a read contains a valid event and one that
+  // does not follow it, and another upstream continues after the valid one.
+  void EventBeforeAGapIsNotCountedAsReturned() {
+    EventBuffer buffer(3);
+    buffer.bytes() = "id: 4\ndata: x\n\nid: 9\ndata: y\n\n";
+    CPPUNIT_ASSERT(!buffer.TakeCompleteEvents());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, *buffer.last_id());
+  }
+
+  // Guards against memory that grows with the bytes of an upstream which never ends its event.
+  void EventWithoutEndIsAnErrorAtTheLimit() {
+    EventBuffer buffer{std::nullopt};
+    buffer.bytes() = "id: 0\ndata: a\n\n";
+    for (std::size_t sent = 0; sent <= EventBuffer::kMaxEventBytes; sent += 1024) {
+      buffer.bytes().append(1024, 'x');
+      const auto taken = buffer.TakeCompleteEvents();
+      if (!taken) {
+        CPPUNIT_ASSERT(taken.error().code == ErrorCode::kResponseTooLarge);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, *buffer.last_id());
+        return;
+      }
+    }
+    CPPUNIT_FAIL("the partial event exceeds its limit");
+  }
+
   // Guards against lost events when one read contains several.
   void SeveralEventsInOneReadAreAllReturned() {
     EventBuffer buffer{std::nullopt};
--- a/test/gateway-integration-test.cc
+++ b/test/gateway-integration-test.cc
@@ -1,56 +1,11 @@
-#include <cppunit/extensions/HelperMacros.h>
-
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <functional>
-#include <optional>
 
-#include "gateway/gateway-node-impl.h"
-#include "gateway/server-context.h"
-#include "harness/fake-deployment.h"
-#include "platform/store-client.h"
-#include "platform/wire.h"
+#include "harness/gateway-fixture.h"
 
 namespace limpetfall::testing {
 namespace {
 
-namespace asio = boost::asio;
-using Node = GatewayNode<platform::StoreClient, platform::WireAdapter>;
-
-std::string FreeAddress() {
-  asio::io_context io;
-  asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
-std::string ConfigJson(int version, const std::string& keys) {
-  return R"({"version":)" + std::to_string(version) + R"(,
-    "routes":[
-      {"name":"chat","host":"h","prefix":"/chat/","kind":"stream","timeoutMs":5000,"goalMs":400,
-       "priority":1,"service":"llm","attempts":2,"sticky":true,"resumable":true,"gapTargetMs":200},
-      {"name":"order","host":"h","prefix":"/order/","kind":"non_idempotent","timeoutMs":1500,
-       "goalMs":300,"priority":2,"service":"book","attempts":1},
-      {"name":"lookup","host":"h","prefix":"/lookup/","kind":"idempotent","timeoutMs":1500,
-       "goalMs":300,"priority":2,"service":"book","attempts":2}],
-    "services":[
-      {"name":"llm","healthPath":"/healthz","engine":{"slots":6,"loadsPerS":5,"loads_at_once":7,
-       "models":[{"name":"m","size":2,"share":1.0,"pace":1.0,"loadS":1.0,"warmS":0.2}]}},
-      {"name":"book","healthPath":"/healthz"}],
-    "tenants":[{"name":"clubs","apiKeys":[)" +
-         keys + R"(]}]})";
-}
-
-/** An answer that a caller received. `complete` is false if the connection closed early. */
-struct Answer {
-  int status = 0;
-  Headers headers;
-  std::string body;
-  bool complete = false;
-};
-
-class GatewayIntegrationTest : public CppUnit::TestFixture {
+class GatewayIntegrationTest : public GatewayFixture {
   CPPUNIT_TEST_SUITE(GatewayIntegrationTest);
   CPPUNIT_TEST(RequestsWithoutFaultsAreServedCompletely);
   CPPUNIT_TEST(StreamResumesAtAnotherGroup);
@@ -77,27 +32,6 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
-    this->io = std::make_unique<ServerContext>(1);
-    this->deployment = std::make_unique<FakeDeployment>(*this->io);
-    this->deployment->AddRunner("b1", "book", "d0");
-    this->deployment->AddRunner("b2", "book", "d0");
-    for (int i = 0; i < 6; ++i) {
-      this->deployment->AddRunner("r" + std::to_string(i), "llm", i < 4 ? "d1" : "d2");
-    }
-  }
-
-  void tearDown() override {
-    this->io->DropPending();
-    this->last_connection.reset();
-    this->nodes.clear();
-    this->stores.clear();
-    this->deployment.reset();
-    this->io.reset();
-    this->caller_addresses.clear();
-    this->peer_addresses.clear();
-  }
-
   // Guards against failures without any fault: groups open, streams are complete, orders run once.
   void RequestsWithoutFaultsAreServedCompletely() {
     this->StartServing();
@@ -459,113 +393,6 @@
     CPPUNIT_ASSERT(this->deployment->watch_calls - before_changes <= kReaders * (kChanges + 2));
     for (const auto& node : this->nodes) CPPUNIT_ASSERT(node->state().IsReady());
   }
-
- private:
-  void StartNode(const std::string& id, const std::string& peer_address,
-                 std::vector<std::string> seeds, std::string store_address = "") {
-    if (store_address.empty()) store_address = this->deployment->store_address();
-    GatewayOptions options;
-    options.node = NodeId(id);
-    options.zone = ZoneId("z1");
-    options.caller_address = FreeAddress();
-    options.peer_address = peer_address;
-    options.peer_seeds = std::move(seeds);
-    options.relay.headers = platform::WireHeaders();
-    options.free_load_time = Milliseconds(5000);
-    options.traffic.min_nodes = this->fewest_active;
-    this->stores.push_back(std::make_unique<platform::StoreClient>(*this->io, store_address));
-    this->nodes.push_back(std::make_unique<Node>(*this->io, options, *this->stores.back(),
-                                                 this->adapter, Metrics::Create()));
-    CPPUNIT_ASSERT(this->nodes.back()->Start().has_value());
-    this->caller_addresses.push_back(options.caller_address);
-    this->peer_addresses.push_back(peer_address);
-    this->caller_address = options.caller_address;
-  }
-
-  /** Starts one node and waits until all groups are open. */
-  void StartServing(std::size_t groups = 3) {
-    this->deployment->Put("op/config", ConfigJson(5, R"("k1")"));
-    this->StartNode("n1", FreeAddress(), {});
-    this->RunUntil([&] { return this->deployment->OpenHeads().size() == groups; }, 8000);
-    this->RunFor(200);
-  }
-
-  void RunFor(int ms) { this->io->run_for(Milliseconds(ms)); }
-
-  void RunUntil(const std::function<bool()>& condition, int limit_ms) {
-    const Deadline limit = Clock::now() + Milliseconds(limit_ms);
-    while (!condition()) {
-      CPPUNIT_ASSERT_MESSAGE("the condition did not become true in time", Clock::now() < limit);
-      this->RunFor(10);
-    }
-  }
-
-  [[nodiscard]] std::string CompleteStream() const {
-    std::string stream;
-    for (int i = 0; i < this->deployment->events_in_stream; ++i) {
-      stream += "id: " + std::to_string(i) + "\ndata: " + std::to_string(i) + "\n\n";
-    }
-    return stream;
-  }
-
-  Answer SendAndWait(const std::string& method, const std::string& target, const std::string& id,
-                     const std::string& key, const std::string& body = "") {
-    std::optional<Answer> answer;
-    this->StartRequest(method, target, id, key, body, answer);
-    this->RunUntil([&] { return answer.has_value(); }, 10000);
-    return *answer;
-  }
-
-  void StartRequest(const std::string& method, const std::string& target, const std::string& id,
-                    const std::string& key, const std::string& body,
-                    std::optional<Answer>& answer) {
-    HttpRequest request;
-    request.method = method;
-    request.target = target;
-    request.headers = {
-        {"Host", "h"}, {"X-Request-Id", id}, {"X-Key", key}, {"X-Deadline-Ms", "5000"}};
-    if (target.starts_with("/chat/")) request.headers["X-Model"] = "m";
-    request.body = body;
-    asio::co_spawn(*this->io, this->Send(std::move(request), answer), asio::detached);
-  }
-
-  asio::awaitable<void> Send(HttpRequest request, std::optional<Answer>& answer) {
-    const Deadline deadline = Clock::now() + Milliseconds(9000);
-    Answer received;
-    auto connected = co_await HttpConnection::Connect(*this->io, this->caller_address, deadline);
-    if (!connected) {
-      answer = received;
-      co_return;
-    }
-    const auto connection = connected.value();
-    this->last_connection = connection;
-    const auto sent = co_await connection->Send(request, deadline);
-    if (sent) {
-      auto head = co_await connection->ReadHead(deadline);
-      if (head) {
-        received.status = head.value().status;
-        received.headers = head.value().headers;
-        for (;;) {
-          const auto done = co_await connection->ReadSome(received.body, deadline);
-          if (!done) break;
-          received.complete = done.value();
-          if (received.complete) break;
-        }
-      }
-    }
-    answer = received;
-  }
-
-  std::unique_ptr<ServerContext> io;
-  std::unique_ptr<FakeDeployment> deployment;
-  platform::WireAdapter adapter;
-  std::vector<std::unique_ptr<platform::StoreClient>> stores;
-  std::vector<std::unique_ptr<Node>> nodes;
-  std::vector<std::string> caller_addresses;
-  std::vector<std::string> peer_addresses;
-  std::size_t fewest_active = TrafficSetOptions().min_nodes;
-  std::string caller_address;
-  std::shared_ptr<HttpConnection> last_connection;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayIntegrationTest);
--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -65,13 +65,14 @@
                                     },
                                     {.max_connections = max_connections})
                      .value();
+  added.published_address = added.server->address();
   this->runners.emplace(id, std::move(runner));
   this->Publish(added);
 }
 
 void FakeDeployment::Publish(const FakeRunner& runner) {
   json entry{{"service", runner.service},
-             {"addr", runner.server->address()},
+             {"addr", runner.published_address},
              {"zone", "z1"},
              {"version", "v1"},
              {"slots", 6},
@@ -84,6 +85,12 @@
   this->Put("servers/" + runner.id, entry.dump());
 }
 
+void FakeDeployment::SetRunnerAddress(const std::string& id, const std::string& address) {
+  FakeRunner& runner = *this->runners.at(id);
+  runner.published_address = address;
+  this->Publish(runner);
+}
+
 void FakeDeployment::RecordChange(const std::string& key, bool removed) {
   this->events.push_back({this->revision, key, removed});
   for (asio::steady_timer* watcher : this->watchers) watcher->cancel();
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -64,6 +64,14 @@
                  std::size_t max_connections = 1000);
   void SetRunnerMode(const std::string& id, RunnerMode mode) { this->runners.at(id)->mode = mode; }
 
+  /** Publishes another address for a runner, as if another server answered there. */
+  void SetRunnerAddress(const std::string& id, const std::string& address);
+
+  /** Publishes the runner's own address again. */
+  void RestoreRunnerAddress(const std::string& id) {
+    this->SetRunnerAddress(id, this->runners.at(id)->server->address());
+  }
+
   /** Makes a runner refuse new connections and answer nothing, while its group stays open. */
   void Isolate(const std::string& id);
 
@@ -122,6 +130,7 @@
     nlohmann::json group;
     std::vector<std::string> staged;
     std::unique_ptr<HttpServer> server;
+    std::string published_address;  ///< That of `server`, unless the test has set another.
   };
 
   boost::asio::awaitable<void> ServeStore(HttpExchange& exchange);
--- a/test/http-connection-test.cc
+++ b/test/http-connection-test.cc
@@ -10,6 +10,9 @@
 #include <boost/lexical_cast.hpp>
 #include <random>
 
+#include "gateway/server-context.h"
+#include "harness/endless-server.h"
+
 namespace limpetfall {
 namespace {
 
@@ -27,6 +30,12 @@
   CPPUNIT_TEST(UnresponsivePeerTimesOut);
   CPPUNIT_TEST(RefusedConnectionHasVerdictNotRun);
   CPPUNIT_TEST(DamagedResponsesDoNotCrash);
+  CPPUNIT_TEST(EndlessHeadIsTooLarge);
+  CPPUNIT_TEST(EndlessChunkHeaderIsTooLarge);
+  CPPUNIT_TEST(EndlessTrailerIsTooLarge);
+  CPPUNIT_TEST(EndlessBodyIsTooLarge);
+  CPPUNIT_TEST(EndlessBytesAfterResponseMakeConnectionNotReusable);
+  CPPUNIT_TEST(HeadWithAByteAtATimeEndsAtTheDeadline);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -112,7 +121,67 @@
     }
   }
 
+  // The next six guard against memory and connections that a peer holds with bytes that never
+  // become a response.
+  void EndlessHeadIsTooLarge() {
+    this->ExpectTooLarge({"HTTP/1.1 200 OK\r\nX-Filler: ", std::string(1000, 'x')});
+    this->ExpectTooLarge({"HTTP/1.1 200 OK\r\n", "X-Filler: x\r\n"});
+  }
+
+  void EndlessChunkHeaderIsTooLarge() {
+    this->ExpectTooLarge(
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", std::string(1000, 'x')});
+  }
+
+  void EndlessTrailerIsTooLarge() {
+    this->ExpectTooLarge({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n",
+                          "X-Filler: x\r\n"});
+  }
+
+  void EndlessBodyIsTooLarge() {
+    this->ExpectTooLarge({"HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'x')});
+    this->ExpectTooLarge({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                          "400\r\n" + std::string(1024, 'x') + "\r\n"});
+    this->ExpectTooLarge(
+        {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", std::string(1000, 'x')});
+  }
+
+  void EndlessBytesAfterResponseMakeConnectionNotReusable() {
+    const auto answer = this->FetchEndless(
+        {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", std::string(1000, 'x')});
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), answer.value());
+    CPPUNIT_ASSERT(!this->reusable);
+  }
+
+  void HeadWithAByteAtATimeEndsAtTheDeadline() {
+    const auto answer =
+        this->FetchEndless({"HTTP/1.1 200 OK\r\nX-Filler: ", "x", Milliseconds(20)});
+    CPPUNIT_ASSERT(answer.error().code == ErrorCode::kDeadlineExceeded);
+  }
+
  private:
+  static constexpr std::size_t kMaxBodyBytes = 100000;
+
+  void ExpectTooLarge(testing::EndlessResponse endless) {
+    const auto answer = this->FetchEndless(std::move(endless));
+    CPPUNIT_ASSERT(!answer);
+    CPPUNIT_ASSERT(answer.error().code == ErrorCode::kResponseTooLarge);
+    CPPUNIT_ASSERT(answer.error().verdict == Verdict::kMayHaveRun);
+  }
+
+  /** Sends a request to an `EndlessServer`, which must notice that the connection is closed. */
+  Result<std::string> FetchEndless(testing::EndlessResponse endless) {
+    ServerContext io(1);
+    testing::EndlessServer server(io, std::move(endless));
+    Result<std::string> answer = NotRun(ErrorCode::kInternal, "no answer");
+    asio::co_spawn(io, this->SendRequest(io, server.address(), answer), asio::detached);
+    io.run_for(std::chrono::milliseconds(900));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.requests());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.open_connections());
+    io.DropPending();
+    return answer;
+  }
+
   /** Sends a request to a peer that responds with `chunks`, then closes or stays unresponsive. */
   Result<std::string> Fetch(std::vector<std::string> chunks, bool silent = false) {
     asio::io_context io;
@@ -148,7 +217,7 @@
     if (!connection) co_return;
     HttpRequest request;
     request.headers["Host"] = address;
-    auto response = co_await connection.value()->Call(request, deadline);
+    auto response = co_await connection.value()->Call(request, deadline, kMaxBodyBytes);
     this->reusable = response && connection.value()->IsReusable(Clock::now());
     if (response) {
       answer = std::move(response.value().body);
