Choose a watcher in every zone

Change: every zone has a watcher, and a fleet has at least three.

Result: EveryZoneOfAFleetHasAWatcher failed before.

--- a/src/core/traffic-set.cc
+++ b/src/core/traffic-set.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Each watcher adds calls to the store. Three leave one after the loss of any two.
-constexpr std::size_t kWatcherCount = 3;
+constexpr std::size_t kMinWatcherCount = 3;
 
 }  // namespace
 
@@ -28,11 +28,10 @@
   }
   std::set<ZoneId> zones;
   for (const TrafficNode& node : nodes) {
-    if (set.watchers.size() == kWatcherCount) break;
     if (zones.insert(node.zone).second) set.watchers.push_back(node.node);
   }
   for (const TrafficNode& node : nodes) {
-    if (set.watchers.size() >= kWatcherCount) break;
+    if (set.watchers.size() >= kMinWatcherCount) break;
     if (std::find(set.watchers.begin(), set.watchers.end(), node.node) != set.watchers.end()) {
       continue;
     }
--- a/src/core/traffic-set.h
+++ b/src/core/traffic-set.h
@@ -27,7 +27,10 @@
 struct TrafficSet {
   /** Nodes that receive caller traffic and exchange load reports, in order of falling capacity. */
   std::vector<NodeId> active;
-  /** Nodes that read the platform's store for the others. Different zones are preferred. */
+  /**
+   * Nodes that read the platform's store for the others. Each zone has one, so that changes cross
+   * zones once and not once for each node. Traffic between zones is charged.
+   */
   std::vector<NodeId> watchers;
 
   friend bool operator==(const TrafficSet&, const TrafficSet&) = default;
--- a/test/traffic-set-test.cc
+++ b/test/traffic-set-test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <set>
 
 namespace limpetfall {
 namespace {
@@ -14,6 +15,7 @@
   CPPUNIT_TEST(SmallNodesAreAddedUntilCapacityIsReached);
   CPPUNIT_TEST(NodesThatAreNotReadyAreNotActive);
   CPPUNIT_TEST(WatchersAreChosenFromDifferentZones);
+  CPPUNIT_TEST(EveryZoneOfAFleetHasAWatcher);
   CPPUNIT_TEST(SingleZoneHasAllWatchers);
   CPPUNIT_TEST(InputOrderDoesNotChangeSet);
   CPPUNIT_TEST_SUITE_END();
@@ -62,6 +64,24 @@
     CPPUNIT_ASSERT((set.watchers == std::vector<NodeId>{NodeId("n1"), NodeId("n3"), NodeId("n4")}));
   }
 
+  // Guards against nodes that copy all changes from another zone (odalaigh-fold-large: two of five
+  // zones had no watcher, and the copies were most of the bytes between zones).
+  void EveryZoneOfAFleetHasAWatcher() {
+    std::vector<TrafficNode> nodes;
+    for (int i = 0; i < 95; ++i) {
+      nodes.push_back(Node("n" + std::to_string(i), "z" + std::to_string(i % 5), 0.12));
+    }
+    const TrafficSet set = ChooseTrafficSet(nodes, {8, 1.5});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, set.watchers.size());
+    std::set<std::string> zones;
+    for (const TrafficNode& node : nodes) {
+      const bool watches =
+          std::find(set.watchers.begin(), set.watchers.end(), node.node) != set.watchers.end();
+      if (watches) zones.insert(node.zone.value);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, zones.size());
+  }
+
   // Guards against a single watcher in a fleet with one zone.
   void SingleZoneHasAllWatchers() {
     std::vector<TrafficNode> nodes{Node("n1", "a", 0.5), Node("n2", "a", 0.5), Node("n3", "a", 0.5),
