Do not count a caller's disconnect as a fault of its upstream

Cause: a handler is cancelled when its caller disconnects, and its pending call to the upstream then fails. The relay took that failure for one of the upstream: a cancelled connect marked the upstream as lost, and two cancelled reads suspended it for 1 to 8 s.

Change: such an attempt ends as a disconnected caller.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/cancellation_state.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <cmath>
@@ -53,6 +55,14 @@
   return number;
 }
 
+/**
+ * Returns whether an upstream call failed because its handler was cancelled, which happens when the
+ * caller disconnects. Such a failure says nothing about the upstream.
+ */
+bool IsCallerGone(const asio::cancellation_state& handler) {
+  return handler.cancelled() != asio::cancellation_type::none;
+}
+
 Priority QueuePriority(int priority) {
   if (priority <= 1) return Priority::kHigh;
   return priority == 2 ? Priority::kNormal : Priority::kLow;
@@ -377,6 +387,8 @@
                                                    HttpExchange& exchange) {
   const auto connected = co_await this->ConnectTo(slot, call);
   if (!connected) {
+    const auto cancellation = co_await asio::this_coro::cancellation_state;
+    if (IsCallerGone(cancellation)) co_return Outcome::kCallerDisconnected;
     call.error = connected.error();
     this->ReportUpstreamFailure(call, slot, "connect", call.error.message);
     this->table.OnLost(slot.ticket.upstream(), Clock::now());
@@ -402,6 +414,8 @@
   const auto written =
       co_await connection->Send(this->UpstreamRequest(call, exchange.request(), slot), respond_by);
   if (!written) {
+    const auto cancellation = co_await asio::this_coro::cancellation_state;
+    if (IsCallerGone(cancellation)) co_return Outcome::kCallerDisconnected;
     call.error = written.error();
     call.may_have_run = true;
     this->RecordUpstreamFault(call, slot, "send", UpstreamFault::kBrokenResponse);
@@ -409,6 +423,8 @@
   }
   auto head = co_await connection->ReadHead(respond_by);
   if (!head) {
+    const auto cancellation = co_await asio::this_coro::cancellation_state;
+    if (IsCallerGone(cancellation)) co_return Outcome::kCallerDisconnected;
     call.error = head.error();
     call.may_have_run = true;
     this->RecordUpstreamFault(call, slot, "no_answer", UpstreamFault::kBrokenResponse);
@@ -467,6 +483,8 @@
     const auto done = co_await call.connection->ReadSome(chunk, respond_by);
     const bool too_large = !reserved.GrowTo(response.body.size() + chunk.size());
     if (!done || too_large) {
+      const auto cancellation = co_await asio::this_coro::cancellation_state;
+      if (IsCallerGone(cancellation)) co_return Outcome::kCallerDisconnected;
       call.error = done ? MayHaveRun(ErrorCode::kResponseTooLarge,
                                      "the response exceeds the memory limit after " +
                                          std::to_string(response.body.size()) + " bytes")
@@ -515,6 +533,8 @@
         call.CanFailOver() ? std::min(call.deadline, NextStallCheck(call.stall)) : call.deadline;
     const auto done = co_await call.connection->ReadSome(call.events.bytes(), read_by);
     if (!done) {
+      const auto cancellation = co_await asio::this_coro::cancellation_state;
+      if (IsCallerGone(cancellation)) co_return Outcome::kCallerDisconnected;
       call.error = done.error();
       call.may_have_run = true;
       this->RecordUpstreamFault(call, slot, "cut", UpstreamFault::kBrokenResponse);
--- a/test/gateway-integration-test.cc
+++ b/test/gateway-integration-test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <list>
 
 #include "harness/gateway-fixture.h"
 
@@ -20,6 +21,7 @@
   CPPUNIT_TEST(RequestsAreRefusedWhileConfigurationIsUnconfirmed);
   CPPUNIT_TEST(UnknownRouteIs404AndMissingConfigurationIs503);
   CPPUNIT_TEST(CallerDisconnectCancelsUpstreamStream);
+  CPPUNIT_TEST(CallersThatDisconnectDoNotSuspendUpstream);
   CPPUNIT_TEST(RequestsAreServedDuringStoreOutage);
   CPPUNIT_TEST(GroupsOpenDespiteLostWriteReplies);
   CPPUNIT_TEST(OwnerWithStaleStoreCopyWritesNothing);
@@ -235,6 +237,27 @@
     CPPUNIT_ASSERT_EQUAL(requests_before, this->deployment->runner_requests.size());
   }
 
+  // Guards against taking impatient callers for a fault of their upstream (odalaigh-fold-large,
+  // scale-1: callers that disconnected counted as 373 failures of sound upstreams).
+  void CallersThatDisconnectDoNotSuspendUpstream() {
+    this->StartServing();
+    this->deployment->event_interval = Milliseconds(400);
+    this->deployment->plain_response_delay = Milliseconds(400);
+    std::list<std::optional<Answer>> answers;
+    for (int i = 0; i < 12; ++i) {
+      const std::string id = std::to_string(i);
+      const bool stream = i % 2 == 0;
+      this->StartRequest(stream ? "GET" : "POST", stream ? "/chat/1" : "/order/1", "c" + id, "k1",
+                         stream ? "" : "{}", answers.emplace_back());
+      this->RunFor(150);
+      this->last_connection->Close();
+    }
+    this->RunFor(300);
+    const std::string metrics = this->nodes.front()->state().metrics->Text();
+    CPPUNIT_ASSERT(metrics.find("upstream_failures_total") == std::string::npos);
+    CPPUNIT_ASSERT(metrics.find("upstream_suspensions_total") == std::string::npos);
+  }
+
   // Guards against requests that depend on the availability of the store.
   void RequestsAreServedDuringStoreOutage() {
     this->StartServing();
--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -393,6 +393,8 @@
     co_await this->StreamEvents(runner, exchange, request_index);
     co_return;
   }
+  if (this->plain_response_delay > Milliseconds(0))
+    co_await limpetfall::detail::PauseUntil(Clock::now() + this->plain_response_delay);
   HttpResponse answer;
   answer.status = 200;
   answer.headers["X-Request-Id"] = id;
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -86,6 +86,11 @@
 
   void Put(const std::string& key, const std::string& value, std::int64_t lease = 0);
   void Remove(const std::string& key);
+  /** Returns the value of a key, or an empty text. */
+  [[nodiscard]] std::string Get(const std::string& key) const {
+    const auto found = this->items.find(key);
+    return found == this->items.end() ? "" : found->second.value;
+  }
   [[nodiscard]] bool HasKey(const std::string& key) const { return this->items.contains(key); }
 
   /** Returns the runners that are the heads of open groups. */
@@ -99,6 +104,7 @@
   std::vector<RunnerRequest> runner_requests;
   int events_in_stream = 6;
   Milliseconds event_interval{20};
+  Milliseconds plain_response_delay{0};  ///< Time that plain services work on a request.
   std::uint64_t watch_calls = 0;
   std::uint64_t transaction_calls = 0;  ///< Conditional writes that the store received.
 
