Move groups to a model that refuses callers, and read the store in fewer calls

A model gives up groups only below 0.75 of its capacity after a reserve for lost members, so the small one kept all. Callers that came back after a refusal also counted as new demand.

Change: a model whose callers are refused may take groups while the other one stays under 0.9 of its plain capacity; demand counts each caller once; a watch follows a change after 100 ms. An order to a runner is sent only if this node still leads after it has waited for the runner's order count.

--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -450,6 +450,17 @@
         }));
   }
 
+  /** Returns whether `donor` serves its callers with `remaining` groups, so that `model` may take
+   * over one. If `model` refuses callers now, no reserve for lost members is kept. */
+  [[nodiscard]] bool MayGiveUpGroup(const ServedModel& donor, int remaining,
+                                    const ServedModel& model) const {
+    const PlannerOptions& limits = this->planner.options;
+    if (this->EffectiveUtilization(donor, remaining) <= limits.shift_max_donor_utilization)
+      return true;
+    return this->Utilization(model.name, this->CountGroups(model.name)) > 1 &&
+           this->Utilization(donor.name, remaining) <= limits.relief_max_donor_utilization;
+  }
+
   /** Finds groups of models with spare capacity to dissolve for a group of `model`. */
   [[nodiscard]] std::optional<Candidate> FindShift(const DomainId& domain,
                                                    const ServiceName& service,
@@ -473,9 +484,9 @@
       if (gained == 0 || other == nullptr) continue;
       const auto [count, added] =
           remaining_groups.try_emplace(group.model, this->CountGroups(group.model));
-      const double donor_utilization = this->EffectiveUtilization(*other, --count->second);
-      if (donor_utilization > this->planner.options.shift_max_donor_utilization ||
-          !this->JustifiesShift(utilization, donor_utilization)) {
+      const int remaining = --count->second;
+      if (!this->MayGiveUpGroup(*other, remaining, model) ||
+          !this->JustifiesShift(utilization, this->EffectiveUtilization(*other, remaining))) {
         return std::nullopt;
       }
       candidate.dissolved_groups.push_back(i);
--- a/src/core/group-planner.h
+++ b/src/core/group-planner.h
@@ -102,6 +102,11 @@
   double completion_min_utilization = 0.5;
   /** Highest utilization allowed for the remaining groups of the model that gives up runners. */
   double shift_max_donor_utilization = 0.75;
+  /**
+   * Highest plain utilization allowed for them if the other model refuses callers. Without this
+   * limit, a fleet that lost many runners would keep all its remaining capacity for one model.
+   */
+  double relief_max_donor_utilization = 0.9;
   /** Least difference between the two; a smaller gain is not worth the duration of a move. */
   double shift_min_utilization_gap = 0.1;
   /** At the first start, groups are formed once no new runner has appeared for this long. */
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -29,7 +29,7 @@
 inline constexpr Milliseconds kWatchTime{400};
 
 // Delay before the next watch, so that changes in close succession are fetched with one call.
-inline constexpr Milliseconds kWatchBatchDelay{40};
+inline constexpr Milliseconds kWatchBatchDelay{100};
 
 inline constexpr Milliseconds kStoreCallTimeout{1500};
 inline constexpr Milliseconds kStoreRetryDelay{250};
@@ -572,6 +572,8 @@
     this->accepted_orders[runner_process] = *count;
   }
   const std::int64_t accepted = this->accepted_orders[runner_process];
+  // The process may have been paused while it waited for the count.
+  if (!this->IsLeader()) co_return NotRun(ErrorCode::kConflict, "no longer the leader");
   auto response =
       co_await this->adapter.SendOrder(this->gateway_state.pool, order, accepted, deadline);
   if (!response || response.value() == OrderResult::kRefused) {
@@ -605,7 +607,7 @@
     const bool done =
         response.value() == OrderResult::kStarted || response.value() == OrderResult::kAlreadyDone;
     if (done) this->planner.OnOrderDone(order);
-  } else {
+  } else if (response.error().code != ErrorCode::kConflict) {
     this->OnProbeResult(order.runner, RunnerProbeResult::kUnreachable);
   }
   Log(LogLevel::kInfo, "runner_order",
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -623,7 +623,9 @@
 
 asio::awaitable<void> Relay::RunAttempts(Call& call, HttpExchange& exchange) {
   this->budget.OnRequest(call.service, call.arrived);
-  if (!call.model.value.empty()) this->demand.OnArrival(call.model, call.arrived);
+  // A caller that returns after a refusal has been counted before.
+  if (!call.model.value.empty() && !call.is_caller_retry)
+    this->demand.OnArrival(call.model, call.arrived);
   // Unreachable upstreams are skipped; this bounds how many are tried for one request.
   constexpr int kMaxSlotsTried = 6;
   for (int tried = 0; tried < kMaxSlotsTried; ++tried) {
--- a/test/group-planner-test.cc
+++ b/test/group-planner-test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(LeavingMemberClosesGroupGracefully);
   CPPUNIT_TEST(IdleGroupsAreDissolvedForModelShortOfCapacity);
   CPPUNIT_TEST(BusyGroupsAreNotDissolved);
+  CPPUNIT_TEST(ReserveOfOneModelServesTheOtherThatRefusesCallers);
   CPPUNIT_TEST(SmallGroupIsDissolvedToCompleteLargeGroup);
   CPPUNIT_TEST(RemainingMembersOfLargeGroupAreHeldForShift);
   CPPUNIT_TEST(SoonFreeRunnersPreventDissolvingSmallGroups);
@@ -288,6 +289,23 @@
     CPPUNIT_ASSERT(!this->Step().proposal.has_value());
   }
 
+  // Guards against a model that keeps refusing callers while the other one holds a reserve
+  // (odalaigh-fold-large, scale-1: 16 large groups for a demand of 38, and 94 small ones for 72).
+  void ReserveOfOneModelServesTheOtherThatRefusesCallers() {
+    this->AddRunners("d1", 10);
+    this->demand = {{kSmall, 5}};
+    this->WritePlan(this->Step());
+    for (const PlannedGroup& group : this->plan.groups) this->JoinAll(group);
+    this->StageAllModels();
+    this->demand = {{kLarge, 1}, {kSmall, 2.6}};
+    const PlannerOutput output = this->Step();
+    CPPUNIT_ASSERT(output.proposal.has_value());
+    const auto dissolving =
+        std::count_if(output.proposal->groups.begin(), output.proposal->groups.end(),
+                      [](const PlannedGroup& group) { return group.dissolving; });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, dissolving);
+  }
+
   // Guards against a large model that loses its groups one by one, because the remaining members of
   // each join small groups (quiet-1 of odalaigh-fold-grown loses a single member every three
   // seconds).
