--- a/src/core/buffer-budget.h
+++ b/src/core/buffer-budget.h
@@ -3,16 +3,15 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <utility>
 
 namespace limpetfall {
 
 struct BufferBudgetOptions {
-  /** Largest response that is buffered. */
+  /** Largest response that is buffered. Responses of plain services are a few KiB. */
   std::size_t max_response_bytes = 1 << 20;
   /** Every response may use this much, whatever the others use. */
   std::size_t guaranteed_response_bytes = 32 << 10;
-  /** What all responses together may use beyond their guaranteed bytes. */
+  /** What all responses together may use beyond their guaranteed bytes: a tenth of a small VM. */
   std::size_t shared_bytes = 16 << 20;
 
   friend bool operator==(const BufferBudgetOptions&, const BufferBudgetOptions&) = default;
--- a/src/gateway/event-buffer.h
+++ b/src/gateway/event-buffer.h
@@ -40,6 +40,7 @@
   [[nodiscard]] bool has_partial_event() const { return !this->buffer.empty(); }
   [[nodiscard]] std::optional<std::int64_t> last_id() const { return this->last; }
 
+  /** Far more than an event with a few tokens needs. */
   static constexpr std::size_t kMaxEventBytes = 64 << 10;
 
  private:
--- a/src/gateway/http-connection.cc
+++ b/src/gateway/http-connection.cc
@@ -22,6 +22,8 @@
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
 constexpr std::size_t kReadBytes = 8 << 10;
+
+// Common servers limit the head of a message to 8 or 16 KiB.
 constexpr std::uint32_t kMaxHeaderBytes = 32 << 10;
 
 // Maximum size of a chunk header or trailer. The parser does not limit them itself.
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -28,6 +28,9 @@
 // Time limit for reading the rest of a refusal, so that its connection can be reused.
 constexpr Milliseconds kRefusalReadTime{200};
 
+// Kind of a failure in logs and counters: the upstream sent more bytes than a response may have.
+constexpr const char* kOversized = "oversized";
+
 // Callers honour a Retry-After of up to a third of their remaining time.
 constexpr double kRetryAfterFraction = 0.3;
 constexpr double kMaxRetryAfterS = 2.0;
@@ -348,7 +351,7 @@
 void Relay::ReportUpstreamFailure(const Call& call, const UpstreamSlot& slot, const char* what,
                                   const std::string& detail) {
   this->metrics->Add("upstream_failures_total", {{"kind", what}});
-  const bool oversized = call.error.code == ErrorCode::kResponseTooLarge;
+  const bool oversized = std::string_view(what) == kOversized;
   if (oversized && !this->oversized_log_limit.TryTake(Clock::now())) return;
   Log(LogLevel::kWarning, "upstream_failure",
       {{"request", call.request_id},
@@ -361,7 +364,7 @@
 
 void Relay::RecordUpstreamFault(const Call& call, const UpstreamSlot& slot, const char* what,
                                 UpstreamFault fault) {
-  if (call.error.code == ErrorCode::kResponseTooLarge) what = "oversized";
+  if (call.error.code == ErrorCode::kResponseTooLarge) what = kOversized;
   this->ReportUpstreamFailure(call, slot, what, call.error.message);
   const bool slow = call.error.code == ErrorCode::kDeadlineExceeded;
   if (this->table.OnFault(slot.ticket, slow ? UpstreamFault::kTimeout : fault, Clock::now())) {
