Send the endless parts of a test slowly enough not to queue in sockets

Cause: the test counts what the server has sent on open connections. At 160 MB/s a slow build may leave parts in the sockets, which the node does not hold.

Change: a part of 16 KiB every 100 ms.

--- a/test/endless-response-integration-test.cc
+++ b/test/endless-response-integration-test.cc
@@ -148,8 +148,9 @@
     constexpr int kSlotsPerRunner = 6;
     constexpr std::size_t kPartBytes = 0x4000;
     this->StartServing();
+    // Slow enough that the parts do not queue up in the sockets, which would count as sent.
     this->servers.emplace_back(*this->io,
-                               EndlessResponse{kResponseHead, kLargeChunk, Milliseconds(20)});
+                               EndlessResponse{kResponseHead, kLargeChunk, Milliseconds(100)});
     EndlessServer& server = this->servers.back();
     for (int i = 0; i * kSlotsPerRunner < kEndlessRequests; ++i) {
       const std::string id = "e" + std::to_string(i);
