--- a/test/traffic-set-test.cc
+++ b/test/traffic-set-test.cc
@@ -68,6 +68,7 @@
   // zones had no watcher, and the copies were most of the bytes between zones).
   void EveryZoneOfAFleetHasAWatcher() {
     std::vector<TrafficNode> nodes;
+    nodes.reserve(95);
     for (int i = 0; i < 95; ++i) {
       nodes.push_back(Node("n" + std::to_string(i), "z" + std::to_string(i % 5), 0.12));
     }
