--- a/src/core/stall-rule.h
+++ b/src/core/stall-rule.h
@@ -9,7 +9,8 @@
 
 /** State of a request that waits for bytes from its upstream. */
 struct StallState {
-  TimePoint last_bytes;         ///< When this request last received bytes, or when it was sent.
+  /** When this request last received bytes that completed an event, or when it was sent. */
+  TimePoint last_bytes;
   TimePoint upstream_progress;  ///< When any request of this node there last received bytes.
   /** The upstream is considered lost if no request receives bytes for this long. */
   Milliseconds upstream_stall_timeout{0};
--- a/test/harness/gateway-fixture.h
+++ b/test/harness/gateway-fixture.h
@@ -23,12 +23,15 @@
 
 using GatewayUnderTest = GatewayNode<platform::StoreClient, platform::WireAdapter>;
 
+/** Returns an address on loopback whose port is free. */
 inline std::string FreeAddress() {
   boost::asio::io_context io;
   boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
   return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
 }
 
+/** Returns a configuration with a stream, an order and a lookup route, and one team that holds the
+ * API keys `keys`, a comma-separated list of JSON strings. */
 inline std::string ConfigJson(int version, const std::string& keys) {
   return R"({"version":)" + std::to_string(version) + R"(,
     "routes":[
