--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -19,6 +19,7 @@
 
   demands @11 :List(Demand);
   capacity @12 :Float32;     # Processor share of the sender's node, in cores.
+  crashes @13 :CrashEvidence;
 
   struct Demand {
     model @0 :Text;
@@ -31,6 +32,35 @@
   }
 }
 
+# What the sender knows about requests that crash upstreams. Ages and times are those at the sending.
+struct CrashEvidence {
+  reports @0 :List(Report);
+  survivals @1 :List(Survival);
+  quarantines @2 :List(Quarantine);
+
+  # An upstream ended while it ran a request.
+  struct Report {
+    upstreamBoot @0 :UInt64; # Hash of the upstream's id and start.
+    causes @1 :List(UInt64); # Hashes of the request and of the parts of its prompt.
+    sentAgeUs @2 :UInt32;    # Time since the request was sent.
+    lostAgeUs @3 :UInt32;    # Time since its connection broke.
+  }
+
+  # A request with this cause has proved harmless at the sender.
+  struct Survival {
+    cause @0 :UInt64;
+    ageUs @1 :UInt32;
+  }
+
+  # Requests with all of these causes are refused.
+  struct Quarantine {
+    causes @0 :List(UInt64);
+    revision @1 :UInt32;     # The highest revision is valid.
+    lifted @2 :Bool;
+    leftMs @3 :UInt32;
+  }
+}
+
 # Changes of the platform's store, sent to a node that cannot read them there.
 struct MirrorChanges {
   revision @0 :Int64;
--- a/src/core/dispatch.cc
+++ b/src/core/dispatch.cc
@@ -1,5 +1,7 @@
 #include "core/dispatch.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -55,6 +57,11 @@
 
 DispatchTicket::~DispatchTicket() { this->Release(); }
 
+std::uint64_t DispatchTicket::boot() const {
+  return XXH3_64bits_withSeed(this->target->id.value.data(), this->target->id.value.size(),
+                              static_cast<std::uint64_t>(this->target->started_ms));
+}
+
 void DispatchTicket::RemoveListener() {
   if (this->target) this->target->listeners.erase(std::exchange(this->listener, nullptr));
 }
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -90,6 +90,8 @@
 
   [[nodiscard]] const VmId& upstream() const { return this->target->id; }
   [[nodiscard]] const std::string& address() const { return this->target->address; }
+  /** Identifies the current run of the upstream; a restart changes it. */
+  [[nodiscard]] std::uint64_t boot() const;
   [[nodiscard]] TimePoint last_progress() const { return this->target->last_progress; }
 
   /** The listener is no longer notified of the loss of the upstream. */
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -14,6 +14,7 @@
 #include "base/pause.h"
 #include "gateway/gateway-node.h"
 #include "gateway/plan-codec.h"
+#include "gateway/quarantine-codec.h"
 #include "http/address.h"
 #include "http/error-response.h"
 
@@ -50,6 +51,9 @@
 // out before it.
 inline constexpr Milliseconds kPlanVisibleTimeout{2000};
 
+// The watch delivers a write before the next one.
+inline constexpr Milliseconds kQuarantineWriteInterval{1000};
+
 inline constexpr Milliseconds kStatusInterval{200};
 inline constexpr Milliseconds kPlannerInterval{100};
 inline constexpr Milliseconds kRefreshInterval{50};
@@ -75,6 +79,11 @@
 // Standby nodes, which carry no traffic, exchange status messages once in this many rounds.
 inline constexpr std::uint64_t kRoundsPerStandbyStatus = 5;
 
+// Age up to which evidence of crashes is sent in each round, and in one of
+// `kRoundsPerStandbyStatus`.
+inline constexpr Milliseconds kRecentEvidence{1000};
+inline constexpr Milliseconds kEvidenceLifetime{60000};
+
 // Time between two probes of a suspect runner.
 inline constexpr Milliseconds kProbeInterval{220};
 inline constexpr Milliseconds kProbeTimeout{200};
@@ -445,6 +454,7 @@
     }
     if (!was_leader) this->planner.OnOwnershipGained();
     was_leader = true;
+    boost::asio::co_spawn(this->io, this->StoreQuarantines(), boost::asio::detached);
     const TimePoint now = Clock::now();
     this->ProbeSuspectRunners(now);
     const std::map<ModelName, double> demand = this->GroupDemand();
@@ -479,6 +489,31 @@
   }
 }
 
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::StoreQuarantines() {
+  const TimePoint now = Clock::now();
+  const CrashAttribution& known = this->gateway_state.crash_attribution;
+  if (known.IsCovered(this->gateway_state.stored_quarantines, now)) co_return;
+  if (now < this->quarantines_written + gateway_detail::kQuarantineWriteInterval) co_return;
+  this->quarantines_written = now;
+  const StateItem* stored = this->mirror.Find(std::string(gateway_keys::kQuarantines));
+  const auto active = known.Collect(Milliseconds(0), now).quarantines;
+  StoreWrite write;
+  write.conditions.push_back(
+      {std::string(gateway_keys::kLeader), this->gateway_state.leader->revision});
+  write.conditions.push_back(
+      {std::string(gateway_keys::kQuarantines), stored == nullptr ? 0 : stored->revision});
+  write.puts.push_back({std::string(gateway_keys::kQuarantines),
+                        EncodeQuarantines(active, now, std::chrono::system_clock::now()), 0});
+  const auto written =
+      co_await this->store.Write(std::move(write), now + gateway_detail::kStoreCallTimeout);
+  Log(LogLevel::kInfo, "quarantines_stored",
+      {{"count", active.size()},
+       {"outcome", !written          ? written.error().message
+                   : written.value() ? "written"
+                                     : "lost"}});
+}
+
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 void GatewayNode<Store, Adapter>::LogCapacity(const std::map<ModelName, double>& demand,
                                               TimePoint now) {
@@ -655,7 +690,7 @@
   const auto endpoint = ParseEndpoint(address);
   if (!endpoint) return;
   status.echo_at_ns = echo;
-  const std::string message = EncodePeerStatus(status);
+  const std::string message = EncodePeerStatus(status, Clock::now());
   boost::system::error_code ignored;  // Datagrams may also be lost in the network.
   this->peer_socket.send_to(
       boost::asio::buffer(message),
@@ -678,6 +713,9 @@
     this->gateway_state.ShareFreeSlots();
     PeerStatus status = this->MakeStatus();
     status.demands = this->gateway_state.relay.SlotDemand();
+    // Older evidence is repeated only for nodes that have started or were cut off meanwhile.
+    status.crashes = this->gateway_state.crash_attribution.Collect(
+        standby_round ? gateway_detail::kEvidenceLifetime : gateway_detail::kRecentEvidence, now);
     // Standby nodes dispatch no requests, so they are not sent the state that dispatching needs.
     PeerStatus standby_status = status;
     standby_status.loads.clear();
@@ -720,7 +758,7 @@
       co_await detail::PauseUntil(Clock::now() + Milliseconds(1));
       continue;
     }
-    const auto status = DecodePeerStatus({datagram.data(), length});
+    const auto status = DecodePeerStatus({datagram.data(), length}, Clock::now());
     if (status) this->OnPeerStatus(status.value());
   }
 }
@@ -729,6 +767,8 @@
 void GatewayNode<Store, Adapter>::OnPeerStatus(const PeerStatus& status) {
   const TimePoint now = Clock::now();
   if (!this->gateway_state.peers.OnStatus(status, now)) return;
+  this->gateway_state.relay.OnQuarantined(
+      this->gateway_state.crash_attribution.Merge(status.crashes, now));
   std::map<VmId, int> loads;
   for (const auto& [hash, in_flight] : status.loads) {
     if (const VmId* runner = this->gateway_state.FindByHash(hash))
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "base/metrics.h"
+#include "core/crash-attribution.h"
 #include "core/dispatch.h"
 #include "core/drain.h"
 #include "core/gateway-config.h"
@@ -121,11 +122,13 @@
   const std::shared_ptr<Metrics> metrics;
   ConnectionPool pool;
   DispatchTable dispatch;
+  CrashAttribution crash_attribution;
   Relay relay;
   PeerTable peers;
   std::map<VmId, Runner> runners;
   std::map<std::uint64_t, VmId> runner_by_hash;
   GroupPlan plan;
+  std::vector<Quarantine> stored_quarantines;  ///< Those in the store.
   std::shared_ptr<const RouteTable> routes;
   BootTime confirmed;
   std::optional<StateItem> leader;  ///< Leader key; its holder assembles groups.
@@ -138,6 +141,7 @@
 inline constexpr std::string_view kPrefix = "limpetfall/";
 inline constexpr std::string_view kLeader = "limpetfall/leader";
 inline constexpr std::string_view kPlan = "limpetfall/plan";
+inline constexpr std::string_view kQuarantines = "limpetfall/quarantines";
 inline constexpr std::string_view kNodes = "limpetfall/nodes/";
 }  // namespace gateway_keys
 
@@ -183,6 +187,9 @@
   boost::asio::awaitable<void> WriteRegistration();
   boost::asio::awaitable<void> Campaign();
 
+  /** Writes the quarantines to the store if they have changed, for nodes that start later. */
+  boost::asio::awaitable<void> StoreQuarantines();
+
   void OnStoreItem(const StateItem& item);
   void ApplyUpdate(const StateUpdate& update);
   void OnPeerStatus(const PeerStatus& status);
@@ -223,6 +230,7 @@
    */
   std::map<std::pair<VmId, std::int64_t>, std::int64_t> accepted_orders;
   TimePoint capacity_logged;
+  TimePoint quarantines_written;
   std::map<VmId, TimePoint> last_probe;
   std::set<VmId> unreachable_runners;  ///< Runners that the last probe or order did not reach.
   std::mt19937 random;
--- a/src/gateway/gateway-state.cc
+++ b/src/gateway/gateway-state.cc
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "gateway/gateway-node.h"
 #include "gateway/plan-codec.h"
+#include "gateway/quarantine-codec.h"
 
 namespace limpetfall {
 
@@ -12,7 +13,8 @@
       metrics(std::move(counters)),
       pool(context),
       dispatch(this->options.dispatch),
-      relay(context, this->options.relay, this->dispatch, this->pool, this->metrics),
+      relay(context, this->options.relay, this->dispatch, this->pool, this->crash_attribution,
+            this->metrics),
       peers(PeerOptions{this->options.node}) {
   this->UpdateTrafficSet();
 }
@@ -52,6 +54,16 @@
     }
     return;
   }
+  if (item.key == gateway_keys::kQuarantines && item.value) {
+    if (auto decoded = DecodeQuarantines(*item.value, now, std::chrono::system_clock::now())) {
+      this->stored_quarantines = std::move(decoded.value());
+      this->relay.OnQuarantined(
+          this->crash_attribution.Merge({{}, {}, this->stored_quarantines}, now));
+    } else {
+      Log(LogLevel::kError, "quarantines_unreadable", {{"detail", decoded.error().message}});
+    }
+    return;
+  }
   if (item.key.starts_with(gateway_keys::kNodes) && item.value) {
     const NodeId node(item.key.substr(gateway_keys::kNodes.size()));
     this->peers.OnRegistered(node, *item.value, now);
--- a/src/gateway/peer-wire.cc
+++ b/src/gateway/peer-wire.cc
@@ -5,6 +5,7 @@
 #include <kj/exception.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstring>
 #include <type_traits>
 #include <utility>
@@ -29,6 +30,76 @@
 
 bool IsProofAge(std::int64_t age_ms) { return age_ms >= 0 && age_ms <= kMaxProofAgeMs; }
 
+// More causes than a request has parts in its prompt.
+constexpr unsigned kMaxCauses = 64;
+
+// A retry follows the loss before it within less than a millisecond.
+std::uint32_t AgeUs(TimePoint time, TimePoint now) {
+  const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - time).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, UINT32_MAX));
+}
+
+TimePoint FromAgeUs(std::uint32_t age_us, TimePoint now) {
+  return now - std::chrono::microseconds(age_us);
+}
+
+template <typename Entry>
+void EncodeCauses(const Causes& causes, Entry entry) {
+  auto list = entry.initCauses(static_cast<unsigned>(causes.size()));
+  for (unsigned i = 0; i < list.size(); ++i) list.set(i, causes[i]);
+}
+
+Causes DecodeCauses(capnp::List<std::uint64_t>::Reader list) {
+  Causes causes;
+  for (unsigned i = 0; i < std::min(list.size(), kMaxCauses); ++i) causes.push_back(list[i]);
+  std::sort(causes.begin(), causes.end());
+  causes.erase(std::unique(causes.begin(), causes.end()), causes.end());
+  return causes;
+}
+
+void EncodeCrashEvidence(const CrashEvidence& evidence, wire::CrashEvidence::Builder root,
+                         TimePoint now) {
+  auto reports = root.initReports(static_cast<unsigned>(evidence.reports.size()));
+  for (unsigned i = 0; i < reports.size(); ++i) {
+    const CrashReport& report = evidence.reports[i];
+    reports[i].setUpstreamBoot(report.upstream_boot);
+    EncodeCauses(report.causes, reports[i]);
+    reports[i].setSentAgeUs(AgeUs(report.sent, now));
+    reports[i].setLostAgeUs(AgeUs(report.lost, now));
+  }
+  auto survivals = root.initSurvivals(static_cast<unsigned>(evidence.survivals.size()));
+  for (unsigned i = 0; i < survivals.size(); ++i) {
+    survivals[i].setCause(evidence.survivals[i].cause);
+    survivals[i].setAgeUs(AgeUs(evidence.survivals[i].at, now));
+  }
+  auto quarantines = root.initQuarantines(static_cast<unsigned>(evidence.quarantines.size()));
+  for (unsigned i = 0; i < quarantines.size(); ++i) {
+    const Quarantine& quarantine = evidence.quarantines[i];
+    EncodeCauses(quarantine.causes, quarantines[i]);
+    quarantines[i].setRevision(quarantine.revision);
+    quarantines[i].setLifted(quarantine.lifted);
+    quarantines[i].setLeftMs(static_cast<std::uint32_t>(TimeLeft(quarantine.until, now).count()));
+  }
+}
+
+CrashEvidence DecodeCrashEvidence(wire::CrashEvidence::Reader root, TimePoint now) {
+  CrashEvidence evidence;
+  for (const auto report : root.getReports()) {
+    evidence.reports.push_back({report.getUpstreamBoot(), DecodeCauses(report.getCauses()),
+                                FromAgeUs(report.getSentAgeUs(), now),
+                                FromAgeUs(report.getLostAgeUs(), now)});
+  }
+  for (const auto survival : root.getSurvivals()) {
+    evidence.survivals.push_back({survival.getCause(), FromAgeUs(survival.getAgeUs(), now)});
+  }
+  for (const auto entry : root.getQuarantines()) {
+    evidence.quarantines.push_back({DecodeCauses(entry.getCauses()), entry.getRevision(),
+                                    entry.getLifted(),
+                                    now + std::chrono::milliseconds(entry.getLeftMs())});
+  }
+  return evidence;
+}
+
 /** Decodes a message. Cap'n Proto reports malformed messages by exception. */
 template <typename Schema, typename Read>
 auto Parse(std::string_view bytes, Read read)
@@ -56,7 +127,7 @@
   return std::chrono::ceil<std::chrono::milliseconds>(now - confirmed).count();
 }
 
-std::string EncodePeerStatus(const PeerStatus& status) {
+std::string EncodePeerStatus(const PeerStatus& status, TimePoint now) {
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<wire::PeerStatus>();
   root.setNode(Text(status.node.value));
@@ -85,11 +156,14 @@
     demands[index].setPlaces(static_cast<float>(places));
     ++index;
   }
+  if (status.crashes != CrashEvidence()) {
+    EncodeCrashEvidence(status.crashes, root.initCrashes(), now);
+  }
   return Serialize(message);
 }
 
-Result<PeerStatus> DecodePeerStatus(std::string_view bytes) {
-  return Parse<wire::PeerStatus>(bytes, [](wire::PeerStatus::Reader root) {
+Result<PeerStatus> DecodePeerStatus(std::string_view bytes, TimePoint now) {
+  return Parse<wire::PeerStatus>(bytes, [now](wire::PeerStatus::Reader root) {
     PeerStatus status;
     status.node = NodeId(String(root.getNode()));
     status.zone = ZoneId(String(root.getZone()));
@@ -108,6 +182,7 @@
     for (const auto demand : root.getDemands()) {
       status.demands[ModelName(String(demand.getModel()))] = demand.getPlaces();
     }
+    status.crashes = DecodeCrashEvidence(root.getCrashes(), now);
     return status;
   });
 }
--- a/src/gateway/peer-wire.h
+++ b/src/gateway/peer-wire.h
@@ -8,8 +8,10 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "core/crash-attribution.h"
 #include "core/state-mirror.h"
 #include "limpetfall/result.h"
+#include "limpetfall/time.h"
 
 namespace limpetfall {
 
@@ -28,6 +30,7 @@
   std::map<std::uint64_t, int> loads;    ///< Requests in flight, by hash of the upstream's id.
   std::vector<std::uint64_t> suspended;  ///< Hashes of suspended upstreams.
   std::map<ModelName, double> demands;   ///< Slots that its callers would occupy concurrently.
+  CrashEvidence crashes;                 ///< On the clock of the node that holds this object.
 
   friend bool operator==(const PeerStatus&, const PeerStatus&) = default;
 };
@@ -41,8 +44,11 @@
  */
 std::int64_t ProofAgeMs(BootTime confirmed, BootTime now);
 
-std::string EncodePeerStatus(const PeerStatus& status);
-Result<PeerStatus> DecodePeerStatus(std::string_view bytes);
+/** Encodes a message that is sent at `now`. Times are sent as ages. */
+std::string EncodePeerStatus(const PeerStatus& status, TimePoint now);
+
+/** Decodes a message that arrived at `now`. */
+Result<PeerStatus> DecodePeerStatus(std::string_view bytes, TimePoint now);
 
 /** Encodes changes for a request of `requested_at`. The proof is sent as its age at `now`. */
 std::string EncodeChanges(const StateUpdate& update, BootTime requested_at, BootTime now);
--- a/src/gateway/peer.capnp.h
+++ b/src/gateway/peer.capnp.h
@@ -19,6 +19,10 @@
 CAPNP_DECLARE_SCHEMA(8cfde5dc1715331d);
 CAPNP_DECLARE_SCHEMA(801f910e1c784470);
 CAPNP_DECLARE_SCHEMA(f1781b1f1124c1a6);
+CAPNP_DECLARE_SCHEMA(cf51a925c06c1065);
+CAPNP_DECLARE_SCHEMA(fd034a20ba81a56a);
+CAPNP_DECLARE_SCHEMA(d6dc5fdf8f9f8c65);
+CAPNP_DECLARE_SCHEMA(dbb2a5ee60fadaa4);
 CAPNP_DECLARE_SCHEMA(9c75615e6ebda6d0);
 CAPNP_DECLARE_SCHEMA(b835807ca96904b9);
 
@@ -38,7 +42,7 @@
   struct Load;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8cfde5dc1715331d, 5, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(8cfde5dc1715331d, 5, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -75,6 +79,69 @@
   };
 };
 
+struct CrashEvidence {
+  CrashEvidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  struct Report;
+  struct Survival;
+  struct Quarantine;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cf51a925c06c1065, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashEvidence::Report {
+  Report() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fd034a20ba81a56a, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashEvidence::Survival {
+  Survival() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d6dc5fdf8f9f8c65, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashEvidence::Quarantine {
+  Quarantine() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dbb2a5ee60fadaa4, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct MirrorChanges {
   MirrorChanges() = delete;
 
@@ -158,6 +225,9 @@
 
   inline float getCapacity() const;
 
+  inline bool hasCrashes() const;
+  inline  ::limpetfall::wire::CrashEvidence::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -229,30 +299,403 @@
   inline  ::int64_t getMirrorRevision();
   inline void setMirrorRevision( ::int64_t value);
 
-  inline bool hasLoads();
-  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Load,  ::capnp::Kind::STRUCT>::Builder getLoads();
-  inline void setLoads( ::capnp::List< ::limpetfall::wire::PeerStatus::Load,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Load,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
-  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Load,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Load,  ::capnp::Kind::STRUCT>> disownLoads();
+  inline bool hasLoads();
+  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Load,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::limpetfall::wire::PeerStatus::Load,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Load,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Load,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Load,  ::capnp::Kind::STRUCT>> disownLoads();
+
+  inline bool hasSuspended();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSuspended();
+  inline void setSuspended( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSuspended(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSuspended(unsigned int size);
+  inline void adoptSuspended(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSuspended();
+
+  inline bool hasDemands();
+  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>> disownDemands();
+
+  inline float getCapacity();
+  inline void setCapacity(float value);
+
+  inline bool hasCrashes();
+  inline  ::limpetfall::wire::CrashEvidence::Builder getCrashes();
+  inline void setCrashes( ::limpetfall::wire::CrashEvidence::Reader value);
+  inline  ::limpetfall::wire::CrashEvidence::Builder initCrashes();
+  inline void adoptCrashes(::capnp::Orphan< ::limpetfall::wire::CrashEvidence>&& value);
+  inline ::capnp::Orphan< ::limpetfall::wire::CrashEvidence> disownCrashes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerStatus::Pipeline {
+public:
+  typedef PeerStatus Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::limpetfall::wire::CrashEvidence::Pipeline getCrashes();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PeerStatus::Demand::Reader {
+public:
+  typedef Demand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
+  inline float getPlaces() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerStatus::Demand::Builder {
+public:
+  typedef Demand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
+  inline float getPlaces();
+  inline void setPlaces(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerStatus::Demand::Pipeline {
+public:
+  typedef Demand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PeerStatus::Load::Reader {
+public:
+  typedef Load Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream() const;
+
+  inline  ::uint16_t getInFlight() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerStatus::Load::Builder {
+public:
+  typedef Load Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream();
+  inline void setUpstream( ::uint64_t value);
+
+  inline  ::uint16_t getInFlight();
+  inline void setInFlight( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerStatus::Load::Pipeline {
+public:
+  typedef Load Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashEvidence::Reader {
+public:
+  typedef CrashEvidence Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReports() const;
+  inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>::Reader getReports() const;
+
+  inline bool hasSurvivals() const;
+  inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>::Reader getSurvivals() const;
+
+  inline bool hasQuarantines() const;
+  inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>::Reader getQuarantines() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashEvidence::Builder {
+public:
+  typedef CrashEvidence Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReports();
+  inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>::Builder getReports();
+  inline void setReports( ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>::Builder initReports(unsigned int size);
+  inline void adoptReports(::capnp::Orphan< ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>> disownReports();
+
+  inline bool hasSurvivals();
+  inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>::Builder getSurvivals();
+  inline void setSurvivals( ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>::Builder initSurvivals(unsigned int size);
+  inline void adoptSurvivals(::capnp::Orphan< ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>> disownSurvivals();
+
+  inline bool hasQuarantines();
+  inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>::Builder getQuarantines();
+  inline void setQuarantines( ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>::Builder initQuarantines(unsigned int size);
+  inline void adoptQuarantines(::capnp::Orphan< ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>> disownQuarantines();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashEvidence::Pipeline {
+public:
+  typedef CrashEvidence Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashEvidence::Report::Reader {
+public:
+  typedef Report Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstreamBoot() const;
+
+  inline bool hasCauses() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCauses() const;
+
+  inline  ::uint32_t getSentAgeUs() const;
+
+  inline  ::uint32_t getLostAgeUs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashEvidence::Report::Builder {
+public:
+  typedef Report Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstreamBoot();
+  inline void setUpstreamBoot( ::uint64_t value);
 
-  inline bool hasSuspended();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSuspended();
-  inline void setSuspended( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setSuspended(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSuspended(unsigned int size);
-  inline void adoptSuspended(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSuspended();
+  inline bool hasCauses();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCauses();
+  inline void setCauses( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCauses(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCauses(unsigned int size);
+  inline void adoptCauses(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCauses();
 
-  inline bool hasDemands();
-  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Builder getDemands();
-  inline void setDemands( ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
-  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::Demand,  ::capnp::Kind::STRUCT>> disownDemands();
+  inline  ::uint32_t getSentAgeUs();
+  inline void setSentAgeUs( ::uint32_t value);
 
-  inline float getCapacity();
-  inline void setCapacity(float value);
+  inline  ::uint32_t getLostAgeUs();
+  inline void setLostAgeUs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -264,9 +707,9 @@
 };
 
 #if !CAPNP_LITE
-class PeerStatus::Pipeline {
+class CrashEvidence::Report::Pipeline {
 public:
-  typedef PeerStatus Pipelines;
+  typedef Report Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -280,9 +723,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PeerStatus::Demand::Reader {
+class CrashEvidence::Survival::Reader {
 public:
-  typedef Demand Reads;
+  typedef Survival Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -297,10 +740,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasModel() const;
-  inline  ::capnp::Text::Reader getModel() const;
+  inline  ::uint64_t getCause() const;
 
-  inline float getPlaces() const;
+  inline  ::uint32_t getAgeUs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -314,9 +756,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PeerStatus::Demand::Builder {
+class CrashEvidence::Survival::Builder {
 public:
-  typedef Demand Builds;
+  typedef Survival Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -330,15 +772,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasModel();
-  inline  ::capnp::Text::Builder getModel();
-  inline void setModel( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initModel(unsigned int size);
-  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+  inline  ::uint64_t getCause();
+  inline void setCause( ::uint64_t value);
 
-  inline float getPlaces();
-  inline void setPlaces(float value);
+  inline  ::uint32_t getAgeUs();
+  inline void setAgeUs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -350,9 +788,9 @@
 };
 
 #if !CAPNP_LITE
-class PeerStatus::Demand::Pipeline {
+class CrashEvidence::Survival::Pipeline {
 public:
-  typedef Demand Pipelines;
+  typedef Survival Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -366,9 +804,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PeerStatus::Load::Reader {
+class CrashEvidence::Quarantine::Reader {
 public:
-  typedef Load Reads;
+  typedef Quarantine Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -383,9 +821,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getUpstream() const;
+  inline bool hasCauses() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCauses() const;
 
-  inline  ::uint16_t getInFlight() const;
+  inline  ::uint32_t getRevision() const;
+
+  inline bool getLifted() const;
+
+  inline  ::uint32_t getLeftMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -399,9 +842,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PeerStatus::Load::Builder {
+class CrashEvidence::Quarantine::Builder {
 public:
-  typedef Load Builds;
+  typedef Quarantine Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -415,11 +858,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getUpstream();
-  inline void setUpstream( ::uint64_t value);
+  inline bool hasCauses();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCauses();
+  inline void setCauses( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCauses(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCauses(unsigned int size);
+  inline void adoptCauses(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCauses();
 
-  inline  ::uint16_t getInFlight();
-  inline void setInFlight( ::uint16_t value);
+  inline  ::uint32_t getRevision();
+  inline void setRevision( ::uint32_t value);
+
+  inline bool getLifted();
+  inline void setLifted(bool value);
+
+  inline  ::uint32_t getLeftMs();
+  inline void setLeftMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -431,9 +885,9 @@
 };
 
 #if !CAPNP_LITE
-class PeerStatus::Load::Pipeline {
+class CrashEvidence::Quarantine::Pipeline {
 public:
-  typedef Load Pipelines;
+  typedef Quarantine Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -982,6 +1436,45 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerStatus::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerStatus::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::limpetfall::wire::CrashEvidence::Reader PeerStatus::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::limpetfall::wire::CrashEvidence>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::limpetfall::wire::CrashEvidence::Builder PeerStatus::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::limpetfall::wire::CrashEvidence>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::limpetfall::wire::CrashEvidence::Pipeline PeerStatus::Pipeline::getCrashes() {
+  return  ::limpetfall::wire::CrashEvidence::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void PeerStatus::Builder::setCrashes( ::limpetfall::wire::CrashEvidence::Reader value) {
+  ::capnp::_::PointerHelpers< ::limpetfall::wire::CrashEvidence>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::limpetfall::wire::CrashEvidence::Builder PeerStatus::Builder::initCrashes() {
+  return ::capnp::_::PointerHelpers< ::limpetfall::wire::CrashEvidence>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void PeerStatus::Builder::adoptCrashes(
+    ::capnp::Orphan< ::limpetfall::wire::CrashEvidence>&& value) {
+  ::capnp::_::PointerHelpers< ::limpetfall::wire::CrashEvidence>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::limpetfall::wire::CrashEvidence> PeerStatus::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::limpetfall::wire::CrashEvidence>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool PeerStatus::Demand::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1058,6 +1551,296 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CrashEvidence::Reader::hasReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashEvidence::Builder::hasReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>::Reader CrashEvidence::Reader::getReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>::Builder CrashEvidence::Builder::getReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashEvidence::Builder::setReports( ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>::Builder CrashEvidence::Builder::initReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashEvidence::Builder::adoptReports(
+    ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>> CrashEvidence::Builder::disownReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Report,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashEvidence::Reader::hasSurvivals() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashEvidence::Builder::hasSurvivals() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>::Reader CrashEvidence::Reader::getSurvivals() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>::Builder CrashEvidence::Builder::getSurvivals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashEvidence::Builder::setSurvivals( ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>::Builder CrashEvidence::Builder::initSurvivals(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashEvidence::Builder::adoptSurvivals(
+    ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>> CrashEvidence::Builder::disownSurvivals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Survival,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool CrashEvidence::Reader::hasQuarantines() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashEvidence::Builder::hasQuarantines() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>::Reader CrashEvidence::Reader::getQuarantines() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>::Builder CrashEvidence::Builder::getQuarantines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashEvidence::Builder::setQuarantines( ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>::Builder CrashEvidence::Builder::initQuarantines(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashEvidence::Builder::adoptQuarantines(
+    ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>> CrashEvidence::Builder::disownQuarantines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::CrashEvidence::Quarantine,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CrashEvidence::Report::Reader::getUpstreamBoot() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashEvidence::Report::Builder::getUpstreamBoot() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Report::Builder::setUpstreamBoot( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashEvidence::Report::Reader::hasCauses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashEvidence::Report::Builder::hasCauses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashEvidence::Report::Reader::getCauses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashEvidence::Report::Builder::getCauses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashEvidence::Report::Builder::setCauses( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void CrashEvidence::Report::Builder::setCauses(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashEvidence::Report::Builder::initCauses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashEvidence::Report::Builder::adoptCauses(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashEvidence::Report::Builder::disownCauses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CrashEvidence::Report::Reader::getSentAgeUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashEvidence::Report::Builder::getSentAgeUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Report::Builder::setSentAgeUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashEvidence::Report::Reader::getLostAgeUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashEvidence::Report::Builder::getLostAgeUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Report::Builder::setLostAgeUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashEvidence::Survival::Reader::getCause() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashEvidence::Survival::Builder::getCause() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Survival::Builder::setCause( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashEvidence::Survival::Reader::getAgeUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashEvidence::Survival::Builder::getAgeUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Survival::Builder::setAgeUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashEvidence::Quarantine::Reader::hasCauses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashEvidence::Quarantine::Builder::hasCauses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashEvidence::Quarantine::Reader::getCauses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashEvidence::Quarantine::Builder::getCauses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashEvidence::Quarantine::Builder::setCauses( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void CrashEvidence::Quarantine::Builder::setCauses(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashEvidence::Quarantine::Builder::initCauses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashEvidence::Quarantine::Builder::adoptCauses(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashEvidence::Quarantine::Builder::disownCauses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CrashEvidence::Quarantine::Reader::getRevision() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashEvidence::Quarantine::Builder::getRevision() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Quarantine::Builder::setRevision( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashEvidence::Quarantine::Reader::getLifted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashEvidence::Quarantine::Builder::getLifted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Quarantine::Builder::setLifted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashEvidence::Quarantine::Reader::getLeftMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashEvidence::Quarantine::Builder::getLeftMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Quarantine::Builder::setLeftMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::int64_t MirrorChanges::Reader::getRevision() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/cancellation_state.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -11,6 +13,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/pause.h"
 #include "core/stall-rule.h"
 #include "gateway/event-buffer.h"
 #include "http/error-response.h"
@@ -31,6 +34,13 @@
 // Kind of a failure in logs and counters: the upstream sent more bytes than a response may have.
 constexpr const char* kOversized = "oversized";
 
+// A request that crashes upstreams does so when its response begins. The connection may break a
+// little later, after the first event.
+constexpr Milliseconds kCrashDelay{250};
+
+// The listener of an ending process may close after its connections.
+constexpr Milliseconds kListenerCloseDelay{20};
+
 // Callers honour a Retry-After of up to a third of their remaining time.
 constexpr double kRetryAfterFraction = 0.3;
 constexpr double kMaxRetryAfterS = 2.0;
@@ -98,6 +108,10 @@
   Error error;                     ///< Why the last attempt failed.
   VmId upstream;                   ///< Upstream of the last attempt.
   const char* outcome = "failed";  ///< Outcome in the final log event.
+  Causes causes;                   ///< What may crash an upstream that runs this request.
+  TimePoint sent;                  ///< When the current attempt was sent.
+  TimePoint first_event;           ///< Of the current attempt; the epoch before it.
+  bool is_harmless = false;        ///< The current attempt would have crashed its upstream by now.
   Milliseconds queue_time{0};      ///< Time spent waiting for a slot, over all attempts.
   Milliseconds proof_age{0};       ///< Proof age of the configuration when the request arrived.
 
@@ -175,11 +189,13 @@
 };
 
 Relay::Relay(asio::io_context& context, RelayOptions settings, DispatchTable& dispatch,
-             ConnectionPool& connections, std::shared_ptr<Metrics> counters)
+             ConnectionPool& connections, CrashAttribution& crash_attribution,
+             std::shared_ptr<Metrics> counters)
     : io(context),
       options(std::move(settings)),
       table(dispatch),
       pool(connections),
+      crashes(crash_attribution),
       metrics(std::move(counters)),
       budget(this->options.retry_budget),
       response_buffers(this->options.response_buffers),
@@ -196,6 +212,8 @@
     return NotRun(ErrorCode::kNotFound, "no route matches " + request.target);
   }
   BOOST_OUTCOME_TRY(this->Authenticate(call, request));
+  call.causes = {RequestCause(call.team, request.method, GetHeader(request.headers, "Host"),
+                              request.target, request.body)};
   const auto given = ParseNumber(GetHeader(request.headers, this->options.headers.deadline_ms));
   Milliseconds allowed = call.route->timeout.count() > 0 ? call.route->timeout : kDefaultTimeout;
   if (given) allowed = std::min(allowed, Milliseconds(std::max<std::int64_t>(0, *given)));
@@ -276,8 +294,90 @@
   }
 }
 
+Result<void> Relay::CheckQuarantine(const Call& call) const {
+  const Quarantine* quarantine = this->crashes.Find(call.causes, Clock::now());
+  if (quarantine == nullptr) return success();
+  return NotRun(ErrorCode::kQuarantined,
+                "upstreams crashed while running such requests: " + ToString(quarantine->causes));
+}
+
+void Relay::OnQuarantined(const std::vector<Quarantine>& added) {
+  for (const Quarantine& quarantine : added) {
+    this->metrics->Add("quarantines_total", {});
+    Log(LogLevel::kWarning, "quarantined",
+        {{"causes", ToString(quarantine.causes)},
+         {"revision", quarantine.revision},
+         {"left_ms", TimeLeft(quarantine.until, Clock::now()).count()},
+         {"active", this->crashes.CountActive(Clock::now())}});
+  }
+  if (added.empty()) return;
+  for (const auto& [id, waiter] : this->waiters) {
+    if (!this->CheckQuarantine(waiter->call)) waiter->timer.cancel();
+  }
+}
+
+void Relay::OnHarmless(Call& call) {
+  if (call.is_harmless) return;
+  call.is_harmless = true;
+  this->crashes.OnSurvived(call.causes, Clock::now());
+}
+
+void Relay::ExamineLoss(const Call& call, const UpstreamSlot& slot) {
+  const bool silent = call.error.code == ErrorCode::kDeadlineExceeded;
+  const TimePoint lost = silent ? call.stall.last_bytes : Clock::now();
+  const bool outlived = call.first_event != TimePoint() && call.first_event + kCrashDelay <= lost;
+  if (call.is_harmless || outlived) return;
+  const std::uint64_t boot = slot.ticket.boot();
+  std::shared_ptr<Examination>& examination = this->examinations[boot];
+  const bool begins = !examination;
+  if (begins) {
+    examination = std::make_shared<Examination>(
+        Examination{{}, asio::steady_timer(this->io, asio::steady_timer::time_point::max())});
+  }
+  examination->reports.push_back({boot, call.causes, call.sent, std::max(lost, call.sent)});
+  Log(LogLevel::kInfo, "loss_examined",
+      {{"request", call.request_id},
+       {"upstream", slot.ticket.upstream().value},
+       {"causes", ToString(call.causes)}});
+  if (!begins) return;
+  asio::co_spawn(this->io,
+                 this->CheckUpstreamEnded(slot.ticket.address(), slot.ticket.upstream(), boot),
+                 asio::detached);
+}
+
+asio::awaitable<void> Relay::CheckUpstreamEnded(std::string address, VmId upstream,
+                                                std::uint64_t boot) {
+  // A connection may break at an upstream that runs on. One that has ended accepts no other.
+  co_await detail::PauseUntil(Clock::now() + kListenerCloseDelay);
+  const auto connection = co_await HttpConnection::Connect(
+      this->io, address, Clock::now() + this->options.connect_timeout);
+  const std::shared_ptr<Examination> examination =
+      std::move(this->examinations.extract(boot).mapped());
+  examination->ended.cancel();
+  if (connection) {
+    connection.value()->Close();
+    co_return;
+  }
+  this->metrics->Add("upstream_crashes_total", {});
+  Log(LogLevel::kWarning, "upstream_ended",
+      {{"upstream", upstream.value},
+       {"suspect_requests", examination->reports.size()},
+       {"detail", connection.error().message}});
+  for (const CrashReport& report : examination->reports) {
+    this->OnQuarantined(this->crashes.OnCrash(report, Clock::now()));
+  }
+}
+
+asio::awaitable<void> Relay::AwaitExamination(const Call& call, std::uint64_t boot) {
+  const auto found = this->examinations.find(boot);
+  if (found == this->examinations.end() || !this->crashes.IsSuspected(call.causes)) co_return;
+  const std::shared_ptr<Examination> examination = found->second;
+  co_await examination->ended.async_wait(kNoThrow);
+}
+
 asio::awaitable<Result<Relay::UpstreamSlot>> Relay::AcquireSlot(Call& call) {
   const TimePoint now = Clock::now();
+  BOOST_OUTCOME_CO_TRY(this->CheckQuarantine(call));
   const DispatchRequest wanted{call.service,        call.model,         call.excluded, 1,
                                call.IsRepeatable(), call.stream_started};
   if (!this->table.HasEligible(wanted, now)) {
@@ -322,6 +422,7 @@
     }
     co_await waiter.timer.async_wait(kNoThrow);
   }
+  BOOST_OUTCOME_CO_TRY(this->CheckQuarantine(call));
   if (!waiter.ticket) {
     co_return NotRun(ErrorCode::kResourceExhausted, "no upstream slot became free in time");
   }
@@ -399,9 +500,17 @@
   }
   call.connection = connected.value();
   const std::shared_ptr<HttpConnection> connection = call.connection;
+  if (const auto allowed = this->CheckQuarantine(call); !allowed) {
+    this->pool.Release(connection);
+    call.error = allowed.error();
+    co_return Outcome::kNotRun;
+  }
   ++call.sends;
 
   const TimePoint sent = Clock::now();
+  call.sent = sent;
+  call.first_event = TimePoint();
+  call.is_harmless = false;
   Deadline respond_by = call.deadline;
   call.stall = {sent, TimePoint(), this->options.first_event_timeout,
                 this->options.stream_silence_timeout};
@@ -500,6 +609,7 @@
     if (done.value()) break;
   }
   this->pool.Release(call.connection);
+  this->OnHarmless(call);
   const TimePoint now = Clock::now();
   this->table.OnProgress(slot.ticket, now);
   if (call.sends == 1) this->start_policy.OnFirstBytes(call.Lane(), now - call.stall.last_bytes);
@@ -558,6 +668,9 @@
       this->table.OnProgress(slot.ticket, now);
       call.stall.last_bytes = now;
     }
+    if (call.first_event == TimePoint() && !complete.value().empty()) call.first_event = now;
+    const bool outlived = call.first_event != TimePoint() && call.first_event + kCrashDelay <= now;
+    if (done.value() || (outlived && !complete.value().empty())) this->OnHarmless(call);
     if (!complete.value().empty() && first) {
       first = false;
       if (call.sends == 1) this->start_policy.OnFirstBytes(call.Lane(), now - sent);
@@ -640,7 +753,10 @@
       call.upstream = slot.value().ticket.upstream();
       call.excluded.push_back(call.upstream);
       outcome = co_await this->AttemptOnce(call, slot.value(), exchange);
+      const std::uint64_t boot = slot.value().ticket.boot();
+      if (outcome == Outcome::kLost) this->ExamineLoss(call, slot.value());
       const bool parked = outcome == Outcome::kLost && this->ParkStream(call, slot.value());
+      if (outcome == Outcome::kLost && !parked) co_await this->AwaitExamination(call, boot);
       call.connection.reset();
       call.events.DiscardPartialEvent();
       if (parked && this->MayRetry(call, outcome)) continue;
@@ -695,7 +811,9 @@
   }
   if (!call.may_have_run) {
     call.error.verdict = Verdict::kNotRun;
-    co_return co_await this->Refuse(exchange, 503, call.error, this->RetryAfter(call));
+    const bool quarantined = call.error.code == ErrorCode::kQuarantined;
+    co_return co_await this->Refuse(exchange, 503, call.error,
+                                    quarantined ? 0 : this->RetryAfter(call));
   }
   constexpr int kUnavailable = 503;
   const bool promises_not_run =
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -15,6 +15,7 @@
 #include "base/metrics.h"
 #include "core/admission.h"
 #include "core/buffer-budget.h"
+#include "core/crash-attribution.h"
 #include "core/demand-meter.h"
 #include "core/dispatch.h"
 #include "core/gateway-config.h"
@@ -82,7 +83,8 @@
 class Relay {
  public:
   Relay(boost::asio::io_context& context, RelayOptions settings, DispatchTable& dispatch,
-        ConnectionPool& connections, std::shared_ptr<Metrics> counters);
+        ConnectionPool& connections, CrashAttribution& crash_attribution,
+        std::shared_ptr<Metrics> counters);
 
   boost::asio::awaitable<void> Handle(HttpExchange& exchange);
 
@@ -98,6 +100,9 @@
   /** Ends waiting requests that can no longer start in time. */
   void ExpireWaiting();
 
+  /** Logs quarantines that begin, and ends the waiting requests that they refuse. */
+  void OnQuarantined(const std::vector<Quarantine>& added);
+
   /** Returns how many slots the callers of this node would occupy concurrently, by model. */
   [[nodiscard]] std::map<ModelName, double> SlotDemand() {
     return this->demand.DemandedSlots(Clock::now());
@@ -110,6 +115,13 @@
   struct UpstreamSlot;
   struct ParkedStream;
   struct Waiter;
+
+  /** Lost attempts at an upstream while it is being found out whether it has ended. */
+  struct Examination {
+    std::vector<CrashReport> reports;
+    boost::asio::steady_timer ended;  ///< Cancelled when the result is known.
+  };
+
   enum class Outcome {
     kAnswered,            ///< The response was sent to the caller.
     kNotRun,              ///< The upstream was not reached or refused the request.
@@ -151,6 +163,22 @@
   [[nodiscard]] bool MayRetry(Call& call, Outcome outcome);
   [[nodiscard]] double RetryAfter(const Call& call);
 
+  /** Returns the error of a request that is quarantined, or success. */
+  [[nodiscard]] Result<void> CheckQuarantine(const Call& call) const;
+
+  /** Records that the current attempt has outlived the time in which it would have crashed its
+   * upstream. */
+  void OnHarmless(Call& call);
+
+  /** Finds out whether the upstream of a lost attempt has ended, and reports a crash if so. */
+  void ExamineLoss(const Call& call, const UpstreamSlot& slot);
+  boost::asio::awaitable<void> CheckUpstreamEnded(std::string address, VmId upstream,
+                                                  std::uint64_t boot);
+
+  /** Waits until it is known whether the upstream has ended, if the request is suspected of having
+   * crashed others. Its retry could crash the next one. */
+  boost::asio::awaitable<void> AwaitExamination(const Call& call, std::uint64_t boot);
+
   /** Counts and logs a failed attempt. */
   void ReportUpstreamFailure(const Call& call, const UpstreamSlot& slot, const char* what,
                              const std::string& detail);
@@ -163,6 +191,7 @@
   RelayOptions options;
   DispatchTable& table;
   ConnectionPool& pool;
+  CrashAttribution& crashes;
   std::shared_ptr<Metrics> metrics;
   RelayContext context;
   SharedRetryBudget budget;
@@ -173,6 +202,7 @@
   StartDeadlinePolicy start_policy;
   CallerRetryDetector retry_detector;
   std::unordered_map<AdmissionId, Waiter*> waiters;
+  std::map<std::uint64_t, std::shared_ptr<Examination>> examinations;  ///< By upstream boot.
   std::mt19937_64 random;
 };
 
--- /dev/null
+++ b/test/crash-attribution-test.cc
@@ -0,0 +1,203 @@
+#include "core/crash-attribution.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace limpetfall {
+namespace {
+
+constexpr CauseId kRequest = 7;
+constexpr CauseId kOther = 8;
+
+class CrashAttributionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CrashAttributionTest);
+  CPPUNIT_TEST(RequestCauseCoversCallerAndContent);
+  CPPUNIT_TEST(ThreeCrashesInARowQuarantine);
+  CPPUNIT_TEST(CrashesOfOneUpstreamCountOnce);
+  CPPUNIT_TEST(UpstreamsLostTogetherCountOnce);
+  CPPUNIT_TEST(SurvivalBetweenCrashesStartsNewRow);
+  CPPUNIT_TEST(CrashesSeenByDifferentNodesAddUp);
+  CPPUNIT_TEST(SurvivalAtAnotherNodeStartsNewRow);
+  CPPUNIT_TEST(RestartedNodeLearnsQuarantineFromAnother);
+  CPPUNIT_TEST(SurvivalLiftsQuarantineAtAllNodes);
+  CPPUNIT_TEST(LiftedQuarantineBeginsAgainAfterThreeCrashes);
+  CPPUNIT_TEST(OneCrashAfterExpiryRenewsQuarantine);
+  CPPUNIT_TEST(CrashesFarApartDoNotQuarantine);
+  CPPUNIT_TEST(ManyDifferentRequestsUseBoundedMemory);
+  CPPUNIT_TEST(StormOfCrashesQuarantinesNoSharedCause);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void RequestCauseCoversCallerAndContent() {
+    const TeamName team("clubs");
+    const CauseId cause = RequestCause(team, "POST", "h", "/order/1", "{}");
+    CPPUNIT_ASSERT_EQUAL(cause, RequestCause(team, "POST", "h", "/order/1", "{}"));
+    CPPUNIT_ASSERT(cause != RequestCause(TeamName("other"), "POST", "h", "/order/1", "{}"));
+    CPPUNIT_ASSERT(cause != RequestCause(team, "PUT", "h", "/order/1", "{}"));
+    CPPUNIT_ASSERT(cause != RequestCause(team, "POST", "i", "/order/1", "{}"));
+    CPPUNIT_ASSERT(cause != RequestCause(team, "POST", "h", "/order/1{", "}"));
+    CPPUNIT_ASSERT(cause != RequestCause(team, "POST", "h", "/order/1", "{ }"));
+  }
+
+  // Guards against sending a request on after it has ended three upstreams.
+  void ThreeCrashesInARowQuarantine() {
+    this->Crash(this->a, {kRequest}, 1);
+    this->Crash(this->a, {kRequest}, 2);
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Crash(this->a, {kRequest}, 3).size());
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) != nullptr);
+    CPPUNIT_ASSERT(this->a.Find({kOther}, this->now) == nullptr);
+    CPPUNIT_ASSERT(this->Crash(this->a, {kRequest}, 4).empty());
+  }
+
+  void CrashesOfOneUpstreamCountOnce() {
+    for (int i = 0; i < 5; ++i) this->Crash(this->a, {kRequest}, 1);
+    this->Crash(this->a, {kRequest}, 2);
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
+  }
+
+  // Guards against blaming what many upstreams of one fabric domain were running when it went dark.
+  void UpstreamsLostTogetherCountOnce() {
+    for (std::uint64_t boot = 1; boot <= 10; ++boot) {
+      (void)this->a.OnCrash({boot, {kRequest}, this->now, this->now + Milliseconds(100 + boot)},
+                            this->now + Milliseconds(200));
+    }
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
+  }
+
+  void SurvivalBetweenCrashesStartsNewRow() {
+    this->Crash(this->a, {kRequest}, 1);
+    this->Crash(this->a, {kRequest}, 2);
+    this->a.OnSurvived({kRequest}, this->now);
+    this->Crash(this->a, {kRequest}, 3);
+    this->Crash(this->a, {kRequest}, 4);
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
+    this->Crash(this->a, {kRequest}, 5);
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) != nullptr);
+  }
+
+  // Guards against counting the crashes of each node by itself.
+  void CrashesSeenByDifferentNodesAddUp() {
+    this->Crash(this->a, {kRequest}, 1);
+    this->Crash(this->b, {kRequest}, 2);
+    this->Crash(this->c, {kRequest}, 3);
+    (void)this->a.Merge(this->Collect(this->b), this->now);
+    (void)this->a.Merge(this->Collect(this->c), this->now);
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) != nullptr);
+    CPPUNIT_ASSERT(this->a.Merge(this->Collect(this->c), this->now).empty());
+  }
+
+  void SurvivalAtAnotherNodeStartsNewRow() {
+    this->Crash(this->a, {kRequest}, 1);
+    this->Crash(this->a, {kRequest}, 2);
+    (void)this->b.Merge(this->Collect(this->a), this->now);
+    this->b.OnSurvived({kRequest}, this->now);
+    (void)this->a.Merge(this->Collect(this->b), this->now);
+    this->Crash(this->a, {kRequest}, 3);
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
+  }
+
+  // Guards against a node that starts from nothing after a restart.
+  void RestartedNodeLearnsQuarantineFromAnother() {
+    this->Quarantine(this->a);
+    this->now += std::chrono::minutes(5);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->b.Merge(this->Collect(this->a), this->now).size());
+    CPPUNIT_ASSERT(this->b.Find({kRequest}, this->now) != nullptr);
+  }
+
+  void SurvivalLiftsQuarantineAtAllNodes() {
+    this->Quarantine(this->a);
+    (void)this->b.Merge(this->Collect(this->a), this->now);
+    this->b.OnSurvived({kRequest}, this->now);
+    CPPUNIT_ASSERT(this->b.Find({kRequest}, this->now) == nullptr);
+    (void)this->a.Merge(this->Collect(this->b), this->now);
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
+    // A node that has not heard of it does not bring the quarantine back.
+    (void)this->b.Merge(this->Collect(this->a), this->now);
+    CPPUNIT_ASSERT(this->b.Find({kRequest}, this->now) == nullptr);
+  }
+
+  void LiftedQuarantineBeginsAgainAfterThreeCrashes() {
+    this->Quarantine(this->a);
+    this->a.OnSurvived({kRequest}, this->now);
+    this->Crash(this->a, {kRequest}, 11);
+    this->Crash(this->a, {kRequest}, 12);
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
+    this->Crash(this->a, {kRequest}, 13);
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) != nullptr);
+  }
+
+  // Guards against a flood of a request whose quarantine has expired.
+  void OneCrashAfterExpiryRenewsQuarantine() {
+    this->Quarantine(this->a);
+    this->now += std::chrono::minutes(11);
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
+    this->Crash(this->a, {kRequest}, 20);
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) != nullptr);
+  }
+
+  void CrashesFarApartDoNotQuarantine() {
+    for (std::uint64_t boot = 1; boot <= 10; ++boot) {
+      this->Crash(this->a, {kRequest}, boot);
+      this->now += std::chrono::seconds(31);
+    }
+    CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
+  }
+
+  // Guards against memory and messages that grow with the number of crashing requests.
+  void ManyDifferentRequestsUseBoundedMemory() {
+    for (CauseId cause = 1; cause <= 1000; ++cause) {
+      for (std::uint64_t boot = 0; boot < 3; ++boot) {
+        this->Crash(this->a, {cause}, 3 * cause + boot, Milliseconds(5));
+      }
+    }
+    CPPUNIT_ASSERT(this->a.CountActive(this->now) <= CrashAttribution::kMaxQuarantines);
+    const CrashEvidence sent = this->a.Collect(std::chrono::minutes(1), this->now);
+    CPPUNIT_ASSERT(sent.reports.size() <= CrashAttribution::kMaxSent);
+    CPPUNIT_ASSERT(sent.quarantines.size() <= CrashAttribution::kMaxSent);
+    CPPUNIT_ASSERT(this->a.Find({1000}, this->now) != nullptr);
+  }
+
+  // Replays 30 s in which an upstream ends twice a second, whatever it runs. Requests with the
+  // shared cause survive elsewhere 20 times a second.
+  void StormOfCrashesQuarantinesNoSharedCause() {
+    for (int step = 0; step < 600; ++step) {
+      this->now += Milliseconds(50);
+      const auto own = static_cast<CauseId>(1000 + step);
+      this->a.OnSurvived({kRequest}, this->now);
+      if (step % 10 != 0) continue;
+      (void)this->a.OnCrash({own, {kRequest, own}, this->now - Milliseconds(80), this->now},
+                            this->now);
+      CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->a.CountActive(this->now));
+  }
+
+ private:
+  /** Lets an upstream end 100 ms after a request with these causes was sent there. */
+  std::vector<limpetfall::Quarantine> Crash(CrashAttribution& node, const Causes& causes,
+                                            std::uint64_t boot,
+                                            Milliseconds after = Milliseconds(100)) {
+    const TimePoint sent = this->now + Milliseconds(1);
+    this->now = sent + after;
+    return node.OnCrash({boot, causes, sent, this->now}, this->now);
+  }
+
+  void Quarantine(CrashAttribution& node) {
+    for (std::uint64_t boot = 1; boot <= 3; ++boot) this->Crash(node, {kRequest}, boot);
+    CPPUNIT_ASSERT(node.Find({kRequest}, this->now) != nullptr);
+  }
+
+  [[nodiscard]] CrashEvidence Collect(const CrashAttribution& node) const {
+    return node.Collect(std::chrono::minutes(1), this->now);
+  }
+
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  CrashAttribution a;
+  CrashAttribution b;
+  CrashAttribution c;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashAttributionTest);
+
+}  // namespace
+}  // namespace limpetfall
--- a/test/gateway-freeze-integration-test.cc
+++ b/test/gateway-freeze-integration-test.cc
@@ -1,17 +1,12 @@
-#include <unistd.h>
-
-#include <filesystem>
-#include <fstream>
 #include <list>
 
-#include "harness/gateway-fixture.h"
-#include "harness/process.h"
+#include "harness/gateway-process-fixture.h"
 
 namespace limpetfall::testing {
 namespace {
 
 /** Real gateway processes that are paused and resumed by signals. */
-class GatewayFreezeIntegrationTest : public GatewayFixture {
+class GatewayFreezeIntegrationTest : public GatewayProcessFixture {
   CPPUNIT_TEST_SUITE(GatewayFreezeIntegrationTest);
   CPPUNIT_TEST(OrderOfCallerThatLeftDuringFreezeIsNotRun);
   CPPUNIT_TEST(OrderInFlightDuringFreezeRunsOnceAndIsAnswered);
@@ -20,20 +15,6 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
-    GatewayFixture::setUp();
-    this->folder = std::filesystem::temp_directory_path() /
-                   ("gateway-freeze-test-" + std::to_string(getpid()));
-    std::filesystem::create_directories(this->folder);
-  }
-
-  void tearDown() override {
-    this->processes.clear();
-    std::filesystem::remove_all(this->folder);
-    this->io->DropPending();
-    GatewayFixture::tearDown();
-  }
-
   // Guards against running an order twice: its caller gives up on a frozen node and sends it to
   // another one, and the frozen node wakes up with the order still unread.
   void OrderOfCallerThatLeftDuringFreezeIsNotRun() {
@@ -119,46 +100,6 @@
   }
 
  private:
-  [[nodiscard]] std::string LeaderNode() const {
-    const std::string value = this->deployment->Get("limpetfall/leader");
-    return value.substr(0, value.find(' '));
-  }
-
-  /** Starts gateway processes and waits until all groups are open. Requests go to the first one. */
-  void StartProcesses(int count) {
-    this->deployment->Put("op/config", ConfigJson(5, R"("k1")"));
-    const std::string peer_port = PortOf(FreeAddress());
-    for (int i = 0; i < count; ++i) {
-      const std::string ip = "127.0.0." + std::to_string(i + 1);
-      const std::string name = "p" + std::to_string(i);
-      const std::string settings_path = (this->folder / (name + ".toml")).string();
-      const auto address = [&ip] { return ip + ":" + PortOf(FreeAddress()); };
-      const std::string caller = address();
-      std::ofstream(settings_path)
-          << "[node]\nid = \"" << name << "\"\nzone = \"z1\"\nip = \"" << ip
-          << "\"\ncaller_address = \"" << caller
-          << "\"\nfirst_start = true\npeer_port = " << peer_port
-          << "\nmetrics_port = " << PortOf(FreeAddress())
-          << "\nseeds = [\"127.0.0.1:1\"]\n[platform]\nready_address = \"" << address()
-          << "\"\ndirectory_address = \"" << address() << "\"\nstore_address = \""
-          << this->deployment->store_address()
-          << "\"\n[limits]\ncpu_share = 1.0\ncores = 1\nstop_grace_s = 8\nstrict_keys = true\n"
-             "key_revocation_ms = 5000\nretry_share = 0.2\nretry_slack = 100\n"
-             "retry_window_s = 10\ngroup_stall_ms = 1000\n";
-      this->processes.push_back(Process::Start("limpetfall-gateway", {"--settings", settings_path},
-                                               settings_path + ".log"));
-      if (i == 0) this->caller_address = caller;
-    }
-    this->RunUntil([&] { return this->deployment->OpenHeads().size() == 3; }, 10000);
-    this->RunFor(500);
-  }
-
-  static std::string PortOf(const std::string& address) {
-    return address.substr(address.rfind(':') + 1);
-  }
-
-  std::filesystem::path folder;  ///< Settings and logs of the processes.
-  std::vector<std::unique_ptr<Process>> processes;
   std::list<std::optional<Answer>> answers;
 };
 
--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -58,18 +58,43 @@
   runner->id = id;
   runner->service = service;
   runner->domain = domain;
+  runner->max_connections = max_connections;
   FakeRunner& added = *runner;
-  added.server = HttpServer::Create(this->io, "127.0.0.1:0",
-                                    [this, &added](HttpExchange& exchange) {
-                                      return this->ServeRunner(added, exchange);
-                                    },
-                                    {.max_connections = max_connections})
-                     .value();
-  added.published_address = added.server->address();
+  this->StartServer(added);
   this->runners.emplace(id, std::move(runner));
   this->Publish(added);
 }
 
+void FakeDeployment::StartServer(FakeRunner& runner) {
+  runner.server = HttpServer::Create(this->io, "127.0.0.1:0",
+                                     [this, &runner](HttpExchange& exchange) {
+                                       return this->ServeRunner(runner, exchange);
+                                     },
+                                     {.max_connections = runner.max_connections})
+                      .value();
+  runner.published_address = runner.server->address();
+}
+
+void FakeDeployment::Crash(const std::string& id) {
+  FakeRunner& runner = *this->runners.at(id);
+  if (runner.down) return;
+  ++this->crashes;
+  runner.down = true;
+  runner.server->StopAccepting();
+  asio::co_spawn(this->io, this->RestartLater(runner), asio::detached);
+}
+
+asio::awaitable<void> FakeDeployment::RestartLater(FakeRunner& runner) {
+  co_await limpetfall::detail::PauseUntil(Clock::now() + this->crash_downtime);
+  this->ended_servers.push_back(std::move(runner.server));
+  this->StartServer(runner);
+  runner.down = false;
+  ++runner.boot;
+  runner.orders = 0;
+  runner.group = json();
+  this->Publish(runner);
+}
+
 void FakeDeployment::Publish(const FakeRunner& runner) {
   json entry{{"service", runner.service},
              {"addr", runner.published_address},
@@ -78,7 +103,7 @@
              {"slots", 6},
              {"state", "ready"},
              {"seq", 1},
-             {"born", 1},
+             {"born", runner.boot},
              {"domain", runner.domain},
              {"staged", runner.staged}};
   if (!runner.group.is_null()) entry["group"] = runner.group;
@@ -323,6 +348,7 @@
   [[maybe_unused]] const auto started = co_await exchange.StartStream(200, std::move(headers));
   // Cleared at the regular end of the stream, and so still set when this coroutine is cancelled.
   this->runner_requests[request_index].caller_disconnected = true;
+  const int boot = runner.boot;
   for (int sent = 0; next < this->events_in_stream; ++next, ++sent) {
     if (runner.mode == RunnerMode::kUnresponsive ||
         (runner.mode == RunnerMode::kHangingMidStream && sent == 2)) {
@@ -338,6 +364,10 @@
       }
     }
     co_await limpetfall::detail::PauseUntil(Clock::now() + this->event_interval);
+    if (HasEnded(runner, boot)) {
+      exchange.Abort();
+      co_return;
+    }
     const std::string event =
         "id: " + std::to_string(next) + "\ndata: " + std::to_string(next) + "\n\n";
     const auto written = co_await exchange.WriteChunk(event);
@@ -353,6 +383,11 @@
     co_await limpetfall::detail::PauseUntil(Clock::now() + Milliseconds(60000));
     co_return;
   }
+  const int boot = runner.boot;
+  if (runner.down) {
+    exchange.Abort();
+    co_return;
+  }
   if (GetHeader(request.headers, "X-Expect-Instance") != runner.id) {
     co_await this->Reply(exchange, 421, json::object());
     co_return;
@@ -385,6 +420,13 @@
     co_return;
   }
   this->runner_requests[request_index].ran = true;
+  const std::string prompt(GetHeader(request.headers, "X-Prefix-Hash"));
+  if (!this->crashing_text.empty() &&
+      (request.target + " " + prompt).find(this->crashing_text) != std::string::npos) {
+    this->Crash(runner.id);
+    exchange.Abort();
+    co_return;
+  }
   if (runner.mode == RunnerMode::kDroppingAnswers) {
     exchange.Abort();
     co_return;
@@ -395,6 +437,10 @@
   }
   if (this->plain_response_delay > Milliseconds(0))
     co_await limpetfall::detail::PauseUntil(Clock::now() + this->plain_response_delay);
+  if (HasEnded(runner, boot)) {
+    exchange.Abort();
+    co_return;
+  }
   HttpResponse answer;
   answer.status = 200;
   answer.headers["X-Request-Id"] = id;
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -93,6 +93,10 @@
   }
   [[nodiscard]] bool HasKey(const std::string& key) const { return this->items.contains(key); }
 
+  /** Ends a runner as a crash does. It comes back at another address after `crash_downtime`, as a
+   * new process that is in no group. */
+  void Crash(const std::string& id);
+
   /** Returns the runners that are the heads of open groups. */
   [[nodiscard]] std::vector<std::string> OpenHeads() const;
 
@@ -105,6 +109,10 @@
   int events_in_stream = 6;
   Milliseconds event_interval{20};
   Milliseconds plain_response_delay{0};  ///< Time that plain services work on a request.
+  /** A runner crashes when it begins to run a request whose target or prompt contains this text. */
+  std::string crashing_text;
+  Milliseconds crash_downtime{700};
+  int crashes = 0;
   std::uint64_t watch_calls = 0;
   std::uint64_t transaction_calls = 0;  ///< Conditional writes that the store received.
 
@@ -137,6 +145,9 @@
     std::vector<std::string> staged;
     std::unique_ptr<HttpServer> server;
     std::string published_address;  ///< That of `server`, unless the test has set another.
+    std::size_t max_connections = 0;
+    int boot = 1;  ///< Counts the starts of the process.
+    bool down = false;
   };
 
   boost::asio::awaitable<void> ServeStore(HttpExchange& exchange);
@@ -151,10 +162,18 @@
   [[nodiscard]] int Order(FakeRunner& runner, const nlohmann::json& body);
   void Publish(const FakeRunner& runner);
   void RecordChange(const std::string& key, bool removed);
+  void StartServer(FakeRunner& runner);
+  boost::asio::awaitable<void> RestartLater(FakeRunner& runner);
+
+  /** Returns whether the process that began to work in boot `boot` has ended. */
+  [[nodiscard]] static bool HasEnded(const FakeRunner& runner, int boot) {
+    return runner.down || runner.boot != boot;
+  }
 
   boost::asio::io_context& io;
   std::unique_ptr<HttpServer> store_server;
   std::list<std::unique_ptr<HttpServer>> store_addresses;
+  std::list<std::unique_ptr<HttpServer>> ended_servers;
   std::map<std::string, Item> items;
   std::vector<Event> events;
   std::map<std::int64_t, Lease> leases;
--- a/test/harness/process.cc
+++ b/test/harness/process.cc
@@ -34,6 +34,8 @@
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   dup2(output, STDOUT_FILENO);
   dup2(output, STDERR_FILENO);
+  // An inherited listener would keep accepting connections after the test has closed it.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(path, arguments);
   _exit(127);
 }
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <random>
 
+#include "gateway/quarantine-codec.h"
+
 namespace limpetfall {
 namespace {
 
@@ -21,6 +23,8 @@
   CPPUNIT_TEST(HeldTimeIsNotCountedAsProofAge);
   CPPUNIT_TEST(OutOfRangeProofAgeIsDiscarded);
   CPPUNIT_TEST(MalformedMessagesDoNotCrash);
+  CPPUNIT_TEST(StoredQuarantinesRoundTripThroughEncoding);
+  CPPUNIT_TEST(MalformedStoredQuarantinesAreErrors);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -85,7 +89,11 @@
     status.loads = {{1, 2}, {3, 4}};
     status.suspended = {5, 6};
     status.demands = {{ModelName("folds"), 12.5}};
-    CPPUNIT_ASSERT(DecodePeerStatus(EncodePeerStatus(status)).value() == status);
+    const TimePoint now = At(90000);
+    status.crashes = {{{11, {12, 13}, At(80000), At(80100)}, {14, {15}, At(70000), At(70200)}},
+                      {{16, At(89000)}},
+                      {{{12, 13}, 2, true, At(100000)}}};
+    CPPUNIT_ASSERT(DecodePeerStatus(EncodePeerStatus(status, now), now).value() == status);
   }
 
   // Guards against changes that decode differently from what was encoded.
@@ -123,22 +131,44 @@
     PeerStatus status = Status("n2", 1);
     status.proof_age_ms = std::numeric_limits<std::int64_t>::max();
     status.echo_at_ns = 5;
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{-1},
-                         DecodePeerStatus(EncodePeerStatus(status)).value().proof_age_ms);
+    const std::string bytes = EncodePeerStatus(status, At(0));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{-1}, DecodePeerStatus(bytes, At(0)).value().proof_age_ms);
+  }
+
+  // Guards against a quarantine that lasts longer or shorter at a node that reads it from the
+  // store.
+  void StoredQuarantinesRoundTripThroughEncoding() {
+    const std::vector<Quarantine> quarantines{{{12, 13}, 2, false, At(5000)},
+                                              {{14}, 1, true, At(9)}};
+    const WallTime wall_now{std::chrono::hours(500'000)};
+    const std::string text = EncodeQuarantines(quarantines, At(0), wall_now);
+    CPPUNIT_ASSERT(DecodeQuarantines(text, At(0), wall_now).value() == quarantines);
+    const auto later = DecodeQuarantines(text, At(800'000), wall_now + Milliseconds(1000)).value();
+    CPPUNIT_ASSERT(later.front().until == At(804'000));
+  }
+
+  void MalformedStoredQuarantinesAreErrors() {
+    for (const char* text : {"", "{}", R"({"quarantines":[{}]})",
+                             R"({"quarantines":[{"causes":"x","revision":1,"lifted":false}]})"}) {
+      CPPUNIT_ASSERT(!DecodeQuarantines(text, At(0), WallTime()));
+    }
   }
 
   // Guards against a crash on malformed datagrams of any sender (random damage, fixed seeds).
   void MalformedMessagesDoNotCrash() {
     PeerStatus status = Status("n2", 7);
     status.loads = {{1, 2}, {3, 4}};
-    const std::string good = EncodePeerStatus(status);
+    status.crashes = {{{11, {12, 13}, At(80000), At(80100)}},
+                      {{16, At(89000)}},
+                      {{{12, 13}, 2, true, At(100000)}}};
+    const std::string good = EncodePeerStatus(status, Clock::now());
     for (unsigned seed = 1; seed <= 2000; ++seed) {
       std::mt19937 random(seed);
       std::string bytes = good.substr(0, random() % (good.size() + 1));
       for (int i = 0; i < 4 && !bytes.empty(); ++i) {
         bytes[random() % bytes.size()] = static_cast<char>(random());
       }
-      [[maybe_unused]] const auto decoded = DecodePeerStatus(bytes);
+      [[maybe_unused]] const auto decoded = DecodePeerStatus(bytes, Clock::now());
       [[maybe_unused]] const auto changes = DecodeChanges(bytes, BootTime(), BootTime());
     }
   }
