Refuse requests with a prompt part that crashes upstreams

Callers saw: requests of one kind ended one upstream after the other, no two alike; those that ran beside them were cut, and sound ones were refused while groups that had lost members were rebuilt.

Cause: crashes were attributed to whole requests only.

Change: the shared parts of a prompt are causes like the request itself; what is refused is the set that all crashes in a row have in common. The adapter splits the header.

Evidence: DifferentRequestsWithCrashingPartAreRefused failed without the parts (502 where 503 is due) and passes. A replay of 50 seeds finds the part after at most 8 crashes and refuses no sound request.

--- a/src/core/crash-attribution.cc
+++ b/src/core/crash-attribution.cc
@@ -50,6 +50,17 @@
   return hash;
 }
 
+CauseId PromptPartCause(std::string_view part) {
+  constexpr CauseId kPromptPart = 1;
+  return HashField(kPromptPart, part);
+}
+
+Causes MakeCauses(std::vector<CauseId> ids) {
+  std::sort(ids.begin(), ids.end());
+  ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
+  return ids;
+}
+
 std::string ToString(const Causes& causes) {
   std::string text;
   for (const CauseId cause : causes) {
--- a/src/core/crash-attribution.h
+++ b/src/core/crash-attribution.h
@@ -18,6 +18,9 @@
 /** Hash of something that may crash an upstream: a request, or a part of its prompt. */
 using CauseId = std::uint64_t;
 
+/** Most causes of one request. Further parts of its prompt are not attributed to. */
+inline constexpr unsigned kMaxCauses = 64;
+
 /** The possible causes that a request carries, sorted and without duplicates. */
 using Causes = std::vector<CauseId>;
 
@@ -26,6 +29,12 @@
 CauseId RequestCause(const TeamName& team, std::string_view method, std::string_view host,
                      std::string_view target, std::string_view body);
 
+/** Returns the cause that stands for a part of a prompt that several requests share. */
+CauseId PromptPartCause(std::string_view part);
+
+/** Returns causes in the form that `Causes` requires. */
+Causes MakeCauses(std::vector<CauseId> ids);
+
 /** Returns the hexadecimal form of causes that logs contain. */
 std::string ToString(const Causes& causes);
 
--- a/src/gateway/peer-wire.cc
+++ b/src/gateway/peer-wire.cc
@@ -30,9 +30,6 @@
 
 bool IsProofAge(std::int64_t age_ms) { return age_ms >= 0 && age_ms <= kMaxProofAgeMs; }
 
-// More causes than a request has parts in its prompt.
-constexpr unsigned kMaxCauses = 64;
-
 // A retry follows the loss before it within less than a millisecond.
 std::uint32_t AgeUs(TimePoint time, TimePoint now) {
   const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - time).count();
@@ -50,11 +47,9 @@
 }
 
 Causes DecodeCauses(capnp::List<std::uint64_t>::Reader list) {
-  Causes causes;
+  std::vector<CauseId> causes;
   for (unsigned i = 0; i < std::min(list.size(), kMaxCauses); ++i) causes.push_back(list[i]);
-  std::sort(causes.begin(), causes.end());
-  causes.erase(std::unique(causes.begin(), causes.end()), causes.end());
-  return causes;
+  return MakeCauses(std::move(causes));
 }
 
 void EncodeCrashEvidence(const CrashEvidence& evidence, wire::CrashEvidence::Builder root,
--- a/src/gateway/quarantine-codec.cc
+++ b/src/gateway/quarantine-codec.cc
@@ -1,6 +1,5 @@
 #include "gateway/quarantine-codec.h"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace limpetfall {
@@ -33,8 +32,7 @@
     const auto wall_now_ms = duration_cast<milliseconds>(wall_now.time_since_epoch()).count();
     for (const auto& entry : document.at("quarantines")) {
       Quarantine quarantine;
-      quarantine.causes = entry.at("causes").get<Causes>();
-      std::sort(quarantine.causes.begin(), quarantine.causes.end());
+      quarantine.causes = MakeCauses(entry.at("causes").get<std::vector<CauseId>>());
       quarantine.revision = entry.at("revision").get<std::uint32_t>();
       quarantine.lifted = entry.at("lifted").get<bool>();
       quarantine.until = now + Milliseconds(entry.at("until_ms").get<std::int64_t>() - wall_now_ms);
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -212,8 +212,7 @@
     return NotRun(ErrorCode::kNotFound, "no route matches " + request.target);
   }
   BOOST_OUTCOME_TRY(this->Authenticate(call, request));
-  call.causes = {RequestCause(call.team, request.method, GetHeader(request.headers, "Host"),
-                              request.target, request.body)};
+  call.causes = this->FindCauses(call, request);
   const auto given = ParseNumber(GetHeader(request.headers, this->options.headers.deadline_ms));
   Milliseconds allowed = call.route->timeout.count() > 0 ? call.route->timeout : kDefaultTimeout;
   if (given) allowed = std::min(allowed, Milliseconds(std::max<std::int64_t>(0, *given)));
@@ -236,6 +235,18 @@
   return success();
 }
 
+Causes Relay::FindCauses(const Call& call, const HttpRequest& request) const {
+  std::vector<CauseId> causes{RequestCause(
+      call.team, request.method, GetHeader(request.headers, "Host"), request.target, request.body)};
+  if (this->options.shared_prompt_parts) {
+    for (const std::string& part : this->options.shared_prompt_parts(request.headers)) {
+      if (causes.size() == kMaxCauses) break;
+      causes.push_back(PromptPartCause(part));
+    }
+  }
+  return MakeCauses(std::move(causes));
+}
+
 Result<void> Relay::Authenticate(Call& call, const HttpRequest& request) {
   const GatewayConfig& config = call.routes->config();
   call.priority = call.route->priority;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <random>
 #include <set>
@@ -43,6 +44,8 @@
 
 struct RelayOptions {
   RelayHeaders headers;
+  /** Returns the parts of a request's prompt that other requests may share. Absent: none. */
+  std::function<std::vector<std::string>(const Headers&)> shared_prompt_parts;
   /** A key is refused when the configuration was last confirmed longer ago than this. */
   Milliseconds key_proof_lifetime{4000};
   bool strict_keys = true;
@@ -135,6 +138,7 @@
   }
 
   [[nodiscard]] Result<void> PrepareCall(Call& call, const HttpRequest& request);
+  [[nodiscard]] Causes FindCauses(const Call& call, const HttpRequest& request) const;
   [[nodiscard]] Result<void> Authenticate(Call& call, const HttpRequest& request);
   [[nodiscard]] const ServiceName& PickService(const Route& route);
   boost::asio::awaitable<Result<UpstreamSlot>> AcquireSlot(Call& call);
--- a/test/crash-attribution-test.cc
+++ b/test/crash-attribution-test.cc
@@ -2,11 +2,17 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <array>
+#include <random>
+
 namespace limpetfall {
 namespace {
 
 constexpr CauseId kRequest = 7;
 constexpr CauseId kOther = 8;
+constexpr CauseId kFirstPart = 3;
+constexpr CauseId kPart = 5;
 
 class CrashAttributionTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashAttributionTest);
@@ -24,6 +30,10 @@
   CPPUNIT_TEST(CrashesFarApartDoNotQuarantine);
   CPPUNIT_TEST(ManyDifferentRequestsUseBoundedMemory);
   CPPUNIT_TEST(StormOfCrashesQuarantinesNoSharedCause);
+  CPPUNIT_TEST(PartOfDifferentRequestsIsQuarantined);
+  CPPUNIT_TEST(FirstPartThatAlwaysCoincidesIsNotQuarantinedAlone);
+  CPPUNIT_TEST(GuiltyFirstPartIsQuarantinedDespiteDifferentSecondParts);
+  CPPUNIT_TEST(PartInTrafficOfSoundPartsIsFoundAlone);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -172,6 +182,97 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->a.CountActive(this->now));
   }
 
+  // Guards against a prompt part that ends one upstream after the other in requests that differ.
+  void PartOfDifferentRequestsIsQuarantined() {
+    for (CauseId own = 100; own < 103; ++own) this->Crash(this->a, {kPart, own}, own);
+    CPPUNIT_ASSERT(this->a.Find({kPart, 200}, this->now) != nullptr);
+    CPPUNIT_ASSERT(this->a.Find({kFirstPart, 200}, this->now) == nullptr);
+  }
+
+  // Guards against refusing sound requests that share the first part of the guilty ones.
+  void FirstPartThatAlwaysCoincidesIsNotQuarantinedAlone() {
+    for (CauseId own = 100; own < 106; ++own) this->Crash(this->a, {kFirstPart, kPart, own}, own);
+    CPPUNIT_ASSERT(this->a.Find({kFirstPart, kPart, 200}, this->now) != nullptr);
+    CPPUNIT_ASSERT(this->a.Find({kFirstPart, 200}, this->now) == nullptr);
+    CPPUNIT_ASSERT(this->a.Find({kPart, 200}, this->now) == nullptr);
+    this->Crash(this->a, {kPart, 201}, 201);
+    CPPUNIT_ASSERT(this->a.Find({kPart, 202}, this->now) != nullptr);
+    CPPUNIT_ASSERT(this->a.Find({kFirstPart, 202}, this->now) == nullptr);
+  }
+
+  void GuiltyFirstPartIsQuarantinedDespiteDifferentSecondParts() {
+    for (CauseId part = 100; part < 103; ++part) {
+      this->Crash(this->a, {kFirstPart, part, part + 100}, part);
+    }
+    CPPUNIT_ASSERT(this->a.Find({kFirstPart, 300, 301}, this->now) != nullptr);
+    CPPUNIT_ASSERT(this->a.Find({100, 302}, this->now) == nullptr);
+  }
+
+  // Replays 20 s of three nodes before 30 upstreams. Each upstream begins a request every 200 ms;
+  // one in 40 requests carries the guilty part and ends its upstream, with all requests there whose
+  // responses have not begun. Nodes exchange their evidence every 200 ms.
+  void PartInTrafficOfSoundPartsIsFoundAlone() {
+    for (unsigned seed = 1; seed <= 50; ++seed) {
+      std::mt19937 random(seed);
+      std::array<CrashAttribution, 3> nodes;
+      struct Run {
+        std::size_t node = 0;
+        Causes causes;
+        TimePoint sent;
+      };
+      std::array<std::vector<Run>, 30> upstreams;
+      std::array<std::uint64_t, 30> boots{};
+      std::uint64_t boot_count = 0;
+      CauseId own = 1000;
+      int crashes = 0;
+      for (int step = 0; step < 2000; ++step) {
+        this->now += Milliseconds(10);
+        if (step % 20 == 0) {
+          for (CrashAttribution& node : nodes) {
+            const CrashEvidence sent = node.Collect(Milliseconds(1000), this->now);
+            for (CrashAttribution& other : nodes) {
+              if (&other != &node) (void)other.Merge(sent, this->now);
+            }
+          }
+        }
+        for (std::size_t i = 0; i < upstreams.size(); ++i) {
+          if (boots[i] == 0) boots[i] = ++boot_count;
+          bool ended = false;
+          for (const Run& run : upstreams[i]) {
+            if (run.sent + Milliseconds(100) > this->now) continue;
+            if (std::binary_search(run.causes.begin(), run.causes.end(), kPart)) ended = true;
+            if (!ended) nodes.at(run.node).OnSurvived(run.causes, this->now);
+          }
+          if (ended) {
+            ++crashes;
+            for (const Run& run : upstreams[i]) {
+              (void)nodes.at(run.node).OnCrash({boots[i], run.causes, run.sent, this->now},
+                                               this->now);
+            }
+            boots[i] = ++boot_count;
+            upstreams[i].clear();
+          }
+          std::erase_if(upstreams[i], [this](const Run& run) {
+            return run.sent + Milliseconds(100) <= this->now;
+          });
+          if (random() % 20 != 0) continue;
+          std::vector<CauseId> causes{10 + random() % 60, ++own};
+          if (random() % 40 == 0) causes.push_back(kPart);
+          const std::size_t node = random() % nodes.size();
+          const Causes request = MakeCauses(std::move(causes));
+          const bool guilty = std::binary_search(request.begin(), request.end(), kPart);
+          if (nodes.at(node).Find(request, this->now) == nullptr) {
+            upstreams[i].push_back({node, request, this->now});
+          } else {
+            CPPUNIT_ASSERT_MESSAGE("a sound request is refused", guilty);
+          }
+        }
+      }
+      CPPUNIT_ASSERT(crashes >= 3);
+      CPPUNIT_ASSERT_MESSAGE("crashes: " + std::to_string(crashes), crashes <= 8);
+    }
+  }
+
  private:
   /** Lets an upstream end 100 ms after a request with these causes was sent there. */
   std::vector<limpetfall::Quarantine> Crash(CrashAttribution& node, const Causes& causes,
--- a/test/crashing-request-integration-test.cc
+++ b/test/crashing-request-integration-test.cc
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(RepeatsOfCrashingLookupAtAllNodesEndThreeUpstreams);
   CPPUNIT_TEST(RepeatsOfCrashingOrderAtAllNodesEndThreeUpstreams);
   CPPUNIT_TEST(RepeatsOfCrashingStreamAtAllNodesEndThreeUpstreams);
+  CPPUNIT_TEST(DifferentRequestsWithCrashingPartAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -76,8 +77,32 @@
 
   void RepeatsOfCrashingStreamAtAllNodesEndThreeUpstreams() { this->Run("GET", "/chat/crash"); }
 
+  // Guards against a prompt part that ends one upstream after the other, in requests of which no
+  // two are alike, and against refusing sound requests with the same key and first part.
+  void DifferentRequestsWithCrashingPartAreRefused() {
+    this->StartNodes();
+    this->prompt_parts = "f1:40,crash:100,o1:10";
+    for (int sent = 0; this->deployment->crashes < 3; ++sent) {
+      CPPUNIT_ASSERT(sent < 12);
+      this->SendTo(sent, "GET", "/chat/" + std::to_string(sent));
+      this->RunFor(1200);
+    }
+    this->WaitForGroups();
+    const int crashes = this->deployment->crashes;
+    CPPUNIT_ASSERT(crashes <= 5);
+    for (int sent = 0; sent < 9; ++sent) {
+      const std::string number = std::to_string(100 + sent);
+      this->prompt_parts = "f1:40,crash:100,o" + number + ":10";
+      CPPUNIT_ASSERT_EQUAL(503, this->SendTo(sent, "GET", "/chat/" + number).status);
+      this->prompt_parts = "f1:40,o" + number + ":10";
+      CPPUNIT_ASSERT_EQUAL(this->CompleteStream(),
+                           this->SendTo(sent, "GET", "/chat/s" + number).body);
+    }
+    CPPUNIT_ASSERT_EQUAL(crashes, this->deployment->crashes);
+  }
+
  private:
-  void Run(const std::string& method, const std::string& target) {
+  void StartNodes() {
     this->deployment->crashing_text = "crash";
     this->deployment->Put("op/config", ConfigJson(5, R"("k1")"));
     std::vector<std::string> seeds;
@@ -88,6 +113,10 @@
     }
     this->WaitForGroups();
     this->RunFor(1500);
+  }
+
+  void Run(const std::string& method, const std::string& target) {
+    this->StartNodes();
     this->EndThreeUpstreams(method, target);
     this->ExpectRepeatsRefused(method, target);
     this->ExpectOtherRequestsServed();
--- a/test/harness/gateway-fixture.h
+++ b/test/harness/gateway-fixture.h
@@ -95,6 +95,7 @@
     options.peer_address = peer_address;
     options.peer_seeds = std::move(seeds);
     options.relay.headers = platform::WireHeaders();
+    options.relay.shared_prompt_parts = platform::SharedPromptParts;
     options.free_load_time = Milliseconds(5000);
     options.traffic.min_nodes = this->fewest_active;
     this->stores.push_back(std::make_unique<platform::StoreClient>(*this->io, store_address));
@@ -149,6 +150,7 @@
     request.headers = {
         {"Host", "h"}, {"X-Request-Id", id}, {"X-Key", key}, {"X-Deadline-Ms", "5000"}};
     if (target.starts_with("/chat/")) request.headers["X-Model"] = "m";
+    if (!this->prompt_parts.empty()) request.headers["X-Prefix-Hash"] = this->prompt_parts;
     request.body = body;
     boost::asio::co_spawn(*this->io, this->Send(std::move(request), answer), boost::asio::detached);
   }
@@ -189,6 +191,7 @@
   std::vector<std::string> peer_addresses;
   std::size_t fewest_active = TrafficSetOptions().min_nodes;
   std::string caller_address;
+  std::string prompt_parts;  ///< `X-Prefix-Hash` of further requests; empty for none.
   std::shared_ptr<HttpConnection> last_connection;
 };
 
--- a/test/platform-wire-test.cc
+++ b/test/platform-wire-test.cc
@@ -37,9 +37,23 @@
   CPPUNIT_TEST(ConfigurationDecodesAllFields);
   CPPUNIT_TEST(EncodedOrderContainsExpectedOrderCount);
   CPPUNIT_TEST(DecodingDamagedTextDoesNotCrash);
+  CPPUNIT_TEST(LastPromptPartIsNotShared);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void LastPromptPartIsNotShared() {
+    const auto parts = [](const std::string& value) {
+      return platform::SharedPromptParts({{"x-prefix-hash", value}});
+    };
+    using Ids = std::vector<std::string>;
+    CPPUNIT_ASSERT(parts("5c1e07a2:800,91bd3f06:410, e4402b7d:250") ==
+                   (Ids{"5c1e07a2", "91bd3f06"}));
+    CPPUNIT_ASSERT(parts("5c1e07a2:800").empty());
+    CPPUNIT_ASSERT(parts("").empty());
+    CPPUNIT_ASSERT(parts("a,,:3,b:x:y,c") == (Ids{"a", "b"}));
+    CPPUNIT_ASSERT(platform::SharedPromptParts({}).empty());
+  }
+
   // Guards against a field that is decoded from the wrong key of an entry.
   void RunnerEntryDecodesAllFields() {
     const Runner runner = platform::DecodeRunner("i-1", kRunnerEntry, 17).value();
