Continue a stream past upstreams that respond with an error

Callers saw: a stream that had begun and broke off ended there when the next upstream responded with an error other than 5xx, although an attempt was left. No error text reached the stream: the response was refused as out of order, and the caller was taken for gone.

Cause: RelayBuffered forwards complete responses also after a stream has started.

Change: such a response is a failed attempt.

Evidence: StreamThatBrokeOffContinuesPastErrorResponses failed with 400 (one event, connection closed) and passes for 400, 404, 429, 500, 503 and 204.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -624,6 +624,15 @@
   const TimePoint now = Clock::now();
   this->table.OnProgress(slot.ticket, now);
   if (call.sends == 1) this->start_policy.OnFirstBytes(call.Lane(), now - call.stall.last_bytes);
+  if (call.stream_started) {
+    // The caller has the beginning of a stream, so this response cannot be forwarded.
+    call.may_have_run = true;
+    call.error = MayHaveRun(ErrorCode::kUpstreamLost, "the upstream responded with status " +
+                                                          std::to_string(head.status) +
+                                                          " instead of the rest of the stream");
+    this->RecordUpstreamFault(call, slot, "failed", UpstreamFault::kErrorResponse);
+    co_return Outcome::kUpstreamFailed;
+  }
   const bool success = head.status >= 200 && head.status < 300;
   if (success && !head.Find(this->options.headers.digest)) {
     call.error = MayHaveRun(ErrorCode::kUpstreamProtocol, "the response has no digest header");
--- a/test/harness/endless-server.cc
+++ b/test/harness/endless-server.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "base/pause.h"
+#include "harness/scripted-server.h"
 
 namespace limpetfall::testing {
 namespace {
@@ -21,14 +22,6 @@
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
-std::string RequestId(const std::string& head) {
-  constexpr std::string_view kName = "X-Request-Id: ";
-  const auto found = head.find(kName);
-  if (found == std::string::npos) return "";
-  const auto start = found + kName.size();
-  return head.substr(start, head.find("\r\n", start) - start);
-}
-
 }  // namespace
 
 EndlessServer::EndlessServer(asio::io_context& context, EndlessResponse endless)
@@ -58,7 +51,7 @@
       co_await asio::async_read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", kNoThrow);
   if (!read_error) {
     ++this->request_count;
-    std::string bytes = boost::replace_all_copy(this->response.start, "{id}", RequestId(head));
+    std::string bytes = boost::replace_all_copy(this->response.start, "{id}", FindRequestId(head));
     for (;;) {
       const auto [error, written] =
           co_await asio::async_write(socket, asio::buffer(bytes), kNoThrow);
