Do not blame prompt parts that have survived since a crash

Cause: survivals were kept apart from the reports they contradict. A node that restarted learned the reports alone, and a node that had not heard of a crash yet did not remember that its causes survived. Every node also repeated all evidence to all others.

Change: a survival removes the cause from the reports before it, and merging two copies of a report keeps the causes that both have. Nodes remember survivals for 5 s. A quarantine that the remaining crashes do not justify is lifted. Nodes send what they found themselves, and all they know only to a node with another digest.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -20,6 +20,7 @@
   demands @11 :List(Demand);
   capacity @12 :Float32;     # Processor share of the sender's node, in cores.
   crashes @13 :CrashEvidence;
+  crashDigest @14 :UInt64;   # Hash of all that the sender knows about crashes; 0 for nothing.
 
   struct Demand {
     model @0 :Text;
@@ -44,6 +45,7 @@
     causes @1 :List(UInt64); # Hashes of the request and of the parts of its prompt.
     sentAgeUs @2 :UInt32;    # Time since the request was sent.
     lostAgeUs @3 :UInt32;    # Time since its connection broke.
+    request @4 :UInt64;      # Hash of the request, which stays when it is no longer a cause.
   }
 
   # A request with this cause has proved harmless at the sender.
--- a/src/core/crash-attribution.cc
+++ b/src/core/crash-attribution.cc
@@ -19,6 +19,11 @@
 // After a quarantine, one more crash renews it.
 constexpr Milliseconds kProbationTime{600'000};
 
+// Reports of other nodes arrive within this time.
+constexpr Milliseconds kSurvivalLifetime{5'000};
+
+constexpr Milliseconds kRemovalInterval{500};
+
 CauseId HashField(CauseId seed, std::string_view text) {
   const CauseId length = text.size();
   return XXH3_64bits_withSeed(text.data(), text.size(),
@@ -29,6 +34,12 @@
   return std::includes(whole.begin(), whole.end(), part.begin(), part.end());
 }
 
+Causes Intersection(const Causes& a, const Causes& b) {
+  Causes both;
+  std::set_intersection(a.begin(), a.end(), b.begin(), b.end(), std::back_inserter(both));
+  return both;
+}
+
 bool Contains(const Causes& causes, CauseId cause) {
   return std::binary_search(causes.begin(), causes.end(), cause);
 }
@@ -71,15 +82,10 @@
   return text;
 }
 
-bool CrashAttribution::IsKnown(const CrashReport& report) const {
-  return std::any_of(this->reports.begin(), this->reports.end(), [&](const CrashReport& known) {
-    return known.upstream_boot == report.upstream_boot && known.causes == report.causes;
-  });
-}
-
 bool CrashAttribution::IsSuspect(CauseId cause) const {
-  return std::any_of(this->reports.begin(), this->reports.end(),
-                     [cause](const CrashReport& known) { return Contains(known.causes, cause); });
+  return std::any_of(this->reports.begin(), this->reports.end(), [cause](const KnownReport& known) {
+    return Contains(known.report.causes, cause);
+  });
 }
 
 bool CrashAttribution::IsSuspected(const Causes& causes) const {
@@ -87,27 +93,42 @@
                      [this](CauseId cause) { return this->IsSuspect(cause); });
 }
 
-TimePoint CrashAttribution::LastSurvival(CauseId cause) const {
-  const auto found = this->survivals.find(cause);
-  return found == this->survivals.end() ? TimePoint() : found->second.latest;
+void CrashAttribution::Exonerate(CauseId cause, TimePoint now, std::vector<Quarantine>& added) {
+  const auto survived = this->survivals.find(cause);
+  if (survived == this->survivals.end()) return;
+  bool changed = false;
+  for (auto& [report, own] : this->reports) {
+    if (survived->second.latest < report.lost) break;
+    changed = std::erase(report.causes, cause) > 0 || changed;
+  }
+  if (!changed) return;
+  Causes remaining;
+  for (auto& [causes, quarantine] : this->quarantines) {
+    if (!quarantine.IsActive(now) || !Contains(causes, cause)) continue;
+    if (this->Attribute(cause, now) == causes) continue;
+    quarantine.lifted = true;
+    remaining.insert(remaining.end(), causes.begin(), causes.end());
+  }
+  for (const CauseId other : remaining) this->QuarantineCulprits(other, now, added);
+}
+
+void CrashAttribution::QuarantineCulprits(CauseId cause, TimePoint now,
+                                          std::vector<Quarantine>& added) {
+  Causes common = this->Attribute(cause, now);
+  if (common.empty() || this->Find(common, now) != nullptr) return;
+  Quarantine& quarantine = this->quarantines[common];
+  quarantine = {std::move(common), quarantine.revision + 1, false, now + kQuarantineTime};
+  added.push_back(quarantine);
 }
 
 Causes CrashAttribution::Attribute(CauseId cause, TimePoint now) const {
-  const TimePoint last_survival = this->LastSurvival(cause);
   std::set<std::uint64_t> counted_boots;
   TimePoint last_counted;
   Causes common;
   bool first = true;
-  for (const CrashReport& report : this->reports) {
-    if (!Contains(report.causes, cause) || report.lost <= last_survival) continue;
-    if (first) {
-      common = report.causes;
-    } else {
-      Causes both;
-      std::set_intersection(common.begin(), common.end(), report.causes.begin(),
-                            report.causes.end(), std::back_inserter(both));
-      common = std::move(both);
-    }
+  for (const auto& [report, own] : this->reports) {
+    if (!Contains(report.causes, cause)) continue;
+    common = first ? report.causes : Intersection(common, report.causes);
     first = false;
     // Upstreams that were lost at the same moment did not crash one after the other.
     if (report.sent <= last_counted || !counted_boots.insert(report.upstream_boot).second) continue;
@@ -125,37 +146,49 @@
   });
 }
 
-std::vector<Quarantine> CrashAttribution::AddReport(CrashReport report, TimePoint now) {
-  std::vector<Quarantine> added;
-  if (report.causes.empty() || report.lost + kReportLifetime <= now || this->IsKnown(report))
-    return added;
-  const Causes causes = report.causes;
-  const auto position =
-      std::upper_bound(this->reports.begin(), this->reports.end(), report,
-                       [](const CrashReport& a, const CrashReport& b) { return a.lost < b.lost; });
-  this->reports.insert(position, std::move(report));
-  for (const CauseId cause : causes) {
-    Causes common = this->Attribute(cause, now);
-    if (common.empty() || this->Find(common, now) != nullptr) continue;
-    Quarantine& quarantine = this->quarantines[common];
-    quarantine = {std::move(common), quarantine.revision + 1, false, now + kQuarantineTime};
-    added.push_back(quarantine);
+void CrashAttribution::AddReport(CrashReport report, bool own, TimePoint now,
+                                 std::vector<Quarantine>& added) {
+  if (report.lost + kReportLifetime <= now) return;
+  const auto known =
+      std::find_if(this->reports.begin(), this->reports.end(), [&](const KnownReport& other) {
+        return other.report.upstream_boot == report.upstream_boot &&
+               other.report.request == report.request;
+      });
+  if (known != this->reports.end()) {
+    const CrashReport merged{
+        report.upstream_boot, report.request, Intersection(known->report.causes, report.causes),
+        std::min(known->report.sent, report.sent), std::min(known->report.lost, report.lost)};
+    if (merged == known->report) return;
+    own = own || known->own;
+    report = merged;
+    this->reports.erase(known);
   }
-  return added;
+  const auto position =
+      std::upper_bound(this->reports.begin(), this->reports.end(), report.lost,
+                       [](TimePoint lost, const KnownReport& b) { return lost < b.report.lost; });
+  const Causes reported = report.causes;
+  this->reports.insert(position, {std::move(report), own});
+  for (const CauseId cause : reported) this->Exonerate(cause, now, added);
+  for (const CauseId cause : reported) this->QuarantineCulprits(cause, now, added);
 }
 
 std::vector<Quarantine> CrashAttribution::OnCrash(CrashReport report, TimePoint now) {
   this->RemoveExpired(now);
-  return this->AddReport(std::move(report), now);
+  std::vector<Quarantine> added;
+  this->AddReport(std::move(report), true, now, added);
+  return added;
 }
 
-void CrashAttribution::OnSurvived(const Causes& causes, TimePoint now) {
-  for (const CauseId cause : causes) {
-    if (this->IsSuspect(cause)) this->survivals[cause] = {now, now};
-  }
+std::vector<Quarantine> CrashAttribution::OnSurvived(const Causes& causes, TimePoint now) {
+  this->RemoveExpired(now);
   for (auto& [known_causes, quarantine] : this->quarantines) {
     if (quarantine.IsActive(now) && IsSubset(known_causes, causes)) quarantine.lifted = true;
   }
+  // Another node may report a crash of these causes later.
+  for (const CauseId cause : causes) this->survivals[cause] = {now, now};
+  std::vector<Quarantine> added;
+  for (const CauseId cause : causes) this->Exonerate(cause, now, added);
+  return added;
 }
 
 const Quarantine* CrashAttribution::Find(const Causes& causes, TimePoint now) const {
@@ -165,34 +198,57 @@
   return nullptr;
 }
 
-CrashEvidence CrashAttribution::Collect(Milliseconds max_age, TimePoint now) const {
+CrashEvidence CrashAttribution::CollectRecent(Milliseconds max_age, TimePoint now) const {
   CrashEvidence evidence;
-  for (auto report = this->reports.rbegin(); report != this->reports.rend(); ++report) {
-    if (evidence.reports.size() == kMaxSent || report->lost + max_age < now) break;
-    evidence.reports.push_back(*report);
+  std::set<CauseId> suspects;
+  for (const auto& [report, own] : this->reports) {
+    if (own && now <= report.lost + max_age) evidence.reports.push_back(report);
+    // Other nodes may not know yet that a cause has survived.
+    suspects.insert(report.causes.begin(), report.causes.end());
+    suspects.insert(report.request);
   }
   for (const auto& [cause, times] : this->survivals) {
-    if (evidence.survivals.size() == kMaxSent) break;
-    if (times.own + max_age >= now) evidence.survivals.push_back({cause, times.own});
+    if (now <= times.own + max_age && suspects.contains(cause))
+      evidence.survivals.push_back({cause, times.own});
   }
   for (const auto& [causes, quarantine] : this->quarantines) {
-    if (now < quarantine.until) evidence.quarantines.push_back(quarantine);
+    if (now + kQuarantineTime <= quarantine.until + max_age)
+      evidence.quarantines.push_back(quarantine);
   }
-  if (evidence.quarantines.size() > kMaxSent) {
-    std::partial_sort(evidence.quarantines.begin(), evidence.quarantines.begin() + kMaxSent,
-                      evidence.quarantines.end(),
-                      [](const Quarantine& a, const Quarantine& b) { return a.until > b.until; });
-    evidence.quarantines.resize(kMaxSent);
+  return evidence;
+}
+
+CrashEvidence CrashAttribution::CollectAll(TimePoint now) const {
+  CrashEvidence evidence;
+  for (const auto& [report, own] : this->reports) evidence.reports.push_back(report);
+  for (const auto& [causes, quarantine] : this->quarantines) {
+    if (now < quarantine.until) evidence.quarantines.push_back(quarantine);
   }
   return evidence;
 }
 
+std::uint64_t CrashAttribution::Digest(TimePoint now) const {
+  const auto hash = [](const Causes& causes, std::uint64_t seed) {
+    return XXH3_64bits_withSeed(causes.data(), causes.size() * sizeof(CauseId), seed);
+  };
+  std::uint64_t digest = 0;
+  for (const auto& [report, own] : this->reports) {
+    digest ^= hash(report.causes, report.upstream_boot ^ report.request);
+  }
+  for (const auto& [causes, quarantine] : this->quarantines) {
+    if (now < quarantine.until)
+      digest ^= hash(causes, 2 * std::uint64_t{quarantine.revision} + (quarantine.lifted ? 1 : 0));
+  }
+  return digest;
+}
+
 std::vector<Quarantine> CrashAttribution::Merge(const CrashEvidence& evidence, TimePoint now) {
   this->RemoveExpired(now);
   std::vector<Quarantine> added;
   for (const Survival& survival : evidence.survivals) {
     TimePoint& latest = this->survivals[survival.cause].latest;
     latest = std::max(latest, survival.at);
+    this->Exonerate(survival.cause, now, added);
   }
   for (const Quarantine& received : evidence.quarantines) {
     if (received.causes.empty() || received.until <= now) continue;
@@ -203,11 +259,7 @@
     known.until = std::min(known.until, now + kQuarantineTime);
     if (begins) added.push_back(known);
   }
-  for (const CrashReport& report : evidence.reports) {
-    for (Quarantine& quarantine : this->AddReport(report, now)) {
-      added.push_back(std::move(quarantine));
-    }
-  }
+  for (const CrashReport& report : evidence.reports) this->AddReport(report, false, now, added);
   return added;
 }
 
@@ -229,18 +281,22 @@
 }
 
 void CrashAttribution::RemoveExpired(TimePoint now) {
-  std::erase_if(this->reports,
-                [&](const CrashReport& report) { return report.lost + kReportLifetime <= now; });
   while (this->reports.size() >= kMaxReports) this->reports.pop_front();
-  std::erase_if(this->survivals,
-                [now](const auto& entry) { return entry.second.latest + kReportLifetime <= now; });
-  std::erase_if(this->quarantines,
-                [now](const auto& entry) { return entry.second.until + kProbationTime <= now; });
   while (this->quarantines.size() >= kMaxQuarantines) {
     this->quarantines.erase(std::min_element(
         this->quarantines.begin(), this->quarantines.end(),
         [](const auto& a, const auto& b) { return a.second.until < b.second.until; }));
   }
+  if (now < this->last_removal + kRemovalInterval) return;
+  this->last_removal = now;
+  std::erase_if(this->reports, [now](const KnownReport& known) {
+    return known.report.lost + kReportLifetime <= now;
+  });
+  std::erase_if(this->survivals, [now](const auto& entry) {
+    return entry.second.latest + kSurvivalLifetime <= now;
+  });
+  std::erase_if(this->quarantines,
+                [now](const auto& entry) { return entry.second.until + kProbationTime <= now; });
 }
 
 }  // namespace limpetfall
--- a/src/core/crash-attribution.h
+++ b/src/core/crash-attribution.h
@@ -38,10 +38,12 @@
 /** Returns the hexadecimal form of causes that logs contain. */
 std::string ToString(const Causes& causes);
 
-/** An upstream ended while it ran a request that had not yet proved harmless. */
+/** An upstream ended while it ran a request that had not yet proved harmless. Nodes merge what they
+ * know of a report: its causes only become fewer, and its times only earlier. */
 struct CrashReport {
   std::uint64_t upstream_boot = 0;  ///< Identifies one run of the upstream.
-  Causes causes;                    ///< Those of the request.
+  CauseId request = 0;              ///< Cause that stands for the whole request.
+  Causes causes;                    ///< Those of the request that have not survived since.
   TimePoint sent;                   ///< When the request was sent.
   TimePoint lost;                   ///< When its connection broke.
 
@@ -93,16 +95,16 @@
 class CrashAttribution {
  public:
   static constexpr std::size_t kCrashesToQuarantine = 3;
-  static constexpr std::size_t kMaxReports = 512;
-  static constexpr std::size_t kMaxQuarantines = 256;
-  /** Most entries of each kind in one `CrashEvidence`. */
-  static constexpr std::size_t kMaxSent = 64;
+  /** Bounds the memory, and the size of messages between nodes. */
+  static constexpr std::size_t kMaxReports = 128;
+  static constexpr std::size_t kMaxQuarantines = 64;
 
   /** Records a crash that this node has found. Returns the quarantines that begin. */
   std::vector<Quarantine> OnCrash(CrashReport report, TimePoint now);
 
-  /** Records that a request has proved harmless at this node, which lifts its quarantines. */
-  void OnSurvived(const Causes& causes, TimePoint now);
+  /** Records that a request has proved harmless at this node, which lifts its quarantines. Returns
+   * those that begin because fewer causes remain for the crashes. */
+  std::vector<Quarantine> OnSurvived(const Causes& causes, TimePoint now);
 
   /** Returns the active quarantine of a request with these causes, or null. */
   [[nodiscard]] const Quarantine* Find(const Causes& causes, TimePoint now) const;
@@ -110,9 +112,14 @@
   /** Returns whether a crash is known of a request with one of these causes. */
   [[nodiscard]] bool IsSuspected(const Causes& causes) const;
 
-  /** Returns what has changed within `max_age`, the newest of it first. Quarantines that other
-   * nodes need after a restart are always included. */
-  [[nodiscard]] CrashEvidence Collect(Milliseconds max_age, TimePoint now) const;
+  /** Returns what this node itself has found within `max_age`, for all other nodes. */
+  [[nodiscard]] CrashEvidence CollectRecent(Milliseconds max_age, TimePoint now) const;
+
+  /** Returns everything known, for a node with another `Digest`. */
+  [[nodiscard]] CrashEvidence CollectAll(TimePoint now) const;
+
+  /** Returns a hash of everything known; equal on nodes that know the same, 0 for nothing. */
+  [[nodiscard]] std::uint64_t Digest(TimePoint now) const;
 
   /** Merges the evidence of another node. Returns the quarantines that begin. */
   std::vector<Quarantine> Merge(const CrashEvidence& evidence, TimePoint now);
@@ -125,15 +132,25 @@
   [[nodiscard]] std::size_t CountActive(TimePoint now) const;
 
  private:
+  struct KnownReport {
+    CrashReport report;
+    bool own = false;  ///< Found by this node.
+  };
+
   struct SurvivalTimes {
     TimePoint latest;  ///< On any node.
-    TimePoint own;     ///< On this node. Only these are sent on, so that no age is added up.
+    TimePoint own;     ///< On this node. Only these are sent on, so that no delay is added up.
   };
 
-  [[nodiscard]] bool IsKnown(const CrashReport& report) const;
   [[nodiscard]] bool IsSuspect(CauseId cause) const;
-  [[nodiscard]] TimePoint LastSurvival(CauseId cause) const;
-  [[nodiscard]] std::vector<Quarantine> AddReport(CrashReport report, TimePoint now);
+  void AddReport(CrashReport report, bool own, TimePoint now, std::vector<Quarantine>& added);
+
+  /** Removes the cause from the crashes before its last survival. Lifts the quarantines that these
+   * crashes no longer justify, and begins those of the causes that remain. */
+  void Exonerate(CauseId cause, TimePoint now, std::vector<Quarantine>& added);
+
+  /** Begins the quarantine that the crashes with `cause` justify, if there are enough. */
+  void QuarantineCulprits(CauseId cause, TimePoint now, std::vector<Quarantine>& added);
 
   /** Returns the causes to quarantine because of the crashes with `cause`, empty if there are too
    * few. */
@@ -141,9 +158,10 @@
   [[nodiscard]] bool IsOnProbation(const Causes& causes, TimePoint now) const;
   void RemoveExpired(TimePoint now);
 
-  std::deque<CrashReport> reports;  ///< In order of `lost`.
+  std::deque<KnownReport> reports;  ///< In order of `lost`.
   std::unordered_map<CauseId, SurvivalTimes> survivals;
   std::map<Causes, Quarantine> quarantines;
+  TimePoint last_removal;
 };
 
 }  // namespace limpetfall
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -79,10 +79,9 @@
 // Standby nodes, which carry no traffic, exchange status messages once in this many rounds.
 inline constexpr std::uint64_t kRoundsPerStandbyStatus = 5;
 
-// Age up to which evidence of crashes is sent in each round, and in one of
-// `kRoundsPerStandbyStatus`.
-inline constexpr Milliseconds kRecentEvidence{1000};
-inline constexpr Milliseconds kEvidenceLifetime{60000};
+// Age up to which evidence of crashes is sent in each round. A few messages may be lost.
+inline constexpr Milliseconds kEvidenceAge{700};
+inline constexpr Milliseconds kStandbyEvidenceAge{2500};
 
 // Time between two probes of a suspect runner.
 inline constexpr Milliseconds kProbeInterval{220};
@@ -497,7 +496,7 @@
   if (now < this->quarantines_written + gateway_detail::kQuarantineWriteInterval) co_return;
   this->quarantines_written = now;
   const StateItem* stored = this->mirror.Find(std::string(gateway_keys::kQuarantines));
-  const auto active = known.Collect(Milliseconds(0), now).quarantines;
+  const auto active = known.CollectAll(now).quarantines;
   StoreWrite write;
   write.conditions.push_back(
       {std::string(gateway_keys::kLeader), this->gateway_state.leader->revision});
@@ -713,9 +712,10 @@
     this->gateway_state.ShareFreeSlots();
     PeerStatus status = this->MakeStatus();
     status.demands = this->gateway_state.relay.SlotDemand();
-    // Older evidence is repeated only for nodes that have started or were cut off meanwhile.
-    status.crashes = this->gateway_state.crash_attribution.Collect(
-        standby_round ? gateway_detail::kEvidenceLifetime : gateway_detail::kRecentEvidence, now);
+    const CrashAttribution& crash_attribution = this->gateway_state.crash_attribution;
+    status.crash_digest = crash_attribution.Digest(now);
+    status.crashes = crash_attribution.CollectRecent(
+        standby_round ? gateway_detail::kStandbyEvidenceAge : gateway_detail::kEvidenceAge, now);
     // Standby nodes dispatch no requests, so they are not sent the state that dispatching needs.
     PeerStatus standby_status = status;
     standby_status.loads.clear();
@@ -724,6 +724,7 @@
     struct Target {
       std::uint64_t echo = 0;
       bool is_core = true;
+      bool lacks_evidence = false;  ///< Knows something else about crashes than this node.
     };
     std::map<std::string, Target> targets;
     const bool no_live_peers = this->gateway_state.peers.LivePeers(now).empty();
@@ -732,16 +733,23 @@
           this->gateway_state.IsActive(node) || this->gateway_state.IsWatcher(node);
       // Two standby nodes exchange no status messages.
       const bool due = self_is_core && to_core ? true : (self_is_core || to_core) && standby_round;
-      if (due || no_live_peers)
-        targets[address] = {this->gateway_state.peers.LastSentAtNs(node), to_core};
+      if (!due && !no_live_peers) continue;
+      const Peer* peer = this->gateway_state.peers.Find(node);
+      const bool differs = peer->status.crash_digest != status.crash_digest;
+      targets[address] = {this->gateway_state.peers.LastSentAtNs(node), to_core,
+                          standby_round && differs};
     }
     if (no_live_peers || standby_round) {
       for (const std::string& seed : this->gateway_state.options.peer_seeds)
         targets.try_emplace(seed);
     }
     targets.erase(status.peer_address);
+    const CrashEvidence recent = status.crashes;
+    const CrashEvidence all = crash_attribution.CollectAll(now);
     for (const auto& [address, target] : targets) {
-      this->SendStatusTo(target.is_core ? status : standby_status, address, target.echo);
+      PeerStatus& message = target.is_core ? status : standby_status;
+      message.crashes = target.lacks_evidence ? all : recent;
+      this->SendStatusTo(message, address, target.echo);
     }
   }
 }
--- a/src/gateway/peer-wire.cc
+++ b/src/gateway/peer-wire.cc
@@ -58,6 +58,7 @@
   for (unsigned i = 0; i < reports.size(); ++i) {
     const CrashReport& report = evidence.reports[i];
     reports[i].setUpstreamBoot(report.upstream_boot);
+    reports[i].setRequest(report.request);
     EncodeCauses(report.causes, reports[i]);
     reports[i].setSentAgeUs(AgeUs(report.sent, now));
     reports[i].setLostAgeUs(AgeUs(report.lost, now));
@@ -80,9 +81,9 @@
 CrashEvidence DecodeCrashEvidence(wire::CrashEvidence::Reader root, TimePoint now) {
   CrashEvidence evidence;
   for (const auto report : root.getReports()) {
-    evidence.reports.push_back({report.getUpstreamBoot(), DecodeCauses(report.getCauses()),
-                                FromAgeUs(report.getSentAgeUs(), now),
-                                FromAgeUs(report.getLostAgeUs(), now)});
+    evidence.reports.push_back(
+        {report.getUpstreamBoot(), report.getRequest(), DecodeCauses(report.getCauses()),
+         FromAgeUs(report.getSentAgeUs(), now), FromAgeUs(report.getLostAgeUs(), now)});
   }
   for (const auto survival : root.getSurvivals()) {
     evidence.survivals.push_back({survival.getCause(), FromAgeUs(survival.getAgeUs(), now)});
@@ -151,6 +152,7 @@
     demands[index].setPlaces(static_cast<float>(places));
     ++index;
   }
+  root.setCrashDigest(status.crash_digest);
   if (status.crashes != CrashEvidence()) {
     EncodeCrashEvidence(status.crashes, root.initCrashes(), now);
   }
@@ -177,6 +179,7 @@
     for (const auto demand : root.getDemands()) {
       status.demands[ModelName(String(demand.getModel()))] = demand.getPlaces();
     }
+    status.crash_digest = root.getCrashDigest();
     status.crashes = DecodeCrashEvidence(root.getCrashes(), now);
     return status;
   });
--- a/src/gateway/peer-wire.h
+++ b/src/gateway/peer-wire.h
@@ -30,6 +30,7 @@
   std::map<std::uint64_t, int> loads;    ///< Requests in flight, by hash of the upstream's id.
   std::vector<std::uint64_t> suspended;  ///< Hashes of suspended upstreams.
   std::map<ModelName, double> demands;   ///< Slots that its callers would occupy concurrently.
+  std::uint64_t crash_digest = 0;        ///< `CrashAttribution::Digest` of the sender.
   CrashEvidence crashes;                 ///< On the clock of the node that holds this object.
 
   friend bool operator==(const PeerStatus&, const PeerStatus&) = default;
--- a/src/gateway/peer.capnp.h
+++ b/src/gateway/peer.capnp.h
@@ -42,7 +42,7 @@
   struct Load;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8cfde5dc1715331d, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(8cfde5dc1715331d, 6, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -105,7 +105,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd034a20ba81a56a, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fd034a20ba81a56a, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -228,6 +228,8 @@
   inline bool hasCrashes() const;
   inline  ::limpetfall::wire::CrashEvidence::Reader getCrashes() const;
 
+  inline  ::uint64_t getCrashDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -331,6 +333,9 @@
   inline void adoptCrashes(::capnp::Orphan< ::limpetfall::wire::CrashEvidence>&& value);
   inline ::capnp::Orphan< ::limpetfall::wire::CrashEvidence> disownCrashes();
 
+  inline  ::uint64_t getCrashDigest();
+  inline void setCrashDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -652,6 +657,8 @@
 
   inline  ::uint32_t getLostAgeUs() const;
 
+  inline  ::uint64_t getRequest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -697,6 +704,9 @@
   inline  ::uint32_t getLostAgeUs();
   inline void setLostAgeUs( ::uint32_t value);
 
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1475,6 +1485,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PeerStatus::Reader::getCrashDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerStatus::Builder::getCrashDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PeerStatus::Builder::setCrashDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerStatus::Demand::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1733,6 +1757,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t CrashEvidence::Report::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashEvidence::Report::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashEvidence::Report::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CrashEvidence::Survival::Reader::getCause() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -108,6 +108,7 @@
   Error error;                     ///< Why the last attempt failed.
   VmId upstream;                   ///< Upstream of the last attempt.
   const char* outcome = "failed";  ///< Outcome in the final log event.
+  CauseId request_cause = 0;       ///< Stands for the whole request in `causes`.
   Causes causes;                   ///< What may crash an upstream that runs this request.
   TimePoint sent;                  ///< When the current attempt was sent.
   TimePoint first_event;           ///< Of the current attempt; the epoch before it.
@@ -212,7 +213,7 @@
     return NotRun(ErrorCode::kNotFound, "no route matches " + request.target);
   }
   BOOST_OUTCOME_TRY(this->Authenticate(call, request));
-  call.causes = this->FindCauses(call, request);
+  this->FindCauses(call, request);
   const auto given = ParseNumber(GetHeader(request.headers, this->options.headers.deadline_ms));
   Milliseconds allowed = call.route->timeout.count() > 0 ? call.route->timeout : kDefaultTimeout;
   if (given) allowed = std::min(allowed, Milliseconds(std::max<std::int64_t>(0, *given)));
@@ -235,16 +236,17 @@
   return success();
 }
 
-Causes Relay::FindCauses(const Call& call, const HttpRequest& request) const {
-  std::vector<CauseId> causes{RequestCause(
-      call.team, request.method, GetHeader(request.headers, "Host"), request.target, request.body)};
+void Relay::FindCauses(Call& call, const HttpRequest& request) const {
+  call.request_cause = RequestCause(call.team, request.method, GetHeader(request.headers, "Host"),
+                                    request.target, request.body);
+  std::vector<CauseId> causes{call.request_cause};
   if (this->options.shared_prompt_parts) {
     for (const std::string& part : this->options.shared_prompt_parts(request.headers)) {
       if (causes.size() == kMaxCauses) break;
       causes.push_back(PromptPartCause(part));
     }
   }
-  return MakeCauses(std::move(causes));
+  call.causes = MakeCauses(std::move(causes));
 }
 
 Result<void> Relay::Authenticate(Call& call, const HttpRequest& request) {
@@ -330,7 +332,7 @@
 void Relay::OnHarmless(Call& call) {
   if (call.is_harmless) return;
   call.is_harmless = true;
-  this->crashes.OnSurvived(call.causes, Clock::now());
+  this->OnQuarantined(this->crashes.OnSurvived(call.causes, Clock::now()));
 }
 
 void Relay::ExamineLoss(const Call& call, const UpstreamSlot& slot) {
@@ -345,7 +347,8 @@
     examination = std::make_shared<Examination>(
         Examination{{}, asio::steady_timer(this->io, asio::steady_timer::time_point::max())});
   }
-  examination->reports.push_back({boot, call.causes, call.sent, std::max(lost, call.sent)});
+  examination->reports.push_back(
+      {boot, call.request_cause, call.causes, call.sent, std::max(lost, call.sent)});
   Log(LogLevel::kInfo, "loss_examined",
       {{"request", call.request_id},
        {"upstream", slot.ticket.upstream().value},
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -138,7 +138,7 @@
   }
 
   [[nodiscard]] Result<void> PrepareCall(Call& call, const HttpRequest& request);
-  [[nodiscard]] Causes FindCauses(const Call& call, const HttpRequest& request) const;
+  void FindCauses(Call& call, const HttpRequest& request) const;
   [[nodiscard]] Result<void> Authenticate(Call& call, const HttpRequest& request);
   [[nodiscard]] const ServiceName& PickService(const Route& route);
   boost::asio::awaitable<Result<UpstreamSlot>> AcquireSlot(Call& call);
--- a/test/crash-attribution-test.cc
+++ b/test/crash-attribution-test.cc
@@ -24,6 +24,11 @@
   CPPUNIT_TEST(CrashesSeenByDifferentNodesAddUp);
   CPPUNIT_TEST(SurvivalAtAnotherNodeStartsNewRow);
   CPPUNIT_TEST(RestartedNodeLearnsQuarantineFromAnother);
+  CPPUNIT_TEST(RestartedNodeDoesNotBlameCauseThatSurvivedElsewhere);
+  CPPUNIT_TEST(ReportThatArrivesLateDoesNotUndoSurvival);
+  CPPUNIT_TEST(SurvivalBeforeReportArrivesCounts);
+  CPPUNIT_TEST(SurvivalThatBecomesKnownLaterLiftsQuarantine);
+  CPPUNIT_TEST(DigestsOfNodesThatKnowTheSameAreEqual);
   CPPUNIT_TEST(SurvivalLiftsQuarantineAtAllNodes);
   CPPUNIT_TEST(LiftedQuarantineBeginsAgainAfterThreeCrashes);
   CPPUNIT_TEST(OneCrashAfterExpiryRenewsQuarantine);
@@ -32,6 +37,7 @@
   CPPUNIT_TEST(StormOfCrashesQuarantinesNoSharedCause);
   CPPUNIT_TEST(PartOfDifferentRequestsIsQuarantined);
   CPPUNIT_TEST(FirstPartThatAlwaysCoincidesIsNotQuarantinedAlone);
+  CPPUNIT_TEST(GuiltyPartStaysQuarantinedWhenItsFirstPartSurvives);
   CPPUNIT_TEST(GuiltyFirstPartIsQuarantinedDespiteDifferentSecondParts);
   CPPUNIT_TEST(PartInTrafficOfSoundPartsIsFoundAlone);
   CPPUNIT_TEST_SUITE_END();
@@ -68,8 +74,9 @@
   // Guards against blaming what many upstreams of one fabric domain were running when it went dark.
   void UpstreamsLostTogetherCountOnce() {
     for (std::uint64_t boot = 1; boot <= 10; ++boot) {
-      (void)this->a.OnCrash({boot, {kRequest}, this->now, this->now + Milliseconds(100 + boot)},
-                            this->now + Milliseconds(200));
+      (void)this->a.OnCrash(
+          {boot, kRequest, {kRequest}, this->now, this->now + Milliseconds(100 + boot)},
+          this->now + Milliseconds(200));
     }
     CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
   }
@@ -77,7 +84,7 @@
   void SurvivalBetweenCrashesStartsNewRow() {
     this->Crash(this->a, {kRequest}, 1);
     this->Crash(this->a, {kRequest}, 2);
-    this->a.OnSurvived({kRequest}, this->now);
+    (void)this->a.OnSurvived({kRequest}, this->now);
     this->Crash(this->a, {kRequest}, 3);
     this->Crash(this->a, {kRequest}, 4);
     CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
@@ -100,7 +107,7 @@
     this->Crash(this->a, {kRequest}, 1);
     this->Crash(this->a, {kRequest}, 2);
     (void)this->b.Merge(this->Collect(this->a), this->now);
-    this->b.OnSurvived({kRequest}, this->now);
+    (void)this->b.OnSurvived({kRequest}, this->now);
     (void)this->a.Merge(this->Collect(this->b), this->now);
     this->Crash(this->a, {kRequest}, 3);
     CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
@@ -114,10 +121,73 @@
     CPPUNIT_ASSERT(this->b.Find({kRequest}, this->now) != nullptr);
   }
 
+  // Guards against refusing sound requests after the nodes that saw them survive have restarted.
+  void RestartedNodeDoesNotBlameCauseThatSurvivedElsewhere() {
+    this->Crash(this->a, {kFirstPart, 100}, 1);
+    this->Crash(this->a, {kFirstPart, 101}, 2);
+    (void)this->b.Merge(this->Collect(this->a), this->now);
+    (void)this->b.OnSurvived({kFirstPart, 102}, this->now);
+    (void)this->a.Merge(this->Collect(this->b), this->now);
+    this->Crash(this->a, {kFirstPart, 103}, 3);
+    (void)this->c.Merge(this->Collect(this->a), this->now);
+    CPPUNIT_ASSERT(this->c.Find({kFirstPart, 104}, this->now) == nullptr);
+  }
+
+  // Guards against taking a report for new that waited at a node while it stood still.
+  void ReportThatArrivesLateDoesNotUndoSurvival() {
+    this->Crash(this->a, {kFirstPart, 100}, 1);
+    this->Crash(this->a, {kFirstPart, 101}, 2);
+    this->Crash(this->a, {kFirstPart, 102}, 3);
+    const CrashEvidence delayed = this->Collect(this->a);
+    (void)this->a.OnSurvived({kFirstPart, 103}, this->now);
+    CrashEvidence late = delayed;
+    for (CrashReport& report : late.reports) report.lost += Milliseconds(3000);
+    this->now += Milliseconds(3000);
+    late.quarantines.clear();
+    (void)this->a.Merge(late, this->now);
+    CPPUNIT_ASSERT(this->a.Find({kFirstPart, 104}, this->now) == nullptr);
+  }
+
+  // Guards against losing a survival at a node that has not heard of the crash yet.
+  void SurvivalBeforeReportArrivesCounts() {
+    this->Crash(this->a, {kFirstPart, 100}, 1);
+    this->Crash(this->a, {kFirstPart, 101}, 2);
+    (void)this->b.OnSurvived({kFirstPart, 102}, this->now);
+    this->now += Milliseconds(200);
+    (void)this->b.Merge(this->Collect(this->a), this->now);
+    (void)this->a.Merge(this->Collect(this->b), this->now);
+    this->Crash(this->a, {kFirstPart, 103}, 3);
+    CPPUNIT_ASSERT(this->a.Find({kFirstPart, 104}, this->now) == nullptr);
+  }
+
+  // Guards against refusing a sound part for minutes after a fast row of crashes beside it.
+  void SurvivalThatBecomesKnownLaterLiftsQuarantine() {
+    this->Crash(this->a, {kFirstPart, 100}, 1);
+    this->Crash(this->a, {kFirstPart, 101}, 2);
+    (void)this->b.OnSurvived({kFirstPart, 102}, this->now);
+    this->Crash(this->a, {kFirstPart, 103}, 3);
+    CPPUNIT_ASSERT(this->a.Find({kFirstPart, 104}, this->now) != nullptr);
+    (void)this->b.Merge(this->Collect(this->a), this->now);
+    CPPUNIT_ASSERT(this->b.Find({kFirstPart, 104}, this->now) == nullptr);
+    (void)this->a.Merge(this->Collect(this->b), this->now);
+    CPPUNIT_ASSERT(this->a.Find({kFirstPart, 104}, this->now) == nullptr);
+  }
+
+  // Guards against messages with all evidence between nodes that have it.
+  void DigestsOfNodesThatKnowTheSameAreEqual() {
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, this->a.Digest(this->now));
+    this->Quarantine(this->a);
+    CPPUNIT_ASSERT(this->a.Digest(this->now) != this->b.Digest(this->now));
+    (void)this->b.Merge(this->Collect(this->a), this->now);
+    CPPUNIT_ASSERT_EQUAL(this->a.Digest(this->now), this->b.Digest(this->now));
+    (void)this->b.OnSurvived({kRequest}, this->now);
+    CPPUNIT_ASSERT(this->a.Digest(this->now) != this->b.Digest(this->now));
+  }
+
   void SurvivalLiftsQuarantineAtAllNodes() {
     this->Quarantine(this->a);
     (void)this->b.Merge(this->Collect(this->a), this->now);
-    this->b.OnSurvived({kRequest}, this->now);
+    (void)this->b.OnSurvived({kRequest}, this->now);
     CPPUNIT_ASSERT(this->b.Find({kRequest}, this->now) == nullptr);
     (void)this->a.Merge(this->Collect(this->b), this->now);
     CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
@@ -128,7 +198,7 @@
 
   void LiftedQuarantineBeginsAgainAfterThreeCrashes() {
     this->Quarantine(this->a);
-    this->a.OnSurvived({kRequest}, this->now);
+    (void)this->a.OnSurvived({kRequest}, this->now);
     this->Crash(this->a, {kRequest}, 11);
     this->Crash(this->a, {kRequest}, 12);
     CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
@@ -161,9 +231,9 @@
       }
     }
     CPPUNIT_ASSERT(this->a.CountActive(this->now) <= CrashAttribution::kMaxQuarantines);
-    const CrashEvidence sent = this->a.Collect(std::chrono::minutes(1), this->now);
-    CPPUNIT_ASSERT(sent.reports.size() <= CrashAttribution::kMaxSent);
-    CPPUNIT_ASSERT(sent.quarantines.size() <= CrashAttribution::kMaxSent);
+    const CrashEvidence sent = this->Collect(this->a);
+    CPPUNIT_ASSERT(sent.reports.size() <= CrashAttribution::kMaxReports);
+    CPPUNIT_ASSERT(sent.quarantines.size() <= CrashAttribution::kMaxQuarantines);
     CPPUNIT_ASSERT(this->a.Find({1000}, this->now) != nullptr);
   }
 
@@ -173,9 +243,9 @@
     for (int step = 0; step < 600; ++step) {
       this->now += Milliseconds(50);
       const auto own = static_cast<CauseId>(1000 + step);
-      this->a.OnSurvived({kRequest}, this->now);
+      (void)this->a.OnSurvived({kRequest}, this->now);
       if (step % 10 != 0) continue;
-      (void)this->a.OnCrash({own, {kRequest, own}, this->now - Milliseconds(80), this->now},
+      (void)this->a.OnCrash({own, own, {kRequest, own}, this->now - Milliseconds(80), this->now},
                             this->now);
       CPPUNIT_ASSERT(this->a.Find({kRequest}, this->now) == nullptr);
     }
@@ -200,6 +270,15 @@
     CPPUNIT_ASSERT(this->a.Find({kFirstPart, 202}, this->now) == nullptr);
   }
 
+  // Guards against lifting the quarantine of the guilty part when its companion survives.
+  void GuiltyPartStaysQuarantinedWhenItsFirstPartSurvives() {
+    for (CauseId own = 100; own < 103; ++own) this->Crash(this->a, {kFirstPart, kPart, own}, own);
+    (void)this->a.OnSurvived({kFirstPart, 200}, this->now);
+    CPPUNIT_ASSERT(this->a.Find({kFirstPart, kPart, 201}, this->now) != nullptr);
+    CPPUNIT_ASSERT(this->a.Find({kPart, 201}, this->now) != nullptr);
+    CPPUNIT_ASSERT(this->a.Find({kFirstPart, 201}, this->now) == nullptr);
+  }
+
   void GuiltyFirstPartIsQuarantinedDespiteDifferentSecondParts() {
     for (CauseId part = 100; part < 103; ++part) {
       this->Crash(this->a, {kFirstPart, part, part + 100}, part);
@@ -229,7 +308,7 @@
         this->now += Milliseconds(10);
         if (step % 20 == 0) {
           for (CrashAttribution& node : nodes) {
-            const CrashEvidence sent = node.Collect(Milliseconds(1000), this->now);
+            const CrashEvidence sent = node.CollectRecent(Milliseconds(1000), this->now);
             for (CrashAttribution& other : nodes) {
               if (&other != &node) (void)other.Merge(sent, this->now);
             }
@@ -241,13 +320,13 @@
           for (const Run& run : upstreams[i]) {
             if (run.sent + Milliseconds(100) > this->now) continue;
             if (std::binary_search(run.causes.begin(), run.causes.end(), kPart)) ended = true;
-            if (!ended) nodes.at(run.node).OnSurvived(run.causes, this->now);
+            if (!ended) (void)nodes.at(run.node).OnSurvived(run.causes, this->now);
           }
           if (ended) {
             ++crashes;
             for (const Run& run : upstreams[i]) {
-              (void)nodes.at(run.node).OnCrash({boots[i], run.causes, run.sent, this->now},
-                                               this->now);
+              (void)nodes.at(run.node).OnCrash(
+                  {boots[i], run.causes.back(), run.causes, run.sent, this->now}, this->now);
             }
             boots[i] = ++boot_count;
             upstreams[i].clear();
@@ -280,7 +359,7 @@
                                             Milliseconds after = Milliseconds(100)) {
     const TimePoint sent = this->now + Milliseconds(1);
     this->now = sent + after;
-    return node.OnCrash({boot, causes, sent, this->now}, this->now);
+    return node.OnCrash({boot, causes.back(), causes, sent, this->now}, this->now);
   }
 
   void Quarantine(CrashAttribution& node) {
@@ -289,7 +368,9 @@
   }
 
   [[nodiscard]] CrashEvidence Collect(const CrashAttribution& node) const {
-    return node.Collect(std::chrono::minutes(1), this->now);
+    CrashEvidence evidence = node.CollectAll(this->now);
+    evidence.survivals = node.CollectRecent(Milliseconds(1000), this->now).survivals;
+    return evidence;
   }
 
   TimePoint now = TimePoint() + std::chrono::hours(1);
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -90,9 +90,10 @@
     status.suspended = {5, 6};
     status.demands = {{ModelName("folds"), 12.5}};
     const TimePoint now = At(90000);
-    status.crashes = {{{11, {12, 13}, At(80000), At(80100)}, {14, {15}, At(70000), At(70200)}},
-                      {{16, At(89000)}},
-                      {{{12, 13}, 2, true, At(100000)}}};
+    status.crashes = {
+        {{11, 12, {12, 13}, At(80000), At(80100)}, {14, 15, {}, At(70000), At(70200)}},
+        {{16, At(89000)}},
+        {{{12, 13}, 2, true, At(100000)}}};
     CPPUNIT_ASSERT(DecodePeerStatus(EncodePeerStatus(status, now), now).value() == status);
   }
 
@@ -158,7 +159,7 @@
   void MalformedMessagesDoNotCrash() {
     PeerStatus status = Status("n2", 7);
     status.loads = {{1, 2}, {3, 4}};
-    status.crashes = {{{11, {12, 13}, At(80000), At(80100)}},
+    status.crashes = {{{11, 12, {12, 13}, At(80000), At(80100)}},
                       {{16, At(89000)}},
                       {{{12, 13}, 2, true, At(100000)}}};
     const std::string good = EncodePeerStatus(status, Clock::now());
