Send the loads and demands of all nodes to a leader on standby

Cause: a leader that took office before larger nodes started is neither active nor a watcher, so it received messages for standby nodes, without loads and demands. It planned from the shares of the configuration and, once it had served a few callers of its own, from those alone: wanted groups fell from 10.1 to 0.01 and all runners moved to the other model.

Change: the leader counts as a node that needs the state of all others.

Evidence: LeaderOnStandbyKnowsLoadOfAllNodes failed (0 requests in flight known instead of 1) and passes.

--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -705,8 +705,7 @@
     ++this->status_rounds;
     const TimePoint now = Clock::now();
     const NodeId& self = this->gateway_state.options.node;
-    const bool self_is_core =
-        this->gateway_state.IsActive(self) || this->gateway_state.IsWatcher(self);
+    const bool self_is_core = this->gateway_state.IsCore(self);
     const bool standby_round = this->status_rounds % gateway_detail::kRoundsPerStandbyStatus == 0;
     if (!self_is_core && !standby_round) continue;
     this->gateway_state.ShareFreeSlots();
@@ -729,8 +728,7 @@
     std::map<std::string, Target> targets;
     const bool no_live_peers = this->gateway_state.peers.LivePeers(now).empty();
     for (const auto& [node, address] : this->gateway_state.peers.Addresses(now)) {
-      const bool to_core =
-          this->gateway_state.IsActive(node) || this->gateway_state.IsWatcher(node);
+      const bool to_core = this->gateway_state.IsCore(node);
       // Two standby nodes exchange no status messages.
       const bool due = self_is_core && to_core ? true : (self_is_core || to_core) && standby_round;
       if (!due && !no_live_peers) continue;
--- a/src/gateway/gateway-state.cc
+++ b/src/gateway/gateway-state.cc
@@ -129,6 +129,11 @@
          this->traffic_set.watchers.end();
 }
 
+bool GatewayState::IsCore(const NodeId& node) const {
+  const bool leads = this->leader && this->leader->value->starts_with(node.value + " ");
+  return leads || this->IsActive(node) || this->IsWatcher(node);
+}
+
 std::vector<std::string> GatewayState::CallerAddresses(const std::string& zone) const {
   std::vector<std::string> same_zone_addresses;
   std::vector<std::string> other_zone_addresses;
--- a/test/gateway-integration-test.cc
+++ b/test/gateway-integration-test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(NodeWithoutStoreAccessFollowsAnotherNode);
   CPPUNIT_TEST(FollowerSwitchesFromNodeThatStoreRefuses);
   CPPUNIT_TEST(StandbyNodesMakeNoWatchCalls);
+  CPPUNIT_TEST(LeaderOnStandbyKnowsLoadOfAllNodes);
   CPPUNIT_TEST(GroupWithUnresponsiveHeadIsNotUsed);
   CPPUNIT_TEST(MembersOfIsolatedHeadJoinNoOtherGroup);
   CPPUNIT_TEST(StoppedNodeFinishesStreamsAndReleasesLeadership);
@@ -391,6 +392,30 @@
     CPPUNIT_ASSERT_EQUAL(this->CompleteStream(), answer->body);
   }
 
+  // Guards against a leader that moves groups to another model because it knows only its own
+  // callers: it took office before larger nodes started, which then carried all traffic.
+  void LeaderOnStandbyKnowsLoadOfAllNodes() {
+    this->fewest_active = 2;
+    this->node_capacity = 0.1;
+    this->StartServing();
+    this->node_capacity = 1;
+    for (int i = 2; i <= 5; ++i) {
+      this->StartNode("n" + std::to_string(i), FreeAddress(), {this->peer_addresses.front()});
+    }
+    this->RunFor(3000);
+    const GatewayState& leader = this->nodes.front()->state();
+    CPPUNIT_ASSERT(this->deployment->Get("limpetfall/leader").starts_with("n1 "));
+    CPPUNIT_ASSERT(!leader.IsActive(NodeId("n1")) && !leader.IsWatcher(NodeId("n1")));
+    this->caller_address = this->caller_addresses.at(1);
+    this->deployment->events_in_stream = 500;
+    std::optional<Answer> answer;
+    this->StartRequest("GET", "/chat/1", "s1", "k1", "", answer);
+    this->RunFor(1000);
+    const auto load =
+        leader.dispatch.SlotsAndLoad(ServiceName("llm"), ModelName("m"), Clock::now());
+    CPPUNIT_ASSERT_EQUAL(1, load.second);
+  }
+
   // Guards against a number of store calls that grows with the number of nodes. Standby nodes
   // follow a node that reads, both without changes and while entries change.
   void StandbyNodesMakeNoWatchCalls() {
--- a/test/harness/gateway-fixture.h
+++ b/test/harness/gateway-fixture.h
@@ -96,6 +96,7 @@
     options.peer_seeds = std::move(seeds);
     options.relay.headers = platform::WireHeaders();
     options.relay.shared_prompt_parts = platform::SharedPromptParts;
+    options.capacity = this->node_capacity;
     options.free_load_time = Milliseconds(5000);
     options.traffic.min_nodes = this->fewest_active;
     this->stores.push_back(std::make_unique<platform::StoreClient>(*this->io, store_address));
@@ -190,6 +191,7 @@
   std::vector<std::string> caller_addresses;
   std::vector<std::string> peer_addresses;
   std::size_t fewest_active = TrafficSetOptions().min_nodes;
+  double node_capacity = 1;  ///< Of nodes that are started.
   std::string caller_address;
   std::string prompt_parts;  ///< `X-Prefix-Hash` of further requests; empty for none.
   std::shared_ptr<HttpConnection> last_connection;
