Obey upstreams that say they leave or ask for a pause

Callers saw: requests were sent to an upstream after it had said in an answer that it leaves, until the store said so too, and to one that had asked for a pause with its refusal.

Cause: the gateway learned of a leaving upstream from the store alone and read a refusal's Retry-After nowhere.

The decision is in DispatchTable (one place for choosing, waiting and the last moment before the bytes go out): the mark belongs to the boot of the upstream and outlives its entry in the store; a pause ends at its deadline, of which the latest counts, at most 60 s. While all upstreams of a request pause, its caller is refused at once with a Retry-After after the earliest end.

--- a/src/core/dispatch.cc
+++ b/src/core/dispatch.cc
@@ -28,6 +28,27 @@
 // slots would overfill an upstream.
 constexpr double kAllocatedFreeSlotFraction = 0.5;
 
+// A runner that leaves has ended long before.
+constexpr Milliseconds kLeavingMemory{600'000};
+
+std::uint64_t BootHash(const Runner& runner) {
+  return XXH3_64bits_withSeed(runner.id.value.data(), runner.id.value.size(),
+                              static_cast<std::uint64_t>(runner.started_ms));
+}
+
+/** Returns whether the upstream has said nothing against new requests. */
+bool IsWanted(const DispatchTarget& target, TimePoint now) {
+  return !target.said_leaving && target.paused_until <= now;
+}
+
+/** Returns whether the upstream serves such requests and none of its faults excludes it. */
+bool CouldServe(const DispatchTarget& target, const DispatchRequest& request) {
+  if (!target.eligible || target.service != request.service) return false;
+  if (target.model != request.model) return false;
+  return std::find(request.excluded.begin(), request.excluded.end(), target.id) ==
+         request.excluded.end();
+}
+
 /** Returns whether an upstream is preferred for the request; others are only a last resort. A
  * request that cannot be retried is not used as the trial of an upstream after a suspension. */
 bool IsHealthy(const DispatchTarget& target, const DispatchRequest& request, TimePoint now) {
@@ -57,9 +78,8 @@
 
 DispatchTicket::~DispatchTicket() { this->Release(); }
 
-std::uint64_t DispatchTicket::boot() const {
-  return XXH3_64bits_withSeed(this->target->id.value.data(), this->target->id.value.size(),
-                              static_cast<std::uint64_t>(this->target->started_ms));
+bool DispatchTicket::IsWanted(TimePoint now) const {
+  return limpetfall::IsWanted(*this->target, now);
 }
 
 void DispatchTicket::RemoveListener() {
@@ -82,6 +102,8 @@
   if (created) {
     target = std::make_shared<DispatchTarget>();
     target->health = UpstreamHealth(this->options.health);
+    target->boot = BootHash(runner);
+    target->said_leaving = this->leaving_boots.contains(target->boot);
   }
   target->id = runner.id;
   target->address = runner.address;
@@ -150,16 +172,14 @@
   return load;
 }
 
-bool DispatchTable::MatchesRequest(const DispatchTarget& target, const DispatchRequest& request) {
-  if (!target.eligible || target.service != request.service) return false;
-  if (target.model != request.model) return false;
-  return std::find(request.excluded.begin(), request.excluded.end(), target.id) ==
-         request.excluded.end();
+bool DispatchTable::MatchesRequest(const DispatchTarget& target, const DispatchRequest& request,
+                                   TimePoint now) {
+  return IsWanted(target, now) && CouldServe(target, request);
 }
 
 bool DispatchTable::HasHealthyUpstream(const DispatchRequest& request, TimePoint now) const {
   return std::any_of(this->targets.begin(), this->targets.end(), [&](const auto& entry) {
-    return MatchesRequest(*entry.second, request) && IsHealthy(*entry.second, request, now);
+    return MatchesRequest(*entry.second, request, now) && IsHealthy(*entry.second, request, now);
   });
 }
 
@@ -177,7 +197,7 @@
   std::vector<const std::shared_ptr<DispatchTarget>*> best;
   double best_cost = std::numeric_limits<double>::max();
   for (const auto& [id, target] : this->targets) {
-    if (!MatchesRequest(*target, request)) continue;
+    if (!MatchesRequest(*target, request, now)) continue;
     if (any_healthy ? !IsHealthy(*target, request, now) : target->health.IsLost()) continue;
     const double load = static_cast<double>(this->TotalLoad(*target, now)) / target->slots;
     if (load >= request.max_load) continue;
@@ -200,7 +220,7 @@
 bool DispatchTable::HasEligible(const DispatchRequest& request, TimePoint now) const {
   if (this->HasHealthyUpstream(request, now)) return true;
   return std::any_of(this->targets.begin(), this->targets.end(), [&](const auto& entry) {
-    return MatchesRequest(*entry.second, request) && !entry.second->health.IsLost();
+    return MatchesRequest(*entry.second, request, now) && !entry.second->health.IsLost();
   });
 }
 
@@ -223,6 +243,28 @@
   ticket.target->health.OnSuccess(now);
 }
 
+bool DispatchTable::OnLeaving(const DispatchTicket& ticket, TimePoint now) {
+  ticket.target->said_leaving = true;
+  std::erase_if(this->leaving_boots,
+                [now](const auto& entry) { return entry.second + kLeavingMemory < now; });
+  return this->leaving_boots.insert_or_assign(ticket.boot(), now).second;
+}
+
+void DispatchTable::OnPause(const DispatchTicket& ticket, Deadline until) {
+  ticket.target->paused_until = std::max(ticket.target->paused_until, until);
+}
+
+std::optional<Deadline> DispatchTable::PausedUntil(const DispatchRequest& request,
+                                                   TimePoint now) const {
+  std::optional<Deadline> earliest;
+  for (const auto& [id, target] : this->targets) {
+    if (!CouldServe(*target, request) || target->said_leaving) continue;
+    if (target->paused_until <= now) return std::nullopt;
+    earliest = std::min(earliest.value_or(Deadline::max()), target->paused_until);
+  }
+  return earliest;
+}
+
 void DispatchTable::OnLost(const VmId& upstream, TimePoint now) {
   const auto found = this->targets.find(upstream);
   if (found == this->targets.end()) return;
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -72,6 +72,9 @@
   int in_flight_limit = 0;  ///< Maximum of `in_flight` until the next exchange of loads.
   TimePoint last_progress;  ///< When a request of this node last received bytes.
   UpstreamHealth health;
+  std::uint64_t boot = 0;        ///< Identifies this run of the upstream.
+  bool said_leaving = false;     ///< The upstream itself has said that it leaves.
+  Deadline paused_until;         ///< The upstream has asked this node to send nothing until then.
   bool trial_in_flight = false;  ///< The first request after a suspension is in flight.
   std::set<UpstreamLossListener*> listeners;
 };
@@ -91,7 +94,11 @@
   [[nodiscard]] const VmId& upstream() const { return this->target->id; }
   [[nodiscard]] const std::string& address() const { return this->target->address; }
   /** Identifies the current run of the upstream; a restart changes it. */
-  [[nodiscard]] std::uint64_t boot() const;
+  [[nodiscard]] std::uint64_t boot() const { return this->target->boot; }
+
+  /** Returns whether the upstream wants requests. It may have said otherwise since it was chosen.
+   */
+  [[nodiscard]] bool IsWanted(TimePoint now) const;
   [[nodiscard]] TimePoint last_progress() const { return this->target->last_progress; }
 
   /** The listener is no longer notified of the loss of the upstream. */
@@ -141,6 +148,19 @@
   /** Records an attempt that received a complete response. */
   void OnSuccess(const DispatchTicket& ticket, TimePoint now);
 
+  /** Records that an upstream has said that it leaves. It gets nothing new until it restarts,
+   * whatever its entry in the store says. Returns whether this is new. */
+  bool OnLeaving(const DispatchTicket& ticket, TimePoint now);
+
+  /** Records that an upstream wants nothing from this node until `until`. A later end stays valid.
+   */
+  void OnPause(const DispatchTicket& ticket, Deadline until);
+
+  /** Returns the earliest end of a pause if all upstreams that could serve the request have asked
+   * for one. */
+  [[nodiscard]] std::optional<Deadline> PausedUntil(const DispatchRequest& request,
+                                                    TimePoint now) const;
+
   /** Suspends an upstream that is considered lost and notifies the listeners of its requests. */
   void OnLost(const VmId& upstream, TimePoint now);
 
@@ -176,8 +196,10 @@
   };
 
   [[nodiscard]] int TotalLoad(const detail::DispatchTarget& target, TimePoint now) const;
+  /** Returns whether the upstream may be used for the request, regardless of its health and load.
+   */
   [[nodiscard]] static bool MatchesRequest(const detail::DispatchTarget& target,
-                                           const DispatchRequest& request);
+                                           const DispatchRequest& request, TimePoint now);
   [[nodiscard]] bool HasHealthyUpstream(const DispatchRequest& request, TimePoint now) const;
   [[nodiscard]] double RoutingCost(const detail::DispatchTarget& target,
                                    const DispatchRequest& request, double load,
@@ -189,6 +211,7 @@
   std::map<VmId, std::shared_ptr<detail::DispatchTarget>> targets;
   std::map<VmId, TimePoint> missing_since;
   std::map<VmId, Runner> recent_runners;  ///< Entries present or missing for less than the grace.
+  std::map<std::uint64_t, TimePoint> leaving_boots;  ///< When upstreams said that they leave.
   std::map<NodeId, PeerLoad> peers;
   std::uint64_t selection_count = 0;  ///< Rotates the choice among upstreams of equal cost.
   double free_slot_fraction = 1;      ///< Free slots that this node may use; 1 for a single node.
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -41,6 +41,9 @@
 // The listener of an ending process may close after its connections.
 constexpr Milliseconds kListenerCloseDelay{20};
 
+// An upstream that asks for a longer pause is asked again after this time.
+constexpr double kMaxPauseS = 60;
+
 // Callers honour a Retry-After of up to a third of their remaining time.
 constexpr double kRetryAfterFraction = 0.3;
 constexpr double kMaxRetryAfterS = 2.0;
@@ -68,6 +71,16 @@
   return number;
 }
 
+/** Returns the pause that an upstream asks for, in seconds with a fraction; nothing for other text.
+ */
+std::optional<double> ParsePause(std::string_view text) {
+  double seconds = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
+  const bool valid = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+  if (!valid || !(seconds >= 0)) return std::nullopt;
+  return std::min(seconds, kMaxPauseS);
+}
+
 /**
  * Returns whether an upstream call failed because its handler was cancelled, which happens when the
  * caller disconnects. Such a failure says nothing about the upstream.
@@ -489,6 +502,30 @@
   }
 }
 
+void Relay::ObeyUpstream(const Call& call, const UpstreamSlot& slot, const ResponseHead& head) {
+  const RelayHeaders& names = this->options.headers;
+  const TimePoint now = Clock::now();
+  if (head.Find(names.leaving).value_or("") == "1" && this->table.OnLeaving(slot.ticket, now)) {
+    this->metrics->Add("upstreams_leaving_total", {});
+    Log(LogLevel::kInfo, "upstream_leaves",
+        {{"request", call.request_id}, {"upstream", slot.ticket.upstream().value}});
+  }
+  constexpr int kUnavailable = 503;
+  const auto asked = head.Find(names.retry_after);
+  if (head.status != kUnavailable || !asked) return;
+  const auto seconds = ParsePause(*asked);
+  if (seconds) {
+    const auto pause = std::chrono::duration<double>(*seconds);
+    this->table.OnPause(slot.ticket, now + std::chrono::duration_cast<Clock::duration>(pause));
+  }
+  this->metrics->Add("upstream_pauses_total", {{"valid", seconds ? "yes" : "no"}});
+  Log(LogLevel::kInfo, "upstream_pauses",
+      {{"request", call.request_id},
+       {"upstream", slot.ticket.upstream().value},
+       {"asked", asked->substr(0, 40)},
+       {"obeyed_s", seconds.value_or(0)}});
+}
+
 asio::awaitable<Result<std::shared_ptr<HttpConnection>>> Relay::ConnectTo(const UpstreamSlot& slot,
                                                                           const Call& call) {
   const Deadline connect_by = std::min(call.deadline, Clock::now() + this->options.connect_timeout);
@@ -514,6 +551,11 @@
   }
   call.connection = connected.value();
   const std::shared_ptr<HttpConnection> connection = call.connection;
+  if (!slot.ticket.IsWanted(Clock::now())) {
+    this->pool.Release(connection);
+    call.error = NotRun(ErrorCode::kUnavailable, "the upstream wants no requests at present");
+    co_return Outcome::kNotRun;
+  }
   if (const auto allowed = this->CheckQuarantine(call); !allowed) {
     this->pool.Release(connection);
     call.error = allowed.error();
@@ -556,6 +598,7 @@
     this->RecordUpstreamFault(call, slot, "no_answer", UpstreamFault::kBrokenResponse);
     co_return Outcome::kLost;
   }
+  this->ObeyUpstream(call, slot, head.value());
   const RelayHeaders& names = this->options.headers;
   if (head.value().Find(names.request_id).value_or("") != call.request_id) {
     call.error =
@@ -802,7 +845,12 @@
   const double longest = std::clamp(left * kRetryAfterFraction, 0.0, kMaxRetryAfterS);
   // The random delay spreads the retries of callers that were refused at the same time over the
   // time in which slots become free.
-  return std::uniform_real_distribution<double>(longest / 3, longest)(this->random);
+  const double delay = std::uniform_real_distribution<double>(longest / 3, longest)(this->random);
+  const TimePoint now = Clock::now();
+  const auto paused_until = this->table.PausedUntil({call.service, call.model, {}}, now);
+  if (!paused_until) return delay;
+  // A retry before the first pause ends would be refused again.
+  return delay + std::chrono::duration<double>(*paused_until - now).count();
 }
 
 asio::awaitable<void> Relay::Refuse(HttpExchange& exchange, int status, const Error& error,
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -38,6 +38,8 @@
   std::string not_run;      ///< In a response: the upstream has not run the request.
   std::string digest;       ///< In a response: digest that signs the body.
   std::string last_event_id;
+  std::string leaving;      ///< In a response: the upstream leaves and wants no further requests.
+  std::string retry_after;  ///< In a refusal: seconds for which the upstream wants no requests.
 
   friend bool operator==(const RelayHeaders&, const RelayHeaders&) = default;
 };
@@ -183,6 +185,9 @@
    * crashed others. Its retry could crash the next one. */
   boost::asio::awaitable<void> AwaitExamination(const Call& call, std::uint64_t boot);
 
+  /** Takes note of what an upstream says of itself in a response to any request. */
+  void ObeyUpstream(const Call& call, const UpstreamSlot& slot, const ResponseHead& head);
+
   /** Counts and logs a failed attempt. */
   void ReportUpstreamFailure(const Call& call, const UpstreamSlot& slot, const char* what,
                              const std::string& detail);
--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -92,6 +92,7 @@
   ++runner.boot;
   runner.orders = 0;
   runner.group = json();
+  runner.extra_headers.clear();
   this->Publish(runner);
 }
 
@@ -341,7 +342,7 @@
                                                    std::size_t request_index) {
   const std::string last(GetHeader(exchange.request().headers, "Last-Event-Id"));
   int next = last.empty() ? 0 : std::stoi(last) + 1;
-  Headers headers;
+  Headers headers = runner.extra_headers;
   headers["Content-Type"] = "text/event-stream";
   headers["X-Request-Id"] = GetHeader(exchange.request().headers, "X-Request-Id");
   headers["X-Server-Stamp"] = runner.id;
@@ -414,6 +415,7 @@
   if (runner.mode == RunnerMode::kRefusing) {
     HttpResponse refusal;
     refusal.status = 503;
+    refusal.headers = runner.extra_headers;
     refusal.headers["X-Request-Id"] = id;
     refusal.headers["X-Not-Run"] = "1";
     [[maybe_unused]] const auto sent = co_await exchange.Send(std::move(refusal));
@@ -443,6 +445,7 @@
   }
   HttpResponse answer;
   answer.status = 200;
+  answer.headers = runner.extra_headers;
   answer.headers["X-Request-Id"] = id;
   answer.headers["X-Server-Stamp"] = runner.id;
   answer.body = "done by " + runner.id;
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -64,6 +64,11 @@
                  std::size_t max_connections = 1000);
   void SetRunnerMode(const std::string& id, RunnerMode mode) { this->runners.at(id)->mode = mode; }
 
+  /** Sets headers that a runner adds to its responses to requests. */
+  void SetExtraHeaders(const std::string& id, Headers headers) {
+    this->runners.at(id)->extra_headers = std::move(headers);
+  }
+
   /** Publishes another address for a runner, as if another server answered there. */
   void SetRunnerAddress(const std::string& id, const std::string& address);
 
@@ -141,6 +146,7 @@
     std::string domain;
     std::int64_t orders = 0;
     RunnerMode mode = RunnerMode::kServing;
+    Headers extra_headers;
     nlohmann::json group;
     std::vector<std::string> staged;
     std::unique_ptr<HttpServer> server;
