Send evidence of crashes to few nodes a round and survivals once

Each node sent everything to all nodes with another digest, and survivals that removed nothing; those that removed a cause were not told to others directly.

Change: all evidence goes to at most three nodes a round, and a survival is sent when it has removed a cause from a report.

Evidence: crash-attribution-test 24 of 24, crashing integration test 7 of 7. The bytes were not measured when this was committed.

--- a/src/core/crash-attribution.cc
+++ b/src/core/crash-attribution.cc
@@ -102,6 +102,7 @@
     changed = std::erase(report.causes, cause) > 0 || changed;
   }
   if (!changed) return;
+  survived->second.useful = now;
   Causes remaining;
   for (auto& [causes, quarantine] : this->quarantines) {
     if (!quarantine.IsActive(now) || !Contains(causes, cause)) continue;
@@ -185,7 +186,11 @@
     if (quarantine.IsActive(now) && IsSubset(known_causes, causes)) quarantine.lifted = true;
   }
   // Another node may report a crash of these causes later.
-  for (const CauseId cause : causes) this->survivals[cause] = {now, now};
+  for (const CauseId cause : causes) {
+    SurvivalTimes& times = this->survivals[cause];
+    times.latest = now;
+    times.own = now;
+  }
   std::vector<Quarantine> added;
   for (const CauseId cause : causes) this->Exonerate(cause, now, added);
   return added;
@@ -200,15 +205,11 @@
 
 CrashEvidence CrashAttribution::CollectRecent(Milliseconds max_age, TimePoint now) const {
   CrashEvidence evidence;
-  std::set<CauseId> suspects;
   for (const auto& [report, own] : this->reports) {
     if (own && now <= report.lost + max_age) evidence.reports.push_back(report);
-    // Other nodes may not know yet that a cause has survived.
-    suspects.insert(report.causes.begin(), report.causes.end());
-    suspects.insert(report.request);
   }
   for (const auto& [cause, times] : this->survivals) {
-    if (now <= times.own + max_age && suspects.contains(cause))
+    if (times.own != TimePoint() && now <= times.useful + max_age)
       evidence.survivals.push_back({cause, times.own});
   }
   for (const auto& [causes, quarantine] : this->quarantines) {
--- a/src/core/crash-attribution.h
+++ b/src/core/crash-attribution.h
@@ -140,6 +140,7 @@
   struct SurvivalTimes {
     TimePoint latest;  ///< On any node.
     TimePoint own;     ///< On this node. Only these are sent on, so that no delay is added up.
+    TimePoint useful;  ///< When it last removed the cause from a report.
   };
 
   [[nodiscard]] bool IsSuspect(CauseId cause) const;
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -83,6 +83,9 @@
 inline constexpr Milliseconds kEvidenceAge{700};
 inline constexpr Milliseconds kStandbyEvidenceAge{2500};
 
+// Nodes to which all evidence is sent in one round. Several nodes send to each that lacks some.
+inline constexpr std::size_t kMaxEvidenceTargets = 3;
+
 // Time between two probes of a suspect runner.
 inline constexpr Milliseconds kProbeInterval{220};
 inline constexpr Milliseconds kProbeTimeout{200};
@@ -744,9 +747,16 @@
     targets.erase(status.peer_address);
     const CrashEvidence recent = status.crashes;
     const CrashEvidence all = crash_attribution.CollectAll(now);
+    std::vector<std::string> lacking;
+    for (const auto& [address, target] : targets) {
+      if (target.lacks_evidence) lacking.push_back(address);
+    }
+    std::shuffle(lacking.begin(), lacking.end(), this->random);
+    lacking.resize(std::min(lacking.size(), gateway_detail::kMaxEvidenceTargets));
     for (const auto& [address, target] : targets) {
       PeerStatus& message = target.is_core ? status : standby_status;
-      message.crashes = target.lacks_evidence ? all : recent;
+      const bool sends_all = std::find(lacking.begin(), lacking.end(), address) != lacking.end();
+      message.crashes = sends_all ? all : recent;
       this->SendStatusTo(message, address, target.echo);
     }
   }
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -116,8 +116,8 @@
   [[nodiscard]] bool IsActive(const NodeId& node) const;
   [[nodiscard]] bool IsWatcher(const NodeId& node) const;
 
-  /** Returns whether the node needs the state of all others: it carries traffic, reads the store, or
-   * assembles groups. A leader may do so after it has been replaced in its other duties. */
+  /** Returns whether the node needs the state of all others: it carries traffic, reads the store,
+   * or assembles groups. A leader may do so after it has been replaced in its other duties. */
   [[nodiscard]] bool IsCore(const NodeId& node) const;
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] std::vector<std::string> CallerAddresses(const std::string& zone) const;
