--- a/test/crash-attribution-test.cc
+++ b/test/crash-attribution-test.cc
@@ -242,7 +242,7 @@
   void StormOfCrashesQuarantinesNoSharedCause() {
     for (int step = 0; step < 600; ++step) {
       this->now += Milliseconds(50);
-      const auto own = static_cast<CauseId>(1000 + step);
+      const CauseId own = 1000 + static_cast<CauseId>(step);
       (void)this->a.OnSurvived({kRequest}, this->now);
       if (step % 10 != 0) continue;
       (void)this->a.OnCrash({own, own, {kRequest, own}, this->now - Milliseconds(80), this->now},
