--- a/src/core/crash-attribution.cc
+++ b/src/core/crash-attribution.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -103,7 +104,7 @@
   }
   if (!changed) return;
   survived->second.useful = now;
-  Causes remaining;
+  std::vector<CauseId> remaining;
   for (auto& [causes, quarantine] : this->quarantines) {
     if (!quarantine.IsActive(now) || !Contains(causes, cause)) continue;
     if (this->Attribute(cause, now) == causes) continue;
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -746,13 +746,14 @@
     }
     targets.erase(status.peer_address);
     const CrashEvidence recent = status.crashes;
-    const CrashEvidence all = crash_attribution.CollectAll(now);
     std::vector<std::string> lacking;
     for (const auto& [address, target] : targets) {
       if (target.lacks_evidence) lacking.push_back(address);
     }
     std::shuffle(lacking.begin(), lacking.end(), this->random);
     lacking.resize(std::min(lacking.size(), gateway_detail::kMaxEvidenceTargets));
+    CrashEvidence all;
+    if (!lacking.empty()) all = crash_attribution.CollectAll(now);
     for (const auto& [address, target] : targets) {
       PeerStatus& message = target.is_core ? status : standby_status;
       const bool sends_all = std::find(lacking.begin(), lacking.end(), address) != lacking.end();
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -140,6 +140,7 @@
   }
 
   [[nodiscard]] Result<void> PrepareCall(Call& call, const HttpRequest& request);
+  /** Sets what may crash an upstream that runs the request. The team must be known. */
   void FindCauses(Call& call, const HttpRequest& request) const;
   [[nodiscard]] Result<void> Authenticate(Call& call, const HttpRequest& request);
   [[nodiscard]] const ServiceName& PickService(const Route& route);
--- a/test/endless-response-integration-test.cc
+++ b/test/endless-response-integration-test.cc
@@ -189,11 +189,6 @@
     this->deployment->SetRunnerAddress(runner, this->servers.back().address());
   }
 
-  void ResetFixture() {
-    this->tearDown();
-    this->setUp();
-  }
-
   void ExpectAllConnectionsClosed() {
     this->RunUntil(
         [this] {
--- a/test/faulty-upstream-integration-test.cc
+++ b/test/faulty-upstream-integration-test.cc
@@ -154,11 +154,6 @@
     });
   }
 
-  void ResetFixture() {
-    this->tearDown();
-    this->setUp();
-  }
-
   [[nodiscard]] std::size_t CountSends(const std::string& id) const {
     std::size_t sends = 0;
     for (const ScriptedServer& server : this->servers) {
--- a/test/harness/gateway-fixture.h
+++ b/test/harness/gateway-fixture.h
@@ -116,6 +116,12 @@
     this->RunFor(200);
   }
 
+  /** Starts over with a new deployment and no nodes. */
+  void ResetFixture() {
+    this->tearDown();
+    this->setUp();
+  }
+
   void RunFor(int ms) { this->io->run_for(Milliseconds(ms)); }
 
   void RunUntil(const std::function<bool()>& condition, int limit_ms) {
