--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -36,7 +36,7 @@
 
 // Some callers keep a directory response for three times the time that it states.
 constexpr double kLongestKeeping = 3.0;
-constexpr double kKeepingMargin = 0.05;
+constexpr double kKeepingMargin = 0.02;
 
 struct Case {
   Deployment& world;
@@ -133,9 +133,9 @@
     world.record.Write("SIGTERM to " + run.stopped.name());
   }
   // Callers ask the two other nodes.
-  for (int i = 0; i < 40; ++i) {
+  for (int i = 0; i < 60; ++i) {
     world.Spawn(RunCaller(run, *world.gateways[1 + static_cast<std::size_t>(i) % 2]));
-    world.RunFor(Milliseconds(15));
+    world.RunFor(Milliseconds(10));
   }
   world.RunUntil([&] { return run.pending == 0; }, Milliseconds(15000));
   if (arguments.disturbed()) {
