Refuse what a stopping node cannot finish in time

Cause: a stopping node accepts everything until callers may no longer keep its address, and ends at a fixed time, whatever is in flight; nothing compares the length of a request with the time left. A request in the queue, or between two attempts, was sent in the same way. Ruled out: the margin before the end, as 3.0 s + 5.2 s exceeds the grace period of 8 s without any.

A request is accepted, and sent, only if its deadline is before the end of the process or its estimated duration fits: the longest time to the first bytes plus the longest time per token, over the last 10 s to 20 s of the route, with a factor of 1.5. Others get 503 at once, not run, to retry in 50 ms at another node.

LateStreamIsRefusedAndEarlyOneEndsWhole and RequestInQueueAtStopIsRefusedWithoutRunning fail on: the late stream is accepted, the queued one runs. Both pass with the change.

--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -812,15 +812,16 @@
   this->gateway_state.stopping = true;
   this->gateway_state.Refresh();
   this->SendStatus();
-  this->drain.Start(Clock::now());
+  const TimePoint now = Clock::now();
+  this->drain.Start(now);
+  this->stop_by = now + this->gateway_state.options.stop_grace - gateway_detail::kStopMargin;
+  this->gateway_state.relay.BeginStop(this->stop_by);
   boost::asio::co_spawn(this->io, this->StopLoop(std::move(on_finished)), boost::asio::detached);
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::StopLoop(
     std::function<void()> on_finished) {
-  const Deadline stop_by =
-      Clock::now() + this->gateway_state.options.stop_grace - gateway_detail::kStopMargin;
   for (const std::optional<LeaseGrant>& held : {this->leader_lease, this->node_lease}) {
     if (!held) continue;
     const auto ended = co_await this->store.RevokeLease(
@@ -835,7 +836,7 @@
       this->caller_server->StopAccepting();
       closed = true;
     }
-    if (stage == DrainStage::kFinished || stop_by <= now) break;
+    if (stage == DrainStage::kFinished || this->stop_by <= now) break;
     co_await detail::PauseUntil(Clock::now() + Milliseconds(20));
   }
   Log(LogLevel::kInfo, "stopped", {{"in_flight", this->caller_server->in_flight()}});
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -227,6 +227,7 @@
   /** The last update from the followed peer failed or was outdated. */
   bool followed_peer_failed = false;
   Drain drain;
+  Deadline stop_by = Deadline::max();  ///< When a stopping process ends, whatever is in flight.
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> peer_server;
   boost::asio::ip::udp::socket peer_socket;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -48,6 +48,9 @@
 constexpr double kRetryAfterFraction = 0.3;
 constexpr double kMaxRetryAfterS = 2.0;
 
+// Another node serves a caller at once. The delay bounds the attempts of one that knows no other.
+constexpr double kOtherNodeRetryS = 0.05;
+
 /** Returns whether a header applies to a single connection and must not be forwarded. */
 bool IsHopByHop(const std::string& name) {
   static const std::set<std::string, HeaderNameLess> names{
@@ -105,6 +108,7 @@
   int priority = 0;
   ModelName model;
   ServiceName service;
+  std::int64_t answer_tokens = 0;  ///< Maximum length that the caller stated; 0 if none.
   TimePoint arrived;
   Deadline deadline;
   std::vector<VmId> excluded;
@@ -242,6 +246,8 @@
   const auto service = call.routes->config().services.find(call.service);
   const bool engine = service != call.routes->config().services.end() && service->second.engine;
   if (!engine) call.model = ModelName();
+  if (this->options.max_answer_tokens)
+    call.answer_tokens = this->options.max_answer_tokens(request.headers);
   if (const auto last =
           ParseNumber(GetHeader(request.headers, this->options.headers.last_event_id))) {
     call.events = EventBuffer(*last);
@@ -313,6 +319,7 @@
 }
 
 void Relay::ExpireWaiting() {
+  if (this->stop_admission.is_stopping()) this->CancelDisallowed();
   for (const AdmissionId id : this->queue.Expire(Clock::now())) {
     if (const auto waiter = this->waiters.find(id); waiter != this->waiters.end()) {
       waiter->second->timer.cancel();
@@ -320,11 +327,33 @@
   }
 }
 
-Result<void> Relay::CheckQuarantine(const Call& call) const {
-  const Quarantine* quarantine = this->crashes.Find(call.causes, Clock::now());
-  if (quarantine == nullptr) return success();
-  return NotRun(ErrorCode::kQuarantined,
-                "upstreams crashed while running such requests: " + ToString(quarantine->causes));
+bool Relay::EndsBeforeStop(const Call& call, TimePoint now) const {
+  return this->stop_admission.Admits({call.route->name, call.answer_tokens, call.deadline}, now);
+}
+
+Result<void> Relay::CheckAllowed(const Call& call) const {
+  const TimePoint now = Clock::now();
+  if (const Quarantine* quarantine = this->crashes.Find(call.causes, now)) {
+    return NotRun(ErrorCode::kQuarantined,
+                  "upstreams crashed while running such requests: " + ToString(quarantine->causes));
+  }
+  // A stream that has begun can only continue here.
+  if (call.stream_started) return success();
+  if (!this->EndsBeforeStop(call, now)) {
+    return NotRun(ErrorCode::kUnavailable, "this node stops before the response would end");
+  }
+  return success();
+}
+
+void Relay::CancelDisallowed() {
+  for (const auto& [id, waiter] : this->waiters) {
+    if (!this->CheckAllowed(waiter->call)) waiter->timer.cancel();
+  }
+}
+
+void Relay::BeginStop(Deadline stop_by) {
+  this->stop_admission.BeginStop(stop_by);
+  this->CancelDisallowed();
 }
 
 void Relay::OnQuarantined(const std::vector<Quarantine>& added) {
@@ -336,10 +365,7 @@
          {"left_ms", TimeLeft(quarantine.until, Clock::now()).count()},
          {"active", this->crashes.CountActive(Clock::now())}});
   }
-  if (added.empty()) return;
-  for (const auto& [id, waiter] : this->waiters) {
-    if (!this->CheckQuarantine(waiter->call)) waiter->timer.cancel();
-  }
+  if (!added.empty()) this->CancelDisallowed();
 }
 
 void Relay::OnHarmless(Call& call) {
@@ -404,7 +430,7 @@
 
 asio::awaitable<Result<Relay::UpstreamSlot>> Relay::AcquireSlot(Call& call) {
   const TimePoint now = Clock::now();
-  BOOST_OUTCOME_CO_TRY(this->CheckQuarantine(call));
+  BOOST_OUTCOME_CO_TRY(this->CheckAllowed(call));
   const DispatchRequest wanted{call.service,        call.model,         call.excluded, 1,
                                call.IsRepeatable(), call.stream_started};
   if (!this->table.HasEligible(wanted, now)) {
@@ -449,7 +475,7 @@
     }
     co_await waiter.timer.async_wait(kNoThrow);
   }
-  BOOST_OUTCOME_CO_TRY(this->CheckQuarantine(call));
+  BOOST_OUTCOME_CO_TRY(this->CheckAllowed(call));
   if (!waiter.ticket) {
     co_return NotRun(ErrorCode::kResourceExhausted, "no upstream slot became free in time");
   }
@@ -556,7 +582,7 @@
     call.error = NotRun(ErrorCode::kUnavailable, "the upstream wants no requests at present");
     co_return Outcome::kNotRun;
   }
-  if (const auto allowed = this->CheckQuarantine(call); !allowed) {
+  if (const auto allowed = this->CheckAllowed(call); !allowed) {
     this->pool.Release(connection);
     call.error = allowed.error();
     co_return Outcome::kNotRun;
@@ -698,6 +724,10 @@
   }
   this->table.OnSuccess(slot.ticket, now);
   slot.served = success;
+  if (success && call.sends == 1) {
+    const auto total = now - call.sent;
+    this->stop_admission.OnCompleted(call.route->name, {call.answer_tokens, total, total}, now);
+  }
   const auto sent = co_await exchange.Send(std::move(response));
   co_return sent ? Outcome::kAnswered : Outcome::kCallerDisconnected;
 }
@@ -761,7 +791,13 @@
   this->pool.Release(call.connection);
   this->table.OnSuccess(slot.ticket, Clock::now());
   slot.served = true;
-  if (call.sends == 1) this->demand.OnServed(call.model, Clock::now() - sent);
+  if (call.sends == 1) {
+    const TimePoint now = Clock::now();
+    this->demand.OnServed(call.model, now - sent);
+    const TimePoint first = call.first_event == TimePoint() ? now : call.first_event;
+    this->stop_admission.OnCompleted(call.route->name,
+                                     {call.answer_tokens, first - sent, now - sent}, now);
+  }
   const auto finished = co_await exchange.FinishStream();
   co_return finished ? Outcome::kAnswered : Outcome::kCallerDisconnected;
 }
@@ -841,6 +877,8 @@
 }
 
 double Relay::RetryAfter(const Call& call) {
+  if (call.error.code == ErrorCode::kQuarantined) return 0;
+  if (!this->EndsBeforeStop(call, Clock::now())) return kOtherNodeRetryS;
   const double left = std::chrono::duration<double>(call.deadline - Clock::now()).count();
   const double longest = std::clamp(left * kRetryAfterFraction, 0.0, kMaxRetryAfterS);
   // The random delay spreads the retries of callers that were refused at the same time over the
@@ -882,9 +920,7 @@
   }
   if (!call.may_have_run) {
     call.error.verdict = Verdict::kNotRun;
-    const bool quarantined = call.error.code == ErrorCode::kQuarantined;
-    co_return co_await this->Refuse(exchange, 503, call.error,
-                                    quarantined ? 0 : this->RetryAfter(call));
+    co_return co_await this->Refuse(exchange, 503, call.error, this->RetryAfter(call));
   }
   constexpr int kUnavailable = 503;
   const bool promises_not_run =
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -22,6 +22,7 @@
 #include "core/gateway-config.h"
 #include "core/shared-retry-budget.h"
 #include "core/start-limit.h"
+#include "core/stop-admission.h"
 #include "gateway/http-connection.h"
 #include "http/server.h"
 
@@ -48,6 +49,8 @@
   RelayHeaders headers;
   /** Returns the parts of a request's prompt that other requests may share. Absent: none. */
   std::function<std::vector<std::string>(const Headers&)> shared_prompt_parts;
+  /** Returns the maximum length of the answer in tokens, or 0 if it is not stated. Absent: 0. */
+  std::function<std::int64_t(const Headers&)> max_answer_tokens;
   /** A key is refused when the configuration was last confirmed longer ago than this. */
   Milliseconds key_proof_lifetime{4000};
   bool strict_keys = true;
@@ -108,6 +111,9 @@
   /** Logs quarantines that begin, and ends the waiting requests that they refuse. */
   void OnQuarantined(const std::vector<Quarantine>& added);
 
+  /** From now on, refuses requests that may not end before `stop_by`. */
+  void BeginStop(Deadline stop_by);
+
   /** Returns how many slots the callers of this node would occupy concurrently, by model. */
   [[nodiscard]] std::map<ModelName, double> SlotDemand() {
     return this->demand.DemandedSlots(Clock::now());
@@ -170,8 +176,15 @@
   [[nodiscard]] bool MayRetry(Call& call, Outcome outcome);
   [[nodiscard]] double RetryAfter(const Call& call);
 
-  /** Returns the error of a request that is quarantined, or success. */
-  [[nodiscard]] Result<void> CheckQuarantine(const Call& call) const;
+  /** Returns whether a request that is sent now ends before the process does. */
+  [[nodiscard]] bool EndsBeforeStop(const Call& call, TimePoint now) const;
+
+  /** Returns the error of a request that must not be sent: it is quarantined, or the process may
+   * end before the response. */
+  [[nodiscard]] Result<void> CheckAllowed(const Call& call) const;
+
+  /** Ends the waiting requests that must no longer be sent. */
+  void CancelDisallowed();
 
   /** Records that the current attempt has outlived the time in which it would have crashed its
    * upstream. */
@@ -211,6 +224,7 @@
   DemandMeter demand;
   StartDeadlinePolicy start_policy;
   CallerRetryDetector retry_detector;
+  StopAdmission stop_admission;
   std::unordered_map<AdmissionId, Waiter*> waiters;
   std::map<std::uint64_t, std::shared_ptr<Examination>> examinations;  ///< By upstream boot.
   std::mt19937_64 random;
--- a/test/harness/gateway-fixture.h
+++ b/test/harness/gateway-fixture.h
@@ -96,9 +96,11 @@
     options.peer_seeds = std::move(seeds);
     options.relay.headers = platform::WireHeaders();
     options.relay.shared_prompt_parts = platform::SharedPromptParts;
+    options.relay.max_answer_tokens = platform::MaxAnswerTokens;
     options.capacity = this->node_capacity;
     options.free_load_time = Milliseconds(5000);
     options.traffic.min_nodes = this->fewest_active;
+    options.stop_grace = this->stop_grace;
     this->stores.push_back(std::make_unique<platform::StoreClient>(*this->io, store_address));
     this->nodes.push_back(std::make_unique<GatewayUnderTest>(
         *this->io, options, *this->stores.back(), this->adapter, Metrics::Create()));
@@ -197,7 +199,8 @@
   std::vector<std::string> caller_addresses;
   std::vector<std::string> peer_addresses;
   std::size_t fewest_active = TrafficSetOptions().min_nodes;
-  double node_capacity = 1;  ///< Of nodes that are started.
+  double node_capacity = 1;                               ///< Of nodes that are started.
+  Milliseconds stop_grace = GatewayOptions().stop_grace;  ///< Of nodes that are started.
   std::string caller_address;
   std::string prompt_parts;  ///< `X-Prefix-Hash` of further requests; empty for none.
   std::shared_ptr<HttpConnection> last_connection;
--- a/test/planned-stop-integration-test.cc
+++ b/test/planned-stop-integration-test.cc
@@ -8,10 +8,34 @@
 
 class PlannedStopIntegrationTest : public GatewayFixture {
   CPPUNIT_TEST_SUITE(PlannedStopIntegrationTest);
+  CPPUNIT_TEST(LateStreamIsRefusedAndEarlyOneEndsWhole);
   CPPUNIT_TEST(StopIsKnownToAllNodesBeforeAnnounceTimeout);
+  CPPUNIT_TEST(RequestInQueueAtStopIsRefusedWithoutRunning);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against streams that are accepted late in the grace period and cut at its end (review/4,
+  // LOST).
+  void LateStreamIsRefusedAndEarlyOneEndsWhole() {
+    this->StartServing();
+    this->deployment->events_in_stream = 80;
+    this->deployment->event_interval = Milliseconds(60);
+    const Deadline stopped_at = this->StopFrontNode();
+    std::optional<Answer> early;
+    this->StartRequest("GET", "/chat/1", "early", "k1", "", early);
+    this->RunUntilTime(stopped_at + Milliseconds(3050));
+    std::optional<Answer> late;
+    this->StartRequest("GET", "/chat/2", "late", "k1", "", late);
+    std::optional<Answer> order;
+    this->StartRequest("POST", "/order/1", "order", "k1", "{}", order);
+    this->RunUntil([&] { return late && order; }, 250);
+    this->CheckRefusal(*late, "late");
+    CPPUNIT_ASSERT_EQUAL(200, order->status);
+    this->RunUntil([&] { return this->finished; }, 8000);
+    CPPUNIT_ASSERT(early && early->complete);
+    CPPUNIT_ASSERT_EQUAL(this->CompleteStream(), early->body);
+  }
+
   // Guards against callers that are sent to a node for up to a second after its stop began, and so
   // still use it near the end of its grace period (review/4, LOST).
   void StopIsKnownToAllNodesBeforeAnnounceTimeout() {
@@ -32,6 +56,49 @@
       }
     }
   }
+
+  // Guards against a request that waits for a slot when the stop begins, and is sent to an upstream
+  // although the process ends before its deadline.
+  void RequestInQueueAtStopIsRefusedWithoutRunning() {
+    this->stop_grace = Milliseconds(3000);
+    this->StartServing();
+    this->deployment->event_interval = Milliseconds(50);
+    constexpr std::size_t kSlots = 18;
+    std::vector<std::optional<Answer>> running(kSlots);
+    for (std::size_t i = 0; i < kSlots; ++i)
+      this->StartRequest("GET", "/chat/1", "s" + std::to_string(i), "k1", "", running[i]);
+    this->RunUntil([&] { return this->deployment->runner_requests.size() == kSlots; }, 200);
+    std::optional<Answer> queued;
+    this->StartRequest("GET", "/chat/1", "queued", "k1", "", queued);
+    this->RunFor(20);
+    this->StopFrontNode();
+    this->RunUntil([&] { return queued.has_value(); }, 200);
+    this->CheckRefusal(*queued, "queued");
+    for (std::optional<Answer>& answer : running) {
+      this->RunUntil([&] { return answer.has_value(); }, 2000);
+      CPPUNIT_ASSERT_EQUAL(this->CompleteStream(), answer->body);
+    }
+  }
+
+ private:
+  /** Stops the first node and returns the time. */
+  Deadline StopFrontNode() {
+    this->finished = false;
+    this->nodes.front()->Stop([this] { this->finished = true; });
+    return Clock::now();
+  }
+
+  void RunUntilTime(Deadline end) { this->io->run_until(end); }
+
+  /** Checks that a request was refused with a true "not run" and a time to come back. */
+  void CheckRefusal(const Answer& answer, const std::string& id) {
+    CPPUNIT_ASSERT(answer.complete);
+    CPPUNIT_ASSERT_EQUAL(503, answer.status);
+    CPPUNIT_ASSERT(answer.headers.contains("Retry-After"));
+    CPPUNIT_ASSERT_EQUAL(0, this->deployment->CountRuns(id));
+  }
+
+  bool finished = false;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopIntegrationTest);
--- a/test/platform-wire-test.cc
+++ b/test/platform-wire-test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(EncodedOrderContainsExpectedOrderCount);
   CPPUNIT_TEST(DecodingDamagedTextDoesNotCrash);
   CPPUNIT_TEST(LastPromptPartIsNotShared);
+  CPPUNIT_TEST(UnreadableTokenCountsStateNoLength);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -54,6 +55,20 @@
     CPPUNIT_ASSERT(platform::SharedPromptParts({}).empty());
   }
 
+  // Guards against a length that is taken from the prompt or from damaged text.
+  void UnreadableTokenCountsStateNoLength() {
+    const auto tokens = [](const std::string& value) {
+      return platform::MaxAnswerTokens({{"x-token-counts", value}});
+    };
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{435}, tokens("1420,435"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{80}, tokens("1460, 80"));
+    for (const char* unreadable :
+         {"", "1420", "1420,", "1420,x", "1420,4x", "1420,-3", "1,99999999999999999999", "1,2,3"}) {
+      CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, tokens(unreadable));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, platform::MaxAnswerTokens({}));
+  }
+
   // Guards against a field that is decoded from the wrong key of an entry.
   void RunnerEntryDecodesAllFields() {
     const Runner runner = platform::DecodeRunner("i-1", kRunnerEntry, 17).value();
