Answer what is in flight when a stopping node ends

Cause: the process stopped its event loop at a fixed time, and nothing ended the requests first. With a silent store, the two lease calls came before that and took up to 3 s, so a process with a short grace period was killed.

600 ms before the end of the grace period, all requests are ended: those that wait with 503, not run, those at an upstream with 502; streams that have begun are cut, as nothing else is left to them. The process ends when the responses are sent, 200 ms later at most. The leases are released beside it.

OrderInFlightAtEndOfGraceGetsCompleteFailure and StopWithoutStoreEndsWithinGrace fail on (no answer; a stop that takes 3 s with a grace period of 1.5 s) and pass with the change.

--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -93,9 +93,13 @@
 // Interval at which the leader logs the capacity of each model.
 inline constexpr Milliseconds kCapacityInterval{1000};
 
-// Part of the stop grace period that is reserved for the exit of the process.
+// Part of the stop grace period that is reserved for ending what is still in flight, and for the
+// exit of the process.
 inline constexpr Milliseconds kStopMargin{600};
 
+// Time in which the responses to ended requests are sent.
+inline constexpr Milliseconds kFinalResponseTime{200};
+
 inline constexpr std::size_t kMaxDatagramBytes = 64 << 10;
 
 // Maximum size of the changes that a peer sends. A copy of the whole store at the target size of
@@ -816,19 +820,25 @@
   this->drain.Start(now);
   this->stop_by = now + this->gateway_state.options.stop_grace - gateway_detail::kStopMargin;
   this->gateway_state.relay.BeginStop(this->stop_by);
+  boost::asio::co_spawn(this->io, this->ReleaseLeases(), boost::asio::detached);
   boost::asio::co_spawn(this->io, this->StopLoop(std::move(on_finished)), boost::asio::detached);
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
-boost::asio::awaitable<void> GatewayNode<Store, Adapter>::StopLoop(
-    std::function<void()> on_finished) {
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::ReleaseLeases() {
   for (const std::optional<LeaseGrant>& held : {this->leader_lease, this->node_lease}) {
     if (!held) continue;
     const auto ended = co_await this->store.RevokeLease(
         held->id, Clock::now() + gateway_detail::kStoreCallTimeout);
     if (!ended) Log(LogLevel::kWarning, "lease_not_ended", {{"detail", ended.error().message}});
   }
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::StopLoop(
+    std::function<void()> on_finished) {
   bool closed = false;
+  bool ended_calls = false;
   for (;;) {
     const TimePoint now = Clock::now();
     const DrainStage stage = this->drain.Tick(this->caller_server->in_flight(), now);
@@ -836,7 +846,12 @@
       this->caller_server->StopAccepting();
       closed = true;
     }
-    if (stage == DrainStage::kFinished || this->stop_by <= now) break;
+    if (this->stop_by <= now && !ended_calls) {
+      this->gateway_state.relay.EndCalls();
+      ended_calls = true;
+    }
+    const Deadline exit_by = this->stop_by + gateway_detail::kFinalResponseTime;
+    if (stage == DrainStage::kFinished || exit_by <= now) break;
     co_await detail::PauseUntil(Clock::now() + Milliseconds(20));
   }
   Log(LogLevel::kInfo, "stopped", {{"in_flight", this->caller_server->in_flight()}});
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -184,6 +184,7 @@
   boost::asio::awaitable<void> RefreshLoop();
   boost::asio::awaitable<void> SendStatusLoop();
   boost::asio::awaitable<void> ReceiveStatusLoop();
+  boost::asio::awaitable<void> ReleaseLeases();
   boost::asio::awaitable<void> StopLoop(std::function<void()> on_finished);
   boost::asio::awaitable<void> ServePeer(HttpExchange& exchange);
   boost::asio::awaitable<void> SendOrder(RunnerOrder order);
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -337,6 +337,7 @@
     return NotRun(ErrorCode::kQuarantined,
                   "upstreams crashed while running such requests: " + ToString(quarantine->causes));
   }
+  if (this->calls_ended) return NotRun(ErrorCode::kUnavailable, "this node stops");
   // A stream that has begun can only continue here.
   if (call.stream_started) return success();
   if (!this->EndsBeforeStop(call, now)) {
@@ -356,6 +357,15 @@
   this->CancelDisallowed();
 }
 
+void Relay::EndCalls() {
+  this->calls_ended = true;
+  this->CancelDisallowed();
+  for (Call* call : this->calls) {
+    if (call->connection) call->connection->Close();
+    if (call->parked_stream) call->parked_stream->connection->Close();
+  }
+}
+
 void Relay::OnQuarantined(const std::vector<Quarantine>& added) {
   for (const Quarantine& quarantine : added) {
     this->metrics->Add("quarantines_total", {});
@@ -378,7 +388,7 @@
   const bool silent = call.error.code == ErrorCode::kDeadlineExceeded;
   const TimePoint lost = silent ? call.stall.last_bytes : Clock::now();
   const bool outlived = call.first_event != TimePoint() && call.first_event + kCrashDelay <= lost;
-  if (call.is_harmless || outlived) return;
+  if (call.is_harmless || outlived || this->calls_ended) return;
   const std::uint64_t boot = slot.ticket.boot();
   std::shared_ptr<Examination>& examination = this->examinations[boot];
   const bool begins = !examination;
@@ -518,6 +528,8 @@
 
 void Relay::RecordUpstreamFault(const Call& call, const UpstreamSlot& slot, const char* what,
                                 UpstreamFault fault) {
+  // The connection was closed by this node.
+  if (this->calls_ended) return;
   if (call.error.code == ErrorCode::kResponseTooLarge) what = kOversized;
   this->ReportUpstreamFailure(call, slot, what, call.error.message);
   const bool slow = call.error.code == ErrorCode::kDeadlineExceeded;
@@ -805,6 +817,7 @@
 bool Relay::MayRetry(Call& call, Outcome outcome) {
   const TimePoint now = Clock::now();
   if (call.sends >= call.route->attempts || call.deadline <= now) return false;
+  if (this->calls_ended) return false;
   if (outcome != Outcome::kNotRun && !call.IsRepeatable()) return false;
   // An attempt that did not reach an upstream adds no load there and costs no retry budget.
   return call.sends == 0 || this->budget.TryTake(call.service, now);
@@ -938,6 +951,8 @@
 
 asio::awaitable<void> Relay::Handle(HttpExchange& exchange) {
   Call call;
+  this->calls.insert(&call);
+  const std::shared_ptr<void> listed(nullptr, [this, &call](void*) { this->calls.erase(&call); });
   call.arrived = Clock::now();
   call.request_id = GetHeader(exchange.request().headers, this->options.headers.request_id);
   const auto checked = this->PrepareCall(call, exchange.request());
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -114,6 +114,10 @@
   /** From now on, refuses requests that may not end before `stop_by`. */
   void BeginStop(Deadline stop_by);
 
+  /** Ends all requests, because the process is about to end: with an error response, or by breaking
+   * off a stream that has begun. */
+  void EndCalls();
+
   /** Returns how many slots the callers of this node would occupy concurrently, by model. */
   [[nodiscard]] std::map<ModelName, double> SlotDemand() {
     return this->demand.DemandedSlots(Clock::now());
@@ -225,6 +229,8 @@
   StartDeadlinePolicy start_policy;
   CallerRetryDetector retry_detector;
   StopAdmission stop_admission;
+  std::set<Call*> calls;     ///< Requests that are being handled.
+  bool calls_ended = false;  ///< `EndCalls` was called.
   std::unordered_map<AdmissionId, Waiter*> waiters;
   std::map<std::uint64_t, std::shared_ptr<Examination>> examinations;  ///< By upstream boot.
   std::mt19937_64 random;
--- a/test/planned-stop-integration-test.cc
+++ b/test/planned-stop-integration-test.cc
@@ -11,6 +11,8 @@
   CPPUNIT_TEST(LateStreamIsRefusedAndEarlyOneEndsWhole);
   CPPUNIT_TEST(StopIsKnownToAllNodesBeforeAnnounceTimeout);
   CPPUNIT_TEST(RequestInQueueAtStopIsRefusedWithoutRunning);
+  CPPUNIT_TEST(OrderInFlightAtEndOfGraceGetsCompleteFailure);
+  CPPUNIT_TEST(StopWithoutStoreEndsWithinGrace);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -80,6 +82,32 @@
     }
   }
 
+  // Guards against a closed connection in place of an answer for requests that are in flight when
+  // the process must end.
+  void OrderInFlightAtEndOfGraceGetsCompleteFailure() {
+    this->stop_grace = Milliseconds(1500);
+    this->StartServing();
+    this->deployment->plain_response_delay = Milliseconds(5000);
+    std::optional<Answer> answer;
+    this->StartRequest("POST", "/order/1", "order", "k1", "{}", answer);
+    this->RunUntil([&] { return this->deployment->CountRuns("order") == 1; }, 500);
+    const Deadline stopped_at = this->StopFrontNode();
+    this->RunUntil([&] { return this->finished; }, 1500);
+    CPPUNIT_ASSERT(answer && answer->complete);
+    CPPUNIT_ASSERT_EQUAL(502, answer->status);
+    CPPUNIT_ASSERT(Clock::now() <= stopped_at + this->stop_grace);
+  }
+
+  // Guards against a stop that waits for the store past the end of the grace period.
+  void StopWithoutStoreEndsWithinGrace() {
+    this->stop_grace = Milliseconds(1500);
+    this->StartServing();
+    this->deployment->store_mode = StoreMode::kUnresponsive;
+    const Deadline stopped_at = this->StopFrontNode();
+    this->RunUntil([&] { return this->finished; }, 5000);
+    CPPUNIT_ASSERT(Clock::now() <= stopped_at + this->stop_grace);
+  }
+
  private:
   /** Stops the first node and returns the time. */
   Deadline StopFrontNode() {
