Forget that a runner left a group once it joins again

Cause: "has left" was a set of runners that an answered leave fills and only an answered join empties. M had left an earlier group; the answer to its next join was lost, so when its head was cut off again, M counted as one that has left, got no order to leave, and was given away after the stall time. The set of groups whose head has left had the same fault: if the plan without the group was not written, the head joined again and still counted as gone.

The planner now keeps the last join or leave order of each runner, with the group, epoch, process and the revision of the entry it was based on. The order goes before entries written earlier, later entries go before the order, and only a confirmed leave counts. The stall time of a head starts anew if a member has not left after all, members are not free while an entry shows that their head serves, and an answer confirms only the order that it answers.

--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -88,6 +88,32 @@
            missing->second + this->planner.options.missing_entry_grace <= this->now;
   }
 
+  /**
+   * Returns whether a runner is known to have left a group. The last membership order goes before
+   * an entry that was written earlier, and an entry that was written since goes before the order.
+   */
+  [[nodiscard]] bool HasLeft(const Runner& runner, const PlannedGroup& group) const {
+    const auto order = this->planner.membership_orders.find(runner.id);
+    if (order != this->planner.membership_orders.end() &&
+        order->second.Concerns(runner.started_ms, group) &&
+        runner.revision <= order->second.entry_revision) {
+      if (order->second.kind == RunnerOrderKind::kJoin) return false;
+      if (order->second.done) return true;
+    }
+    return !InGroup(runner, group);
+  }
+
+  /** Returns whether the head of a group is known to have left it. Its entry may be missing. */
+  [[nodiscard]] bool HasHeadLeft(const PlannedGroup& group) const {
+    const VmId& id = group.members.front();
+    const auto order = this->planner.membership_orders.find(id);
+    if (order == this->planner.membership_orders.end()) return false;
+    const bool confirmed = order->second.kind == RunnerOrderKind::kLeave && order->second.done &&
+                           order->second.Concerns(group.started_ms.front(), group);
+    const Runner* head = this->Find(id);
+    return confirmed && (head == nullptr || this->HasLeft(*head, group));
+  }
+
   [[nodiscard]] bool IsLeaving(const VmId& id) const {
     const Runner* runner = this->Find(id);
     return runner != nullptr && runner->leaving;
@@ -122,6 +148,10 @@
     this->planner.last_orders[runner.id] = {kind, group.group, false,
                                             this->now + this->planner.options.order_retry_interval};
     if (kind == RunnerOrderKind::kOpen) this->planner.unopened_groups.erase(group.group);
+    if (kind == RunnerOrderKind::kJoin || kind == RunnerOrderKind::kLeave) {
+      this->planner.membership_orders[runner.id] = {
+          kind, group.group, group.epoch, runner.started_ms, runner.revision, false};
+    }
     this->output.orders.push_back({kind, runner.id, runner.address, runner.started_ms, group});
   }
 
@@ -205,7 +235,7 @@
       // A delayed join order for this group may still arrive; a member of a later epoch ignores it.
       return true;
     }
-    if (this->planner.groups_left_by_head.contains(group.group)) return true;
+    if (this->HasHeadLeft(group)) return true;
     if (this->planner.unopened_groups.contains(group.group)) return true;
     if (head == nullptr || this->IsUnreachable(head_id))
       return this->DissolveUnreachable(group, head_id);
@@ -251,14 +281,17 @@
       const Runner* member = this->Find(group.members[rank]);
       if (member == nullptr || this->IsLost(group, rank)) continue;
       any_reachable = true;
-      if (InGroup(*member, group) && !this->planner.runners_left.contains(member->id)) {
+      if (!this->HasLeft(*member, group)) {
         all_left = false;
         this->Order(RunnerOrderKind::kLeave, *member, group);
       }
     }
     // Members whose entries expired may return and still belong to a head that serves.
     if (!any_reachable) return this->HaveAllEntriesExpired(group);
-    if (!all_left) return false;
+    if (!all_left) {
+      this->planner.unreachable_head_deadlines.erase(group.group);
+      return false;
+    }
     const auto [entry, added] = this->planner.unreachable_head_deadlines.try_emplace(
         group.group, this->now + this->planner.options.stall_timeout);
     return entry->second <= this->now;
@@ -280,8 +313,22 @@
     }
   }
 
+  /** Returns the groups whose head serves according to its entry, and has not left since. */
+  [[nodiscard]] std::set<GroupId> ServedGroups() const {
+    std::set<GroupId> served;
+    for (const auto& [id, runner] : this->runners) {
+      if (!IsServingHead(runner)) continue;
+      PlannedGroup group;
+      group.group = runner.membership->group;
+      group.epoch = runner.membership->epoch;
+      if (!this->HasLeft(runner, group)) served.insert(group.group);
+    }
+    return served;
+  }
+
   /** Returns the runners that are in no planned group and may join one, by domain. */
   [[nodiscard]] std::map<DomainId, std::vector<const Runner*>> FreeRunners() const {
+    const std::set<GroupId> served = this->ServedGroups();
     std::set<VmId> assigned;
     for (const PlannedGroup& group : this->next.groups) {
       assigned.insert(group.members.begin(), group.members.end());
@@ -290,6 +337,8 @@
     for (const auto& [id, runner] : this->runners) {
       if (this->ModelsOf(runner.service).empty()) continue;
       if (assigned.contains(id) || runner.leaving || this->IsUnreachable(id)) continue;
+      // A delayed order may have opened a group again that is no longer planned.
+      if (runner.membership && served.contains(runner.membership->group)) continue;
       if (IsServingHead(runner)) continue;
       free[runner.domain].push_back(&runner);
     }
@@ -671,7 +720,6 @@
   std::erase_if(step.next.groups, [&](const PlannedGroup& group) {
     if (!group.dissolving || !step.Dissolve(group)) return false;
     this->unreachable_head_deadlines.erase(group.group);
-    this->groups_left_by_head.erase(group.group);
     this->unopened_groups.erase(group.group);
     step.changed = true;
     return true;
@@ -688,8 +736,7 @@
 void GroupPlanner::OnOwnershipGained() {
   // Another owner may have opened or rebuilt groups in the meantime.
   this->unopened_groups.clear();
-  this->groups_left_by_head.clear();
-  this->runners_left.clear();
+  this->membership_orders.clear();
   this->unreachable_head_deadlines.clear();
   this->reservations.clear();
   this->load_budget = LoadBudget();
@@ -701,12 +748,14 @@
 }
 
 void GroupPlanner::OnOrderDone(const RunnerOrder& order) {
-  const bool head = !order.group.members.empty() && order.group.members.front() == order.runner;
-  if (order.kind == RunnerOrderKind::kLeave && head)
-    this->groups_left_by_head.insert(order.group.group);
-  if (order.kind == RunnerOrderKind::kLeave) this->runners_left.insert(order.runner);
-  if (order.kind == RunnerOrderKind::kJoin) this->runners_left.erase(order.runner);
-  if (const auto last = this->last_orders.find(order.runner); last != this->last_orders.end()) {
+  if (const auto membership = this->membership_orders.find(order.runner);
+      membership != this->membership_orders.end() && membership->second.kind == order.kind &&
+      membership->second.Concerns(order.started_ms, order.group)) {
+    membership->second.done = true;
+  }
+  if (const auto last = this->last_orders.find(order.runner);
+      last != this->last_orders.end() && last->second.kind == order.kind &&
+      last->second.group == order.group.group) {
     last->second.answered = true;
   }
 }
--- a/src/core/group-planner.h
+++ b/src/core/group-planner.h
@@ -158,6 +158,22 @@
     Deadline retry_at;
   };
 
+  /** The last order by which a runner was to join or leave a group. */
+  struct MembershipOrder {
+    RunnerOrderKind kind = RunnerOrderKind::kLeave;
+    GroupId group;
+    Generation epoch = 0;
+    std::int64_t started_ms = 0;      ///< Process start of the runner.
+    std::int64_t entry_revision = 0;  ///< Revision of the runner's entry when the order was sent.
+    bool done = false;                ///< The runner has confirmed the order.
+
+    /** Returns whether the order concerns this process of the runner and this group. */
+    [[nodiscard]] bool Concerns(std::int64_t process_start, const PlannedGroup& target) const {
+      return this->started_ms == process_start && this->group == target.group &&
+             this->epoch == target.epoch;
+    }
+  };
+
   struct LoadBudget {
     double tokens = 0;
     TimePoint updated;
@@ -181,9 +197,8 @@
   std::map<VmId, ModelName> last_model;  ///< Model of the last group since the process start.
   /** Process start that `last_model` belongs to. */
   std::map<VmId, std::int64_t> last_model_started_ms;
-  std::set<GroupId> groups_left_by_head;  ///< Groups whose head confirmed that it left.
-  std::set<VmId> runners_left;            ///< Runners that left their last group.
-  std::set<GroupId> unopened_groups;      ///< Planned by this owner; no open order was sent.
+  std::map<VmId, MembershipOrder> membership_orders;
+  std::set<GroupId> unopened_groups;  ///< Planned by this owner; no open order was sent.
   /** When an unreachable head has certainly stopped serving. */
   std::map<GroupId, Deadline> unreachable_head_deadlines;
   LoadBudget load_budget;
--- a/test/group-planner-test.cc
+++ b/test/group-planner-test.cc
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(ReplacedHeadReleasesMembersImmediately);
   CPPUNIT_TEST(UnreachableHeadThatIsReplacedReleasesMembers);
   CPPUNIT_TEST(UnreachableHeadAfterOwnerChangeKeepsMembers);
+  CPPUNIT_TEST(MemberWhoseJoinWasNotAnsweredIsOrderedToLeaveAgain);
+  CPPUNIT_TEST(HeadThatLeftAndJoinedAgainKeepsMembers);
   CPPUNIT_TEST(UnplannedServingHeadIsOrderedToLeaveFirst);
   CPPUNIT_TEST(RestartedMemberDissolvesGroup);
   CPPUNIT_TEST(ExpiredEntryDissolvesGroupOnlyAfterGrace);
@@ -207,6 +209,50 @@
     CPPUNIT_ASSERT(this->plan.groups.front().dissolving);
   }
 
+  // Guards against giving a member away that is taken for one that has left, because its latest
+  // join was carried out and not answered (review/2, TWO).
+  void MemberWhoseJoinWasNotAnsweredIsOrderedToLeaveAgain() {
+    const PlannedGroup first = this->OpenGroup(kSmall);
+    this->MakeUnreachable(first.members.front());
+    this->WritePlan(this->Step());
+    this->ConfirmOrders(RunnerOrderKind::kLeave);
+    for (const VmId& id : first.members) this->SetMembership(id, std::nullopt);
+    this->MakeReachable(first.members.front());
+    this->WritePlan(this->Step());
+    CPPUNIT_ASSERT(!this->Orders(RunnerOrderKind::kJoin).empty());
+    const PlannedGroup second = this->plan.groups.front();
+    CPPUNIT_ASSERT(second.group != first.group);
+    this->SetMembership(second.members[0], Member(second, 0, MembershipStage::kOpen));
+    this->SetMembership(second.members[1], Member(second, 1, MembershipStage::kReady));
+    this->Step();
+    this->MakeUnreachable(second.members.front());
+    this->WritePlan(this->Step());
+    this->AddRunners("d1", 1);
+    const auto leaves = this->Orders(RunnerOrderKind::kLeave);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaves.size());
+    CPPUNIT_ASSERT(leaves.front().runner == second.members[1]);
+    this->now += PlannerOptions().stall_timeout + Milliseconds(1000);
+    this->WritePlan(this->Step());
+    CPPUNIT_ASSERT(this->plan.groups.front().group == second.group);
+  }
+
+  // Guards against giving the members of a head away that left its group and joined it again,
+  // because the plan without the group was not written (TWO).
+  void HeadThatLeftAndJoinedAgainKeepsMembers() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    const VmId& head = group.members[0];
+    this->MakeUnreachable(group.members[1]);
+    for (const RunnerOrder& order : this->Step().orders) this->planner.OnOrderDone(order);
+    this->SetMembership(head, std::nullopt);
+    this->MakeReachable(group.members[1]);
+    CPPUNIT_ASSERT(!this->Orders(RunnerOrderKind::kJoin).empty());
+    this->SetMembership(head, Member(group, 0, MembershipStage::kOpen));
+    this->runners.at(group.members[1]).leaving = true;
+    this->WritePlan(this->Step());
+    CPPUNIT_ASSERT(this->plan.groups.front().dissolving);
+    CPPUNIT_ASSERT(!this->Step().proposal.has_value());
+  }
+
   // Guards against a head that joins a new group while its previous one is still open (run
   // on a grown site: a runner in two groups).
   void UnplannedServingHeadIsOrderedToLeaveFirst() {
@@ -507,6 +553,27 @@
     for (auto& [id, runner] : this->runners) runner.staged = {kLarge, kSmall};
   }
 
+  static RunnerMembership Member(const PlannedGroup& group, int rank, MembershipStage stage) {
+    return {group.group, group.epoch, rank, stage};
+  }
+
+  /** Writes the entry of a runner with another membership. */
+  void SetMembership(const VmId& id, std::optional<RunnerMembership> membership) {
+    Runner& runner = this->runners.at(id);
+    runner.membership = std::move(membership);
+    runner.revision += 1;
+  }
+
+  /** Lets all runners confirm the orders of this kind. */
+  void ConfirmOrders(RunnerOrderKind kind) {
+    for (const RunnerOrder& order : this->Orders(kind)) this->planner.OnOrderDone(order);
+  }
+
+  void MakeReachable(const VmId& runner) {
+    this->planner.OnProbeResult(runner, RunnerProbeResult::kRunning, this->now);
+    this->now += Milliseconds(300);
+  }
+
   void MakeUnreachable(const VmId& runner) {
     this->planner.OnProbeResult(runner, RunnerProbeResult::kUnreachable, this->now);
     this->now += Milliseconds(300);
