Check the fields of runner entries when they are read

Another operator's machines ended, or stopped following the list, because of one odd entry of another writer. Here none of them ended, but such entries were used: slots of 1.5, -1 or became other numbers, and an entry with port 70000 was a runner; a decoding error quoted the entry at any length in the log. Cause: the library's conversions do not check ranges, and the address was checked only when it was used.

Whole numbers, address, id and depth are checked when an entry is read. An unreadable entry names no runner, and what was known of one stays in force.

OddFieldOfRunnerEntryIsAnError and DeeplyNestedEntryIsAnError fail without the change (port 70000 is accepted; an error of a megabyte). OddEntriesNameNoRunnerAndTheOthersHold passes with it; it was not run without.

--- a/src/gateway/plan-codec.cc
+++ b/src/gateway/plan-codec.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/bounded-json.h"
+
 namespace limpetfall {
 
 std::string EncodePlan(const GroupPlan& plan) {
@@ -25,7 +27,7 @@
   try {
     GroupPlan plan;
     plan.revision = revision;
-    const auto document = nlohmann::json::parse(text);
+    const auto document = ParseBoundedJson(text);
     for (const auto& entry : document.at("groups")) {
       PlannedGroup group;
       group.group = GroupId(entry.at("group").get<std::string>());
@@ -45,7 +47,7 @@
       plan.groups.push_back(std::move(group));
     }
     return plan;
-  } catch (const nlohmann::json::exception& error) {
+  } catch (const std::exception& error) {
     return NotRun(ErrorCode::kInvalidArgument,
                   std::string("malformed group plan: ") + error.what());
   }
--- a/src/gateway/quarantine-codec.cc
+++ b/src/gateway/quarantine-codec.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/bounded-json.h"
+
 namespace limpetfall {
 namespace {
 
@@ -28,7 +30,7 @@
                                                   WallTime wall_now) {
   try {
     std::vector<Quarantine> quarantines;
-    const auto document = nlohmann::json::parse(text);
+    const auto document = ParseBoundedJson(text);
     const auto wall_now_ms = duration_cast<milliseconds>(wall_now.time_since_epoch()).count();
     for (const auto& entry : document.at("quarantines")) {
       Quarantine quarantine;
@@ -39,7 +41,7 @@
       quarantines.push_back(std::move(quarantine));
     }
     return quarantines;
-  } catch (const nlohmann::json::exception& error) {
+  } catch (const std::exception& error) {
     return NotRun(ErrorCode::kInvalidArgument,
                   std::string("malformed quarantines: ") + error.what());
   }
--- a/test/platform-wire-test.cc
+++ b/test/platform-wire-test.cc
@@ -33,6 +33,8 @@
   CPPUNIT_TEST_SUITE(PlatformWireTest);
   CPPUNIT_TEST(RunnerEntryDecodesAllFields);
   CPPUNIT_TEST(InvalidRunnerEntryIsAnError);
+  CPPUNIT_TEST(OddFieldOfRunnerEntryIsAnError);
+  CPPUNIT_TEST(DeeplyNestedEntryIsAnError);
   CPPUNIT_TEST(InvalidEntryDoesNotAffectOtherEntries);
   CPPUNIT_TEST(ConfigurationDecodesAllFields);
   CPPUNIT_TEST(EncodedOrderContainsExpectedOrderCount);
@@ -90,6 +92,57 @@
     }
   }
 
+  // Guards against numbers that are silently taken for others, and addresses that no one listens
+  // on.
+  void OddFieldOfRunnerEntryIsAnError() {
+    const auto entry = nlohmann::json::parse(kRunnerEntry);
+    CPPUNIT_ASSERT(platform::DecodeRunner("i-1", entry.dump(), 1).has_value());
+    const std::vector<std::pair<std::string, std::string>> odd{{"/addr", R"("10.9.0.1:70000")"},
+                                                               {"/addr", R"("10.9.0.1:0")"},
+                                                               {"/addr", R"("10.9.0.1:-80")"},
+                                                               {"/addr", R"("10.9.0.1")"},
+                                                               {"/addr", R"("a\r\nb:80")"},
+                                                               {"/addr", "80"},
+                                                               {"/slots", "1.5"},
+                                                               {"/slots", "-1"},
+                                                               {"/slots", "4294967297"},
+                                                               {"/slots", "99999999999999999999"},
+                                                               {"/slots", "\"1\""},
+                                                               {"/born", "1.5"},
+                                                               {"/born", "-1"},
+                                                               {"/born", "null"},
+                                                               {"/group", "7"},
+                                                               {"/group", "[1]"},
+                                                               {"/group/epoch", "-1"},
+                                                               {"/group/epoch", "1.5"},
+                                                               {"/group/rank", "-1"},
+                                                               {"/group/rank", "4294967296"}};
+    for (const auto& [field, value] : odd) {
+      auto changed = entry;
+      changed[nlohmann::json::json_pointer(field)] = nlohmann::json::parse(value);
+      CPPUNIT_ASSERT_MESSAGE(std::string(field).append(" = ").append(value),
+                             !platform::DecodeRunner("i-1", changed.dump(), 1));
+    }
+    for (const char* id : {"", "a b", "a\r\nX-Tenant: t", "\xc3\xa9"})
+      CPPUNIT_ASSERT(!platform::DecodeRunner(id, entry.dump(), 1));
+    const std::string overflow = R"({"service":"s","addr":"10.9.0.1:80","slots":1e999})";
+    CPPUNIT_ASSERT(!platform::DecodeRunner("i-1", overflow, 1));
+  }
+
+  // Guards against an entry that takes many times its length in memory, and against a log line of
+  // its length.
+  void DeeplyNestedEntryIsAnError() {
+    constexpr std::size_t kDepth = 1'000'000;
+    for (const std::string& open : {std::string("["), std::string(R"({"a":)")}) {
+      std::string text;
+      for (std::size_t i = 0; i < kDepth / open.size(); ++i) text += open;
+      const auto decoded = platform::DecodeRunner("i-1", text, 1);
+      CPPUNIT_ASSERT(!decoded && decoded.error().message.size() < 300);
+    }
+    const std::string long_text = R"({"service":")" + std::string(kDepth, 'x') + "\x01";
+    CPPUNIT_ASSERT(platform::DecodeRunner("i-1", long_text, 1).error().message.size() < 300);
+  }
+
   // Guards against one invalid entry that makes all runners unavailable.
   void InvalidEntryDoesNotAffectOtherEntries() {
     platform::WireAdapter adapter;
--- a/test/runner-request-integration-test.cc
+++ b/test/runner-request-integration-test.cc
@@ -15,9 +15,36 @@
   CPPUNIT_TEST(ShorterPauseDoesNotShortenLongerOne);
   CPPUNIT_TEST(CallersAreRefusedAtOnceWhileAllRunnersPause);
   CPPUNIT_TEST(InvalidPauseIsIgnored);
+  CPPUNIT_TEST(OddEntriesNameNoRunnerAndTheOthersHold);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a node that ends, stops following the store, or uses a runner whose entry
+  // another writer has left: deeply nested, with a number too large or a port out of range.
+  void OddEntriesNameNoRunnerAndTheOthersHold() {
+    this->StartServing();
+    const std::string plain = R"(,"service":"book","zone":"z1","state":"ready")";
+    int number = 0;
+    for (const std::string& odd :
+         {std::string(1'000'000, '['), std::string("\xff\xfe"), std::string(),
+          R"({"slots":1e999,"addr":"127.0.0.1:9")" + plain + "}",
+          R"({"slots":99999999999999999999,"addr":"127.0.0.1:9")" + plain + "}",
+          R"({"slots":6,"addr":"127.0.0.1:70000")" + plain + "}",
+          R"({"slots":6,"addr":"127.0.0.1:0")" + plain + "}"}) {
+      this->deployment->Put("servers/odd-" + std::to_string(number++), odd);
+    }
+    this->deployment->Put("servers/b1", R"({"addr":"127.0.0.1:70000"})");
+    this->deployment->RemoveRunnerEntry("b2");
+    this->deployment->Put("op/config", ConfigJson(6, R"("k1","k2")"));
+    this->RunFor(1300);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, this->nodes.front()->state().routes->config().version);
+    for (const auto& [id, runner] : this->nodes.front()->state().runners)
+      CPPUNIT_ASSERT(!id.value.starts_with("odd-"));
+    // What was known of a runner stays in force.
+    for (int i = 0; i < 8; ++i) CPPUNIT_ASSERT_EQUAL(200, this->SendNext("/lookup/1").status);
+    this->SendUntilReached("b1");
+  }
+
   // Guards against waiting for the store to say what the runner has said already, and against
   // believing an older entry in the store.
   void RunnerThatSaysItLeavesGetsNothingNewUntilItRestarts() {
