Stop campaigning once a stop has begun

The loop looks at the stop after its pause and before it campaigns, and the test's store ends leases at once.

--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -350,6 +350,8 @@
                                 (this->leader_lease && !this->CanCampaign()
                                      ? gateway_detail::kLeaderLeaseRenewal
                                      : Milliseconds(100 + static_cast<int>(this->random() % 150))));
+    // The stop has begun meanwhile and releases the lease.
+    if (this->gateway_state.stopping) co_return;
     const bool leads =
         this->gateway_state.leader && this->gateway_state.leader->value == this->LeaderValue();
     const bool candidate =
@@ -362,7 +364,7 @@
         co_await this->RenewLease(this->leader_lease, gateway_detail::kLeaderLeaseTime);
     if (grant) {
       this->leader_lease = grant.value();
-      if (this->CanCampaign()) co_await this->Campaign();
+      if (this->CanCampaign() && !this->gateway_state.stopping) co_await this->Campaign();
     } else if (grant.error().code == ErrorCode::kNotFound) {
       Log(LogLevel::kWarning, "leader_lease_ended");
       this->leader_lease.reset();
--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -176,17 +176,21 @@
   for (;;) {
     co_await limpetfall::detail::PauseUntil(Clock::now() + Milliseconds(50));
     if (this->store_mode != StoreMode::kServing) continue;
-    std::vector<std::string> expired_keys;
+    std::vector<std::int64_t> expired;
     for (const auto& [id, lease] : this->leases) {
-      if (Clock::now() < lease.expires) continue;
-      for (const auto& [key, item] : this->items) {
-        if (item.lease == id) expired_keys.push_back(key);
-      }
+      if (lease.expires <= Clock::now()) expired.push_back(id);
     }
-    std::erase_if(this->leases,
-                  [](const auto& entry) { return entry.second.expires <= Clock::now(); });
-    for (const std::string& key : expired_keys) this->Remove(key);
+    for (const std::int64_t id : expired) this->EndLease(id);
+  }
+}
+
+void FakeDeployment::EndLease(std::int64_t id) {
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : this->items) {
+    if (item.lease == id) keys.push_back(key);
   }
+  this->leases.erase(id);
+  for (const std::string& key : keys) this->Remove(key);
 }
 
 json FakeDeployment::ItemJson(const std::string& key, const Item& item) const {
@@ -299,7 +303,7 @@
     co_await this->Reply(exchange, 200, std::move(answer));
   } else if (target.starts_with("/api/kv-lease-end/")) {
     const auto lease = this->leases.find(std::stoll(target.substr(18)));
-    if (lease != this->leases.end()) lease->second.expires = Clock::now();
+    if (lease != this->leases.end()) this->EndLease(lease->first);
     co_await this->Reply(exchange, 200, json::object());
   } else {
     co_await this->Reply(exchange, 404, json::object());
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -162,6 +162,8 @@
   boost::asio::awaitable<void> StreamEvents(FakeRunner& runner, HttpExchange& exchange,
                                             std::size_t request_index);
   boost::asio::awaitable<void> ExpireLeases();
+  /** Ends a lease and removes its keys. */
+  void EndLease(std::int64_t id);
   boost::asio::awaitable<void> Reply(HttpExchange& exchange, int status, nlohmann::json body);
   [[nodiscard]] nlohmann::json Transact(const nlohmann::json& body, int& status);
   [[nodiscard]] nlohmann::json ItemJson(const std::string& key, const Item& item) const;
