Keep all removals of one revision for followers

Cause: the copy of the store keeps removed keys in a map by revision, so of several removals in one transaction all but one are dropped and never sent on.

Removals are kept by revision and key.

--- a/src/core/state-mirror.cc
+++ b/src/core/state-mirror.cc
@@ -1,7 +1,6 @@
 #include "core/state-mirror.h"
 
 #include <algorithm>
-#include <set>
 
 namespace limpetfall {
 namespace {
@@ -60,14 +59,14 @@
     if (update.snapshot || item.revision > after) update.items.push_back(item);
   }
   if (update.snapshot) return update;
-  for (auto entry = this->removed.upper_bound(after); entry != this->removed.end(); ++entry) {
+  for (auto entry = this->FirstRemovalAfter(after); entry != this->removed.end(); ++entry) {
     update.items.push_back({entry->second, std::nullopt, entry->first, 0});
   }
   return update;
 }
 
 bool StateMirror::HasChangesSince(std::int64_t after) const {
-  if (this->removed.upper_bound(after) != this->removed.end()) return true;
+  if (this->FirstRemovalAfter(after) != this->removed.end()) return true;
   return std::any_of(this->items.begin(), this->items.end(),
                      [after](const auto& entry) { return entry.second.revision > after; });
 }
--- a/src/core/state-mirror.h
+++ b/src/core/state-mirror.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -63,9 +64,14 @@
  private:
   void ApplyItem(const StateItem& item);
 
+  [[nodiscard]] auto FirstRemovalAfter(std::int64_t revision) const {
+    return this->removed.lower_bound({revision + 1, std::string()});
+  }
+
   Observer observer;
   std::map<std::string, StateItem> items;
-  std::map<std::int64_t, std::string> removed;  ///< Keys by the revision of their removal.
+  /** Removed keys with the revision of their removal. One revision may remove several. */
+  std::set<std::pair<std::int64_t, std::string>> removed;
   std::int64_t removal_history_start = 0;  ///< All removals after this revision are in `removed`.
   std::int64_t complete_revision = 0;
   BootTime confirmed_at;
--- a/test/state-mirror-test.cc
+++ b/test/state-mirror-test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(OlderUpdateDoesNotAdvanceConfirmedTime);
   CPPUNIT_TEST(SnapshotRemovesUnlistedKeys);
   CPPUNIT_TEST(FollowerConvergesToSourceState);
+  CPPUNIT_TEST(FollowerGetsAllChangesOfOneRevision);
   CPPUNIT_TEST(LaggingFollowerGetsSnapshot);
   CPPUNIT_TEST_SUITE_END();
 
@@ -44,6 +45,35 @@
     CPPUNIT_ASSERT(!this->observed.back().value);
   }
 
+  // Guards against a follower that learns of only one of several removals in one transaction, and
+  // goes on using a runner that has left (review/3, DRAIN).
+  void FollowerGetsAllChangesOfOneRevision() {
+    for (unsigned seed = 1; seed <= 300; ++seed) {
+      std::mt19937 random(seed);
+      StateMirror source([](const StateItem&) {});
+      StateMirror follower([](const StateItem&) {});
+      for (std::int64_t revision = 1; revision <= 60; ++revision) {
+        std::vector<StateItem> changes;
+        for (char key = 'a'; key < 'a' + 26; ++key) {
+          if (random() % 4 != 0) continue;
+          changes.push_back(Item(std::string(1, key), std::to_string(revision), revision));
+          if (random() % 2 == 0) changes.back().value.reset();
+        }
+        source.Apply(Update(changes, revision, revision));
+        // The store may deliver changes again.
+        if (random() % 10 == 0) source.Apply(Update(changes, revision, revision));
+        if (random() % 3 == 0) follower.Apply(source.ChangesSince(follower.revision()));
+      }
+      follower.Apply(source.ChangesSince(follower.revision()));
+      for (char key = 'a'; key < 'a' + 26; ++key) {
+        const StateItem* expected = source.Find(std::string(1, key));
+        const StateItem* found = follower.Find(std::string(1, key));
+        CPPUNIT_ASSERT_EQUAL(expected == nullptr, found == nullptr);
+        CPPUNIT_ASSERT(expected == nullptr || *expected == *found);
+      }
+    }
+  }
+
   // Guards against writes or removals missed by a node that follows another one, with seeded random
   // changes.
   void FollowerConvergesToSourceState() {
