Treat a runner entry without its process start as unreadable

Cause: the decoder put 0 in place of the missing start, which the planner takes for a restart of the head.

EntryWithoutStartIsAnError fails before.

--- a/test/platform-wire-test.cc
+++ b/test/platform-wire-test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(RunnerEntryDecodesAllFields);
   CPPUNIT_TEST(InvalidRunnerEntryIsAnError);
   CPPUNIT_TEST(OddFieldOfRunnerEntryIsAnError);
+  CPPUNIT_TEST(EntryWithoutStartIsAnError);
   CPPUNIT_TEST(DeeplyNestedEntryIsAnError);
   CPPUNIT_TEST(InvalidEntryDoesNotAffectOtherEntries);
   CPPUNIT_TEST(ConfigurationDecodesAllFields);
@@ -125,10 +126,18 @@
     }
     for (const char* id : {"", "a b", "a\r\nX-Tenant: t", "\xc3\xa9"})
       CPPUNIT_ASSERT(!platform::DecodeRunner(id, entry.dump(), 1));
-    const std::string overflow = R"({"service":"s","addr":"10.9.0.1:80","slots":1e999})";
+    const std::string overflow = R"({"service":"s","addr":"10.9.0.1:80","born":1,"slots":1e999})";
     CPPUNIT_ASSERT(!platform::DecodeRunner("i-1", overflow, 1));
   }
 
+  // Guards against an entry without a process start that is taken for a restart, so that the members
+  // of an open group join another one (review/1, TWO).
+  void EntryWithoutStartIsAnError() {
+    auto entry = nlohmann::json::parse(kRunnerEntry);
+    entry.erase("born");
+    CPPUNIT_ASSERT(!platform::DecodeRunner("i-1", entry.dump(), 1));
+  }
+
   // Guards against an entry that takes many times its length in memory, and against a log line of
   // its length.
   void DeeplyNestedEntryIsAnError() {
