Answer 502 when an upstream's status is no true promise

Cause: statuses from 500 were examined only, and those that promise "not run" were named in two places, one without 429.

One function names 408, 421, 429 and 503. Without the header by which an upstream states that it has not run a request, such an answer is a failure: repeatable requests are tried elsewhere, others get 502.

StatusOfOrderThatHasRunIsNoPromise plays seven statuses. It fails on (408 reaches the caller of an order that has run) and passes with the change.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -1,6 +1,7 @@
 #include "gateway/relay.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/cancellation_state.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -92,6 +93,12 @@
   return handler.cancelled() != asio::cancellation_type::none;
 }
 
+/** Returns whether callers take a status for the promise that their request has not run. */
+bool PromisesNotRun(int status) {
+  constexpr std::array kPromises{408, 421, 429, 503};
+  return std::find(kPromises.begin(), kPromises.end(), status) != kPromises.end();
+}
+
 Priority QueuePriority(int priority) {
   if (priority <= 1) return Priority::kHigh;
   return priority == 2 ? Priority::kNormal : Priority::kLow;
@@ -725,7 +732,7 @@
     co_return Outcome::kLost;
   }
   constexpr int kFirstServerError = 500;
-  if (head.status >= kFirstServerError) {
+  if (head.status >= kFirstServerError || PromisesNotRun(head.status)) {
     // Without the header that marks a refusal, the request may have run.
     call.may_have_run = true;
     call.error = MayHaveRun(ErrorCode::kUpstreamLost,
@@ -935,10 +942,7 @@
     call.error.verdict = Verdict::kNotRun;
     co_return co_await this->Refuse(exchange, 503, call.error, this->RetryAfter(call));
   }
-  constexpr int kUnavailable = 503;
-  const bool promises_not_run =
-      call.failure && (call.failure->status == kUnavailable || call.failure->status == 429);
-  if (call.failure && (!promises_not_run || call.IsRepeatable())) {
+  if (call.failure && (!PromisesNotRun(call.failure->status) || call.IsRepeatable())) {
     Log(LogLevel::kInfo, "failure_relayed",
         {{"request", call.request_id}, {"status", call.failure->status}});
     [[maybe_unused]] const auto sent = co_await exchange.Send(std::move(*call.failure));
--- a/test/gateway-integration-test.cc
+++ b/test/gateway-integration-test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(NodeWithoutStoreAccessFollowsAnotherNode);
   CPPUNIT_TEST(FollowerSwitchesFromNodeThatStoreRefuses);
   CPPUNIT_TEST(StandbyNodesMakeNoWatchCalls);
+  CPPUNIT_TEST(StatusOfOrderThatHasRunIsNoPromise);
   CPPUNIT_TEST(LeaderOnStandbyKnowsLoadOfAllNodes);
   CPPUNIT_TEST(GroupWithUnresponsiveHeadIsNotUsed);
   CPPUNIT_TEST(MembersOfIsolatedHeadJoinNoOtherGroup);
@@ -392,6 +393,22 @@
     CPPUNIT_ASSERT_EQUAL(this->CompleteStream(), answer->body);
   }
 
+  // Guards against a promise of "not run" for an order that has run, which its caller would repeat
+  // (review/5, REFUSED): only a header of the upstream states it, whatever the status.
+  void StatusOfOrderThatHasRunIsNoPromise() {
+    this->StartServing();
+    for (const int status : {400, 408, 409, 429, 500, 503, 504}) {
+      this->deployment->plain_status = status;
+      const std::string id = "o" + std::to_string(status);
+      const Answer order = this->SendAndWait("POST", "/order/1", id, "k1", "{}");
+      const bool promises = status == 408 || status == 429 || status == 503;
+      CPPUNIT_ASSERT_EQUAL(promises ? 502 : status, order.status);
+      CPPUNIT_ASSERT_EQUAL(1, this->deployment->CountRuns(id));
+      const Answer lookup = this->SendAndWait("GET", "/lookup/1", "l" + id, "k1");
+      CPPUNIT_ASSERT_EQUAL(status, lookup.status);
+    }
+  }
+
   // Guards against a leader that moves groups to another model because it knows only its own
   // callers: it took office before larger nodes started, which then carried all traffic.
   void LeaderOnStandbyKnowsLoadOfAllNodes() {
--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -448,7 +448,7 @@
     co_return;
   }
   HttpResponse answer;
-  answer.status = 200;
+  answer.status = this->plain_status;
   answer.headers = runner.extra_headers;
   answer.headers["X-Request-Id"] = id;
   answer.headers["X-Server-Stamp"] = runner.id;
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -110,6 +110,8 @@
 
   StoreMode store_mode = StoreMode::kServing;
   std::set<std::string> refused_stores;  ///< Addresses of the store that answer 429.
+  /** Status with which runners of plain services answer requests that they have run. */
+  int plain_status = 200;
   std::vector<RunnerRequest> runner_requests;
   int events_in_stream = 6;
   Milliseconds event_interval{20};
