--- a/test/platform-wire-test.cc
+++ b/test/platform-wire-test.cc
@@ -130,8 +130,8 @@
     CPPUNIT_ASSERT(!platform::DecodeRunner("i-1", overflow, 1));
   }
 
-  // Guards against an entry without a process start that is taken for a restart, so that the members
-  // of an open group join another one (review/1, TWO).
+  // Guards against an entry without a process start that is taken for a restart, so that the
+  // members of an open group join another one (review/1, TWO).
   void EntryWithoutStartIsAnError() {
     auto entry = nlohmann::json::parse(kRunnerEntry);
     entry.erase("born");
