--- a/test/group-planner-history-test.cc
+++ b/test/group-planner-history-test.cc
@@ -69,8 +69,10 @@
     this->RunDueEvents();
     this->Disturb();
     this->Probe();
-    if (Chance(this->random, 1))
-      this->demand = {{kLarge, 1.0 + this->random() % 3}, {kSmall, 1.0 + this->random() % 6}};
+    if (Chance(this->random, 1)) {
+      this->demand = {{kLarge, static_cast<double>(1 + this->random() % 3)},
+                      {kSmall, static_cast<double>(1 + this->random() % 6)}};
+    }
     for (auto& [id, runner] : this->runners) this->Advance(runner);
     const PlannerOutput output =
         this->planner.Step(this->listed, this->plan, this->config, this->demand, this->now);
