--- a/test/group-planner-history-test.cc
+++ b/test/group-planner-history-test.cc
@@ -9,15 +9,16 @@
 #include <vector>
 
 #include "core/group-planner.h"
+#include "harness/planner-config.h"
 
 // Random histories of runners whose orders, answers and store entries are lost
 // or late, in virtual time.
 namespace limpetfall {
 namespace {
 
-const ModelName kLarge("large");
-const ModelName kSmall("small");
-const ServiceName kService("folds");
+using testing::kLarge;
+using testing::kService;
+using testing::kSmall;
 
 // A head that lost a member is broken after this.
 constexpr Milliseconds kStallTime{5000};
@@ -44,13 +45,6 @@
 class Fleet {
  public:
   Fleet(unsigned seed, unsigned failure_percent) : random(seed), failure_percent(failure_percent) {
-    EngineProfile engine;
-    engine.slots = 17;
-    engine.loads_per_second = 5;
-    engine.concurrent_loads = 7;
-    engine.models = {{kLarge, 4, 0.5, 1, Milliseconds(16000), Milliseconds(1600)},
-                     {kSmall, 2, 0.5, 1, Milliseconds(12000), Milliseconds(1100)}};
-    this->config.services[kService] = {kService, engine};
     for (int i = 0; i < 14; ++i) {
       SimulatedRunner runner;
       runner.entry.id = VmId("i-" + std::to_string(i));
@@ -267,7 +261,7 @@
   unsigned failure_percent;
   TimePoint now = TimePoint() + std::chrono::hours(1);
   GroupPlanner planner{PlannerOptions()};
-  GatewayConfig config;
+  GatewayConfig config = testing::PlannerConfig();
   std::map<ModelName, double> demand{{kLarge, 1}, {kSmall, 3}};
   GroupPlan plan;
   std::map<VmId, SimulatedRunner> runners;
--- a/test/group-planner-test.cc
+++ b/test/group-planner-test.cc
@@ -6,12 +6,14 @@
 #include <random>
 #include <set>
 
+#include "harness/planner-config.h"
+
 namespace limpetfall {
 namespace {
 
-const ModelName kLarge("large");
-const ModelName kSmall("small");
-const ServiceName kService("folds");
+using testing::kLarge;
+using testing::kService;
+using testing::kSmall;
 
 class GroupPlannerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GroupPlannerTest);
@@ -45,16 +47,6 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  GroupPlannerTest() {
-    EngineProfile engine;
-    engine.slots = 17;
-    engine.loads_per_second = 5;
-    engine.concurrent_loads = 7;
-    engine.models = {{kLarge, 4, 0.5, 1, Milliseconds(16000), Milliseconds(1600)},
-                     {kSmall, 2, 0.5, 1, Milliseconds(12000), Milliseconds(1100)}};
-    this->config.services[kService] = {kService, engine};
-  }
-
   // Guards against two owners that order different groups: only a written plan may be ordered.
   void UnwrittenPlanYieldsNoOrders() {
     this->AddRunners("d1", 4);
@@ -661,7 +653,7 @@
     }
   }
 
-  GatewayConfig config;
+  GatewayConfig config = testing::PlannerConfig();
   std::map<VmId, Runner> runners;
   std::map<ModelName, double> demand{{kLarge, 1}, {kSmall, 2}};
   GroupPlan plan;
