Answer requests on kept connections until a stopping process ends

Callers saw: 3.4 s after SIGTERM, requests on kept connections ended without an answer, 167 in one soak of rolling stops. An order that ends so may not be repeated, although it has not run.

Cause: the node closed all idle connections at that moment, and no answer before it had said that its connection would close.

Change: from the SIGTERM on, each answer carries Connection: close, so that connections end with an answer. Connections without a request stay open; what arrives on them is served if it ends in time, and refused completely otherwise. The process ends when no connection is open, when none was used for a second, or at the end of the grace period.

Both new tests of planned-stop-integration-test, on kept connections, fail on the code before.

--- a/src/core/drain.cc
+++ b/src/core/drain.cc
@@ -3,7 +3,8 @@
 namespace limpetfall {
 
 Result<Drain> Drain::Create(DrainOptions options) {
-  if (options.address_ttl < Milliseconds(0) || options.announce_timeout < Milliseconds(0)) {
+  if (options.address_ttl < Milliseconds(0) || options.announce_timeout < Milliseconds(0) ||
+      options.quiet_time < Milliseconds(0)) {
     return NotRun(ErrorCode::kInvalidArgument, "drain times must not be negative");
   }
   return Drain(options);
@@ -23,16 +24,20 @@
   this->deadline = now + this->options.address_ttl;
 }
 
-DrainStage Drain::Tick(std::size_t in_flight, TimePoint now) {
+DrainStage Drain::Tick(const DrainLoad& load, TimePoint now) {
   if (this->current == DrainStage::kAnnouncing && this->deadline <= now) {
     this->OnAnnounced(this->deadline);
   }
   if (this->current == DrainStage::kAccepting && this->deadline <= now) {
     this->current = DrainStage::kRefusing;
+    this->deadline = now + this->options.quiet_time;
   }
-  if (this->current == DrainStage::kRefusing && in_flight == 0) {
-    this->current = DrainStage::kFinished;
-  }
+  if (this->current != DrainStage::kRefusing) return this->current;
+  const bool is_used = load.in_flight > 0 || load.requests_begun != this->requests_begun;
+  this->requests_begun = load.requests_begun;
+  if (is_used) this->deadline = now + this->options.quiet_time;
+  if (load.in_flight > 0) return this->current;
+  if (load.connections == 0 || this->deadline <= now) this->current = DrainStage::kFinished;
   return this->current;
 }
 
--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -550,11 +550,12 @@
     drain.OnAnnounced(Clock::now());
   }
   // An order whose outcome is not recorded yet counts as in flight.
-  const auto in_flight = [this] {
-    return this->caller_server->in_flight() + this->orders->unsettled();
+  const auto load = [this] {
+    return DrainLoad{this->caller_server->in_flight() + this->orders->unsettled(),
+                     this->caller_server->connections(), this->caller_server->requests_begun()};
   };
   std::optional<Deadline> limit;
-  while (drain.Tick(in_flight(), Clock::now()) != DrainStage::kFinished) {
+  while (drain.Tick(load(), Clock::now()) != DrainStage::kFinished) {
     if (!drain.AcceptsWork() && !limit) {
       this->dispatcher->StopNewWork();
       this->caller_server->StopAccepting();
@@ -563,7 +564,7 @@
     if (limit && Clock::now() >= *limit) break;
     co_await detail::PauseUntil(Clock::now() + kDrainPollInterval);
   }
-  Log(LogLevel::kInfo, "drain_ended", {{"in_flight", in_flight()}});
+  Log(LogLevel::kInfo, "drain_ended", {{"in_flight", load().in_flight}});
   this->sync->Stop();
   this->io.stop();
 }
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -97,6 +97,9 @@
 // exit of the process.
 inline constexpr Milliseconds kStopMargin{600};
 
+// A stopping process ends when callers have not used their open connections for this long.
+inline constexpr Milliseconds kQuietTime{1000};
+
 // Time in which the responses to ended requests are sent.
 inline constexpr Milliseconds kFinalResponseTime{200};
 
@@ -124,7 +127,8 @@
         return planner_options;
       }()),
       // Callers may use a directory response for three times its lifetime.
-      drain(Drain::Create({3 * this->gateway_state.options.address_lifetime, Milliseconds(400)})
+      drain(Drain::Create({3 * this->gateway_state.options.address_lifetime, Milliseconds(400),
+                           gateway_detail::kQuietTime})
                 .value()),
       peer_socket(context),
       random(std::random_device{}()),
@@ -821,6 +825,7 @@
   const TimePoint now = Clock::now();
   this->drain.Start(now);
   this->stop_by = now + this->gateway_state.options.stop_grace - gateway_detail::kStopMargin;
+  this->caller_server->EndKeepAlive();
   this->gateway_state.relay.BeginStop(this->stop_by);
   boost::asio::co_spawn(this->io, this->ReleaseLeases(), boost::asio::detached);
   boost::asio::co_spawn(this->io, this->StopLoop(std::move(on_finished)), boost::asio::detached);
@@ -839,24 +844,32 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::StopLoop(
     std::function<void()> on_finished) {
-  bool closed = false;
+  const HttpServer& server = *this->caller_server;
+  DrainStage stage = this->drain.stage();
   bool ended_calls = false;
+  bool closes_idle = false;
   for (;;) {
     const TimePoint now = Clock::now();
-    const DrainStage stage = this->drain.Tick(this->caller_server->in_flight(), now);
-    if (stage >= DrainStage::kRefusing && !closed) {
-      this->caller_server->StopAccepting();
-      closed = true;
-    }
+    const DrainStage before = std::exchange(
+        stage,
+        this->drain.Tick({server.in_flight(), server.connections(), server.requests_begun()}, now));
+    if (before < DrainStage::kRefusing && stage >= DrainStage::kRefusing)
+      this->caller_server->StopListening();
     if (this->stop_by <= now && !ended_calls) {
       this->gateway_state.relay.EndCalls();
       ended_calls = true;
     }
-    const Deadline exit_by = this->stop_by + gateway_detail::kFinalResponseTime;
-    if (stage == DrainStage::kFinished || exit_by <= now) break;
+    if ((stage == DrainStage::kFinished || ended_calls) && !closes_idle) {
+      this->caller_server->StopAccepting();
+      closes_idle = true;
+    }
+    // Callers need time to read the responses on the connections that are being closed.
+    if (closes_idle && server.connections() == 0) break;
+    if (this->stop_by + gateway_detail::kFinalResponseTime <= now) break;
     co_await detail::PauseUntil(Clock::now() + Milliseconds(20));
   }
-  Log(LogLevel::kInfo, "stopped", {{"in_flight", this->caller_server->in_flight()}});
+  Log(LogLevel::kInfo, "stopped",
+      {{"in_flight", server.in_flight()}, {"connections", server.connections()}});
   on_finished();
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -76,8 +76,10 @@
   const HttpServerOptions options;
   tcp::acceptor acceptor;  ///< Once open, accessed on its strand only.
   asio::steady_timer accept_timer;
-  std::atomic<bool> stopping = false;
+  std::atomic<bool> keep_alive_ended = false;  ///< Responses announce that the connection closes.
+  std::atomic<bool> stopping = false;          ///< Idle connections are closed.
   std::atomic<std::size_t> in_flight = 0;
+  std::atomic<std::uint64_t> requests_begun = 0;
 
   std::mutex mutex;
   std::unordered_map<Connection*, std::weak_ptr<Connection>> connections;  ///< Guarded by `mutex`.
@@ -214,6 +216,7 @@
     this->phase = Phase::kReading;
     // Counted from the first byte, so that a stopping process does not exit during a request.
     ++this->core->in_flight;
+    ++this->core->requests_begun;
     std::shared_ptr<void> in_flight_guard(nullptr,
                                           [core = this->core](void*) { --core->in_flight; });
     const NextAction next = co_await this->ServeRequest();
@@ -431,7 +434,7 @@
   [[nodiscard]] bool IsHead() const { return this->http_request.method == "HEAD"; }
 
   void KeepAliveUnlessStopping() {
-    if (this->connection.core->stopping) this->keep_alive = false;
+    if (this->connection.core->keep_alive_ended) this->keep_alive = false;
   }
 
   void StartWriteTimeout() {
@@ -554,8 +557,13 @@
 
   [[nodiscard]] std::string address() const override { return this->bound_address; }
 
+  void EndKeepAlive() override { this->core->keep_alive_ended = true; }
+
+  void StopListening() override { this->CloseListener(); }
+
   void StopAccepting() override {
     this->CloseListener();
+    this->core->stopping = true;
     for (const auto& connection : this->core->Connections()) {
       asio::post(connection->executor(), [connection] { connection->CloseIfIdle(); });
     }
@@ -563,9 +571,16 @@
 
   [[nodiscard]] std::size_t in_flight() const override { return this->core->in_flight; }
 
+  [[nodiscard]] std::size_t connections() const override {
+    const std::lock_guard lock(this->core->mutex);
+    return this->core->connections.size();
+  }
+
+  [[nodiscard]] std::uint64_t requests_begun() const override { return this->core->requests_begun; }
+
  private:
   void CloseListener() {
-    this->core->stopping = true;
+    this->core->keep_alive_ended = true;
     asio::post(this->core->acceptor.get_executor(), [core = this->core] {
       error_code ignored;
       core->acceptor.close(ignored);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -69,11 +70,26 @@
   /** Returns the bound address, with the actual port if port 0 was requested. */
   [[nodiscard]] virtual std::string address() const = 0;
 
+  /**
+   * From now on, each response announces that its connection closes. Idle connections stay open,
+   * because a request may be on its way to them.
+   */
+  virtual void EndKeepAlive() = 0;
+
+  /** Closes the listener. */
+  virtual void StopListening() = 0;
+
   /** Closes the listener and idle connections. Requests in flight finish without keep-alive. */
   virtual void StopAccepting() = 0;
 
   /** Returns the number of requests being read or handled. */
   [[nodiscard]] virtual std::size_t in_flight() const = 0;
+
+  /** Returns the number of open connections, also idle ones. */
+  [[nodiscard]] virtual std::size_t connections() const = 0;
+
+  /** Returns the number of requests whose first byte has arrived since the start. */
+  [[nodiscard]] virtual std::uint64_t requests_begun() const = 0;
 };
 
 }  // namespace limpetfall
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(UnfinishedStreamHasNoFinalChunk);
   CPPUNIT_TEST(WriteTimeoutClosesConnection);
   CPPUNIT_TEST(StopAcceptingLetsInFlightRequestsFinish);
+  CPPUNIT_TEST(KeptConnectionIsServedAfterEndOfKeepAlive);
   CPPUNIT_TEST(ResponsesMatchRequestsWhenClientsDisconnect);
   CPPUNIT_TEST_SUITE_END();
 
@@ -252,6 +253,24 @@
     CPPUNIT_ASSERT(response.find("Connection: close\r\n") != std::string::npos);
   }
 
+  // Guards against kept connections that end without a response during a planned stop (LOST).
+  void KeptConnectionIsServedAfterEndOfKeepAlive() {
+    this->Start(&Echo, {});
+    RawClient client(this->server->address());
+    client.Send(kGet);
+    CPPUNIT_ASSERT(client.ReadUntil("/x").find("Connection: close") == std::string::npos);
+    this->server->EndKeepAlive();
+    this->server->StopListening();
+    std::this_thread::sleep_for(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->server->connections());
+    client.Send(kGet);
+    const std::string response = client.ReadAll();
+    CPPUNIT_ASSERT(response.ends_with("\r\n\r\n/x"));
+    CPPUNIT_ASSERT(response.find("Connection: close\r\n") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, this->server->requests_begun());
+    CPPUNIT_ASSERT(Eventually([&] { return this->server->connections() == 0; }));
+  }
+
   // Guards against sending a response to the wrong client. This can happen if a connection closes
   // at about the time of the response and its file descriptor is reused immediately.
   void ResponsesMatchRequestsWhenClientsDisconnect() {
--- a/test/planned-stop-integration-test.cc
+++ b/test/planned-stop-integration-test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "harness/gateway-fixture.h"
+#include "harness/run.h"
 
 // Planned stops of gateway nodes: each request that a node has read gets a complete response.
 namespace limpetfall::testing {
@@ -13,6 +14,8 @@
   CPPUNIT_TEST(RequestInQueueAtStopIsRefusedWithoutRunning);
   CPPUNIT_TEST(OrderInFlightAtEndOfGraceGetsCompleteFailure);
   CPPUNIT_TEST(StopWithoutStoreEndsWithinGrace);
+  CPPUNIT_TEST(RequestsOnKeptConnectionsAreAnsweredUntilProcessEnds);
+  CPPUNIT_TEST(UnusedKeptConnectionsDelayStopByQuietTimeOnly);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -108,7 +111,59 @@
     CPPUNIT_ASSERT(Clock::now() <= stopped_at + this->stop_grace);
   }
 
+  // Guards against kept connections that end without a response, 3.4 s after SIGTERM (LOST).
+  void RequestsOnKeptConnectionsAreAnsweredUntilProcessEnds() {
+    this->StartServing();
+    constexpr int kConnections = 12;
+    std::vector<std::shared_ptr<HttpConnection>> kept;
+    for (int i = 0; i < kConnections; ++i) {
+      kept.push_back(this->Connect());
+      CPPUNIT_ASSERT_EQUAL(200, this->CallOn(*kept.back(), "before-" + std::to_string(i)).status);
+    }
+    const Deadline stopped_at = this->StopFrontNode();
+    for (int i = 0; i < kConnections; ++i) {
+      this->RunUntilTime(stopped_at + Milliseconds(400 * i));
+      const std::string id = "after-" + std::to_string(i);
+      const Answer answer = this->CallOn(*kept[static_cast<std::size_t>(i)], id);
+      CPPUNIT_ASSERT_MESSAGE(id, answer.complete);
+      CPPUNIT_ASSERT_MESSAGE(id, answer.status == 200 || answer.status == 503);
+      CPPUNIT_ASSERT_EQUAL(std::string("close"),
+                           std::string(GetHeader(answer.headers, "Connection")));
+      CPPUNIT_ASSERT_EQUAL(answer.status == 200 ? 1 : 0, this->deployment->CountRuns(id));
+      kept[static_cast<std::size_t>(i)]->Close();
+    }
+    this->RunUntil([&] { return this->finished; }, 200);
+  }
+
+  void UnusedKeptConnectionsDelayStopByQuietTimeOnly() {
+    this->StartServing();
+    const auto kept = this->Connect();
+    CPPUNIT_ASSERT_EQUAL(200, this->CallOn(*kept, "before").status);
+    const Deadline stopped_at = this->StopFrontNode();
+    this->RunUntil([&] { return this->finished; }, 5000);
+    CPPUNIT_ASSERT(stopped_at + Milliseconds(4400) <= Clock::now());
+  }
+
  private:
+  std::shared_ptr<HttpConnection> Connect() {
+    return RunUntilDone(*this->io, HttpConnection::Connect(*this->io, this->caller_address,
+                                                           Clock::now() + Milliseconds(500)))
+        .value();
+  }
+
+  /** Sends an order on a kept connection and reads the response. */
+  Answer CallOn(HttpConnection& connection, const std::string& id) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/order/1";
+    request.headers = {
+        {"Host", "h"}, {"X-Request-Id", id}, {"X-Key", "k1"}, {"X-Deadline-Ms", "1000"}};
+    const auto response = RunUntilDone(
+        *this->io, connection.Call(request, Clock::now() + Milliseconds(2000), 1 << 16));
+    if (!response) return {};
+    return {response.value().status, response.value().headers, response.value().body, true};
+  }
+
   /** Stops the first node and returns the time. */
   Deadline StopFrontNode() {
     this->finished = false;
