Serve the connections in the backlog before a listener closes

Callers saw (in a test, not in the soak): connections that were open, and whose request was sent, were reset when the listener closed.

Cause: the backlog was dropped with the listener, and a connection accepted at that moment was dropped too.

Change: the backlog is accepted before the listener closes. A server that is destroyed accepts nothing more, as its handler may be gone. A connection whose handshake ends between the last accept and the close is still reset.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -78,6 +78,7 @@
   asio::steady_timer accept_timer;
   std::atomic<bool> keep_alive_ended = false;  ///< Responses announce that the connection closes.
   std::atomic<bool> stopping = false;          ///< Idle connections are closed.
+  std::atomic<bool> destroyed = false;         ///< The handler must not be called any more.
   std::atomic<std::size_t> in_flight = 0;
   std::atomic<std::uint64_t> requests_begun = 0;
 
@@ -525,30 +526,43 @@
   co_return exchange.done() ? NextAction::kLinger : NextAction::kClose;
 }
 
+void Serve(const CorePtr& core, tcp::socket socket) {
+  const auto connection = std::make_shared<Connection>(core, std::move(socket));
+  if (!connection->Register()) return connection->RejectOverLimit();
+  asio::co_spawn(connection->executor(), Connection::Run(connection), asio::detached);
+}
+
 asio::awaitable<void> Accept(CorePtr core, asio::io_context& io) {
-  while (!core->stopping) {
+  while (core->acceptor.is_open()) {
     auto [error, socket] = co_await core->acceptor.async_accept(asio::make_strand(io), kNoThrow);
-    if (core->stopping || !core->acceptor.is_open()) co_return;
-    if (error) {
+    if (core->destroyed) co_return;
+    if (!error) {
+      Serve(core, std::move(socket));
+    } else if (core->acceptor.is_open()) {
       core->accept_timer.expires_after(kAcceptRetryDelay);
       co_await core->accept_timer.async_wait(kNoThrow);
-      continue;
     }
-    const auto connection = std::make_shared<Connection>(core, std::move(socket));
-    if (!connection->Register()) {
-      connection->RejectOverLimit();
-      continue;
-    }
-    asio::co_spawn(connection->executor(), Connection::Run(connection), asio::detached);
+  }
+}
+
+/** Accepts the connections that clients have already opened. Closing the listener resets them. */
+void AcceptBacklog(const CorePtr& core, asio::io_context& io) {
+  error_code error;
+  core->acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(asio::make_strand(io));
+    core->acceptor.accept(socket, error);
+    if (!error) Serve(core, std::move(socket));
   }
 }
 
 class BeastServer final : public HttpServer {
  public:
-  BeastServer(CorePtr server_core, std::string bound)
-      : core(std::move(server_core)), bound_address(std::move(bound)) {}
+  BeastServer(asio::io_context& context, CorePtr server_core, std::string bound)
+      : io(context), core(std::move(server_core)), bound_address(std::move(bound)) {}
 
   ~BeastServer() override {
+    this->core->destroyed = true;
     this->CloseListener();
     for (const auto& connection : this->core->Connections()) {
       asio::post(connection->executor(), [connection] { connection->Close(); });
@@ -581,13 +595,16 @@
  private:
   void CloseListener() {
     this->core->keep_alive_ended = true;
-    asio::post(this->core->acceptor.get_executor(), [core = this->core] {
+    asio::post(this->core->acceptor.get_executor(), [core = this->core, &io = this->io] {
+      if (!core->acceptor.is_open()) return;
+      if (!core->destroyed) AcceptBacklog(core, io);
       error_code ignored;
       core->acceptor.close(ignored);
       core->accept_timer.cancel();
     });
   }
 
+  asio::io_context& io;
   CorePtr core;
   std::string bound_address;
 };
@@ -610,7 +627,7 @@
   }
   const std::string bound = FormatEndpoint(core->acceptor.local_endpoint());
   asio::co_spawn(core->acceptor.get_executor(), Accept(core, io), asio::detached);
-  return std::make_unique<BeastServer>(std::move(core), bound);
+  return std::make_unique<BeastServer>(io, std::move(core), bound);
 }
 
 }  // namespace limpetfall
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -76,7 +76,7 @@
    */
   virtual void EndKeepAlive() = 0;
 
-  /** Closes the listener. */
+  /** Closes the listener, after the connections in its backlog were accepted. */
   virtual void StopListening() = 0;
 
   /** Closes the listener and idle connections. Requests in flight finish without keep-alive. */
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(SlowSenderGets408);
   CPPUNIT_TEST(IdleConnectionIsClosed);
   CPPUNIT_TEST(ConnectionOverLimitGets503);
+  CPPUNIT_TEST(RequestSentOverTheConnectionLimitGets503);
   CPPUNIT_TEST(PipelinedRequestsGetResponsesInOrder);
   CPPUNIT_TEST(ExpectHeaderGets100Continue);
   CPPUNIT_TEST(HeadResponseHasNoBody);
@@ -64,6 +65,7 @@
   CPPUNIT_TEST(WriteTimeoutClosesConnection);
   CPPUNIT_TEST(StopAcceptingLetsInFlightRequestsFinish);
   CPPUNIT_TEST(KeptConnectionIsServedAfterEndOfKeepAlive);
+  CPPUNIT_TEST(ConnectionInBacklogIsServedWhenListenerCloses);
   CPPUNIT_TEST(ResponsesMatchRequestsWhenClientsDisconnect);
   CPPUNIT_TEST_SUITE_END();
 
@@ -136,6 +138,25 @@
     this->ExpectError(second.ReadAll(), 503, "");
   }
 
+  // Guards against a reset in place of the refusal when the request has already arrived (LOST).
+  void RequestSentOverTheConnectionLimitGets503() {
+    asio::io_context io;
+    HttpServerOptions options;
+    options.max_connections = 1;
+    auto full = HttpServer::Create(io, "127.0.0.1:0", &Echo, options).value();
+    io.poll();
+    RawClient first(full->address());
+    first.Send(kGet);
+    std::vector<std::unique_ptr<RawClient>> others;
+    for (int i = 0; i < 20; ++i) {
+      others.push_back(std::make_unique<RawClient>(full->address()));
+      others.back()->Send("POST /x HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" +
+                          std::string(100000, 'a'));
+    }
+    for (const std::string& response : ReadAllWhileRunning(io, others))
+      this->ExpectError(response, 503, "");
+  }
+
   // Guards against reading the response to one request as the response to another.
   void PipelinedRequestsGetResponsesInOrder() {
     this->Start(&Echo, {});
@@ -271,6 +292,22 @@
     CPPUNIT_ASSERT(Eventually([&] { return this->server->connections() == 0; }));
   }
 
+  // Guards against a reset of requests that were sent before the listener closes (LOST).
+  void ConnectionInBacklogIsServedWhenListenerCloses() {
+    asio::io_context io;
+    auto stopped = HttpServer::Create(io, "127.0.0.1:0", &Echo, {}).value();
+    io.poll();
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 20; ++i) {
+      clients.push_back(std::make_unique<RawClient>(stopped->address()));
+      clients.back()->Send(kGet);
+    }
+    stopped->StopListening();
+    for (const std::string& response : ReadAllWhileRunning(io, clients)) {
+      CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("\r\n\r\n/x"));
+    }
+  }
+
   // Guards against sending a response to the wrong client. This can happen if a connection closes
   // at about the time of the response and its file descriptor is reused immediately.
   void ResponsesMatchRequestsWhenClientsDisconnect() {
@@ -327,6 +364,23 @@
     }
   }
 
+  /** Runs a server's loop on a thread and reads what the clients receive until they are closed. */
+  static std::vector<std::string> ReadAllWhileRunning(
+      asio::io_context& io, const std::vector<std::unique_ptr<RawClient>>& clients) {
+    std::thread loop([&io] { io.run(); });
+    std::vector<std::string> responses;
+    for (const auto& client : clients) {
+      try {
+        responses.push_back(client->ReadAll());
+      } catch (const boost::system::system_error& error) {
+        responses.emplace_back(error.what());
+      }
+    }
+    io.stop();
+    loop.join();
+    return responses;
+  }
+
   void Start(HttpHandler handler, HttpServerOptions options) {
     this->server =
         HttpServer::Create(this->threads->io(), "127.0.0.1:0", std::move(handler), options).value();
