--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -58,6 +58,12 @@
 // Interval at which the number of requests in flight is checked during a planned stop.
 constexpr Milliseconds kDrainPollInterval{20};
 
+// A draining process ends when callers have not used their open connections for this long.
+constexpr Milliseconds kDrainQuietTime{1000};
+
+// Time in which callers read the last responses before the process ends.
+constexpr Milliseconds kDrainCloseTime{200};
+
 // A node behind a network partition must stay known for as long as partitions last, because the
 // majority rule of the configuration counts known nodes. With a longer retention, replaced nodes
 // would block changes.
@@ -219,6 +225,8 @@
 
   Settings settings;
   net::io_context io;
+  // Created before the listeners: by default, a signal ends the process.
+  net::signal_set signals{this->io, SIGTERM, SIGINT};
   std::shared_ptr<SharedState> state;
   std::shared_ptr<Metrics> metrics;
   std::shared_ptr<NodeContext> context;
@@ -538,11 +546,13 @@
 net::awaitable<void> EntryNodeImpl::DrainAndStop() {
   DrainOptions options;
   options.address_ttl = Milliseconds(this->settings.address_ttl_ms);
+  options.quiet_time = kDrainQuietTime;
   auto created = limpetfall::Drain::Create(options);
   if (!created) co_return;
   limpetfall::Drain drain = std::move(created).value();
   const TimePoint start = Clock::now();
   drain.Start(start);
+  this->caller_server->EndKeepAlive();
   this->owners->Stop();
   const int notified_nodes =
       co_await this->nodes->AnnounceLeaving(start + options.announce_timeout);
@@ -558,12 +568,16 @@
   while (drain.Tick(load(), Clock::now()) != DrainStage::kFinished) {
     if (!drain.AcceptsWork() && !limit) {
       this->dispatcher->StopNewWork();
-      this->caller_server->StopAccepting();
+      this->caller_server->StopListening();
       limit = Clock::now() + Milliseconds(this->settings.request_timeout_ms);
     }
     if (limit && Clock::now() >= *limit) break;
     co_await detail::PauseUntil(Clock::now() + kDrainPollInterval);
   }
+  this->caller_server->StopAccepting();
+  const Deadline close_by = Clock::now() + kDrainCloseTime;
+  while (this->caller_server->connections() > 0 && Clock::now() < close_by)
+    co_await detail::PauseUntil(Clock::now() + kDrainPollInterval);
   Log(LogLevel::kInfo, "drain_ended", {{"in_flight", load().in_flight}});
   this->sync->Stop();
   this->io.stop();
@@ -577,8 +591,7 @@
   this->Spawn(this->ReportCapacity());
   this->Spawn(this->CleanUp());
   net::co_spawn(this->io, this->owners->Run(), net::detached);
-  net::signal_set signals(this->io, SIGTERM, SIGINT);
-  signals.async_wait([this](const boost::system::error_code& error, int) {
+  this->signals.async_wait([this](const boost::system::error_code& error, int) {
     if (!error) this->Drain();
   });
   Log(LogLevel::kInfo, "started",
