Don't handle a request whose connection has just been closed

Cause: bytes that were read in the same turn of the loop in which the idle connection was closed were handled all the same, so a request could run whose answer had nowhere to go. The same order of events followed an idle time-out.

Change: after the first bytes, the connection is served only if it is open.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -214,6 +214,8 @@
   asio::awaitable<bool> ServeNext() {
     if (this->core->stopping && !this->HasUnreadBytes()) co_return false;
     if (!co_await this->WaitForFirstBytes()) co_return false;
+    // The connection may have been closed after the bytes were read.
+    if (!this->socket.is_open()) co_return false;
     this->phase = Phase::kReading;
     // Counted from the first byte, so that a stopping process does not exit during a request.
     ++this->core->in_flight;
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(StopAcceptingLetsInFlightRequestsFinish);
   CPPUNIT_TEST(KeptConnectionIsServedAfterEndOfKeepAlive);
   CPPUNIT_TEST(ConnectionInBacklogIsServedWhenListenerCloses);
+  CPPUNIT_TEST(RequestReadWhileIdleConnectionsCloseIsAnsweredOrNotHandled);
   CPPUNIT_TEST(ResponsesMatchRequestsWhenClientsDisconnect);
   CPPUNIT_TEST_SUITE_END();
 
@@ -308,6 +309,30 @@
     }
   }
 
+  // Guards against a request that is handled although its connection was closed after its bytes
+  // had been read (LOST).
+  void RequestReadWhileIdleConnectionsCloseIsAnsweredOrNotHandled() {
+    asio::io_context io;
+    int handled = 0;
+    const auto handler = [&handled](HttpExchange& exchange) {
+      ++handled;
+      return Echo(exchange);
+    };
+    auto stopped = HttpServer::Create(io, "127.0.0.1:0", handler, {}).value();
+    io.poll();
+    RawClient client(stopped->address());
+    client.Send(kGet);
+    PollFor(io, Milliseconds(50));
+    client.ReadUntil("/x");
+    client.Send(kGet);
+    std::this_thread::sleep_for(Milliseconds(20));
+    asio::post(io, [&stopped] { stopped->StopAccepting(); });
+    PollFor(io, Milliseconds(50));
+    const std::string response = client.ReadAll();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(handled) + " " + response,
+                           handled == 1 || response.ends_with("/x"));
+  }
+
   // Guards against sending a response to the wrong client. This can happen if a connection closes
   // at about the time of the response and its file descriptor is reused immediately.
   void ResponsesMatchRequestsWhenClientsDisconnect() {
@@ -364,6 +389,15 @@
     }
   }
 
+  static void PollFor(asio::io_context& io, Milliseconds time) {
+    const Deadline end = Clock::now() + time;
+    while (Clock::now() < end) {
+      io.restart();
+      io.poll();
+      std::this_thread::sleep_for(Milliseconds(1));
+    }
+  }
+
   /** Runs a server's loop on a thread and reads what the clients receive until they are closed. */
   static std::vector<std::string> ReadAllWhileRunning(
       asio::io_context& io, const std::vector<std::unique_ptr<RawClient>>& clients) {
