Close the listener before a node without connections exits

Cause: with no connection open, Drain went from accepting to finished in one step, so the process ended before the backlog was accepted.

Measured: ListenerIsClosedBeforeExitWithoutConnections failed before, at the state machine, and passes after.

--- a/src/core/drain.cc
+++ b/src/core/drain.cc
@@ -29,8 +29,11 @@
     this->OnAnnounced(this->deadline);
   }
   if (this->current == DrainStage::kAccepting && this->deadline <= now) {
+    // The caller closes the listener now, which may bring in further connections.
     this->current = DrainStage::kRefusing;
     this->deadline = now + this->options.quiet_time;
+    this->requests_begun = load.requests_begun;
+    return this->current;
   }
   if (this->current != DrainStage::kRefusing) return this->current;
   const bool is_used = load.in_flight > 0 || load.requests_begun != this->requests_begun;
--- a/test/drain-test.cc
+++ b/test/drain-test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(IdleConnectionsDelayExitByQuietTimeOnly);
   CPPUNIT_TEST(ExitIsImmediateOnceAllConnectionsAreClosed);
   CPPUNIT_TEST(NoRequestMeetsExitUnderRandomUseOfOpenConnections);
+  CPPUNIT_TEST(ListenerIsClosedBeforeExitWithoutConnections);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -121,6 +122,15 @@
     }
   }
 
+  // Guards against a backlog that is dropped because the process exits at the moment at which its
+  // listener is to be closed (LOST).
+  void ListenerIsClosedBeforeExitWithoutConnections() {
+    this->StartWithQuietTime();
+    CPPUNIT_ASSERT(this->drain.Tick({0, 0, 7}, kNow + Milliseconds(4980)) ==
+                   DrainStage::kAccepting);
+    CPPUNIT_ASSERT(this->drain.Tick({0, 0, 7}, kNow + seconds(5)) == DrainStage::kRefusing);
+  }
+
  private:
   void StartWithQuietTime() {
     this->drain = Drain::Create({seconds(5), seconds(3), seconds(1)}).value();
