--- a/test/gateway-signal-integration-test.cc
+++ b/test/gateway-signal-integration-test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(GatewaySignalIntegrationTest);
   CPPUNIT_TEST(ReloadSignalDuringStartDoesNotEndProcess);
   CPPUNIT_TEST(StopSignalDuringStartIsGraceful);
+  CPPUNIT_TEST(SignalsDuringExitDoNotChangeItsCode);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -39,6 +40,26 @@
     }
   }
 
+  // Guards against a graceful stop that looks like a crash because another signal comes at its end.
+  void SignalsDuringExitDoNotChangeItsCode() {
+    this->StartProcesses(4);
+    for (const auto& process : this->processes) process->Signal(SIGTERM);
+    this->RunFor(3300);
+    bool any_runs = true;
+    for (const Deadline limit = Clock::now() + Milliseconds(6000); any_runs;) {
+      CPPUNIT_ASSERT(Clock::now() < limit);
+      any_runs = false;
+      for (const auto& process : this->processes) {
+        if (!process->running()) continue;
+        any_runs = true;
+        process->Signal(SIGHUP);
+        process->Signal(SIGTERM);
+      }
+      this->io->run_for(std::chrono::microseconds(100));
+    }
+    for (const auto& process : this->processes) CPPUNIT_ASSERT_EQUAL(0, process->exit_code());
+  }
+
  private:
   std::unique_ptr<RawClient> ConnectAsSoonAsPossible() const {
     const Deadline limit = Clock::now() + Milliseconds(5000);
