--- a/test/harness/gateway-fixture.h
+++ b/test/harness/gateway-fixture.h
@@ -23,11 +23,11 @@
 
 using GatewayUnderTest = GatewayNode<platform::StoreClient, platform::WireAdapter>;
 
-/** Returns an address on loopback whose port is free. */
-inline std::string FreeAddress() {
+/** Returns an address on loopback, with this IP, whose port is free. */
+inline std::string FreeAddress(const std::string& ip = "127.0.0.1") {
   boost::asio::io_context io;
-  boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::make_address(ip), 0});
+  return ip + ":" + std::to_string(acceptor.local_endpoint().port());
 }
 
 /** Returns a configuration with a stream, an order and a lookup route, and one team that holds the
--- a/test/harness/gateway-process-fixture.h
+++ b/test/harness/gateway-process-fixture.h
@@ -45,13 +45,13 @@
       const std::string ip = "127.0.0." + std::to_string(i + 1);
       const std::string name = "p" + std::to_string(i);
       const std::string settings_path = (this->folder / (name + ".toml")).string();
-      const auto address = [&ip] { return ip + ":" + PortOf(FreeAddress()); };
+      const auto address = [&ip] { return FreeAddress(ip); };
       const std::string caller = address();
       std::ofstream(settings_path)
           << "[node]\nid = \"" << name << "\"\nzone = \"z1\"\nip = \"" << ip
           << "\"\ncaller_address = \"" << caller
           << "\"\nfirst_start = true\npeer_port = " << peer_port
-          << "\nmetrics_port = " << PortOf(FreeAddress())
+          << "\nmetrics_port = " << PortOf(FreeAddress(ip))
           << "\nseeds = [\"127.0.0.1:1\"]\n[platform]\nready_address = \"" << address()
           << "\"\ndirectory_address = \"" << address() << "\"\nstore_address = \""
           << this->deployment->store_address()
