Keep the rate limits that upstreams state, with all nodes together

Callers and operators saw: an upstream in need, which names in its answers how many requests a second it takes from all nodes, got as many as before (LIMIT). An overloaded upstream that is not spared fails more of its requests.

Cause: nothing read the header, and no node knew what the others send. A limit that is common to all nodes needs a count that is common to all nodes.

Change: nodes report to each other the limits that answers to them have named, and a decaying count of what they have sent. Five times a second each grants itself a part of what is left; retries, resumed streams and trials use grants, too. The choice of an upstream compares its load with its rate; a request that cannot start in time is refused at once. Weighed against it: even parts, and owners of each limited upstream (docs/decisions.md).

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -21,6 +21,7 @@
   capacity @12 :Float32;     # Processor share of the sender's node, in cores.
   crashes @13 :CrashEvidence;
   crashDigest @14 :UInt64;   # Hash of all that the sender knows about crashes; 0 for nothing.
+  rateLimits @15 :List(RateLimit);
 
   struct Demand {
     model @0 :Text;
@@ -31,6 +32,13 @@
     upstream @0 :UInt64;     # Hash of the upstream's id.
     inFlight @1 :UInt16;
   }
+
+  struct RateLimit {
+    upstreamBoot @0 :UInt64; # Hash of the upstream's id and start.
+    perSecond @1 :Float64;   # Infinite once the upstream states no limit any more.
+    statedAgeMs @2 :UInt32;  # Time since the response that stated it; the maximum without one.
+    recentSends @3 :Float32; # Requests that the sender has sent to it; older ones count less.
+  }
 }
 
 # What the sender knows about requests that crash upstreams. Ages and times are those at the sending.
--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace limpetfall {
@@ -214,6 +215,15 @@
   return this->waiting.at(id).request.lane;
 }
 
+std::size_t AdmissionQueue::QueuedBefore(const AdmissionRequest& request) const {
+  const auto found = this->lanes.find(request.lane);
+  // Retries are put in front of the requests of their priority.
+  if (found == this->lanes.end() || request.is_retry) return 0;
+  const auto& queued = found->second.queued;
+  const auto end = queued.begin() + static_cast<int>(request.priority) + 1;
+  return std::accumulate(queued.begin(), end, std::size_t{0});
+}
+
 void AdmissionQueue::Remove(AdmissionId id) {
   const AdmissionRequest& request = this->waiting.at(id).request;
   Team& team = this->TeamOf(request.team);
--- a/src/core/dispatch.cc
+++ b/src/core/dispatch.cc
@@ -28,6 +28,12 @@
 // slots would overfill an upstream.
 constexpr double kAllocatedFreeSlotFraction = 0.5;
 
+// Keeps a status message well below the maximum size of a datagram.
+constexpr std::size_t kMaxRateLimitReports = 500;
+
+// Weight of one request in the moving average of service times.
+constexpr double kServiceTimeWeight = 0.05;
+
 // A runner that leaves has ended long before.
 constexpr Milliseconds kLeavingMemory{600'000};
 
@@ -66,13 +72,16 @@
 }
 
 DispatchTicket::DispatchTicket(DispatchTicket&& other) noexcept
-    : target(std::move(other.target)), listener(std::exchange(other.listener, nullptr)) {}
+    : target(std::move(other.target)),
+      listener(std::exchange(other.listener, nullptr)),
+      sent(other.sent) {}
 
 DispatchTicket& DispatchTicket::operator=(DispatchTicket&& other) noexcept {
   if (this == &other) return *this;
   this->Release();
   this->target = std::move(other.target);
   this->listener = std::exchange(other.listener, nullptr);
+  this->sent = other.sent;
   return *this;
 }
 
@@ -82,6 +91,11 @@
   return limpetfall::IsWanted(*this->target, now);
 }
 
+void DispatchTicket::OnSent(TimePoint now) {
+  this->sent = now;
+  if (this->target->rate_limit) this->target->rate_limit->OnSent(now);
+}
+
 void DispatchTicket::RemoveListener() {
   if (this->target) this->target->listeners.erase(std::exchange(this->listener, nullptr));
 }
@@ -104,6 +118,8 @@
     target->health = UpstreamHealth(this->options.health);
     target->boot = BootHash(runner);
     target->said_leaving = this->leaving_boots.contains(target->boot);
+    const auto limit = this->rate_limits.find(target->boot);
+    if (limit != this->rate_limits.end()) target->rate_limit = limit->second;
   }
   target->id = runner.id;
   target->address = runner.address;
@@ -199,10 +215,12 @@
   for (const auto& [id, target] : this->targets) {
     if (!MatchesRequest(*target, request, now)) continue;
     if (any_healthy ? !IsHealthy(*target, request, now) : target->health.IsLost()) continue;
-    const double load = static_cast<double>(this->TotalLoad(*target, now)) / target->slots;
-    if (load >= request.max_load) continue;
+    const int in_flight = this->TotalLoad(*target, now);
+    if (in_flight >= request.max_load * target->slots) continue;
     if (!request.response_started && target->in_flight >= target->in_flight_limit) continue;
-    const double cost = this->RoutingCost(*target, request, load, now);
+    if (target->rate_limit && !target->rate_limit->CanSend()) continue;
+    const double cost =
+        this->RoutingCost(*target, request, in_flight / this->EffectiveSlots(*target), now);
     constexpr double kCostTolerance = 1e-3;
     if (cost < best_cost - kCostTolerance) best.clear();
     if (cost < best_cost + kCostTolerance) {
@@ -214,6 +232,7 @@
   const auto& chosen = *best[this->selection_count++ % best.size()];
   // After a suspension one request is sent as a trial. Others follow once it has made progress.
   if (chosen->health.IsOnTrial()) chosen->trial_in_flight = true;
+  if (chosen->rate_limit) chosen->rate_limit->Take();
   return DispatchTicket(chosen, listener);
 }
 
@@ -240,7 +259,87 @@
 }
 
 void DispatchTable::OnSuccess(const DispatchTicket& ticket, TimePoint now) {
+  const DispatchTarget& target = *ticket.target;
   ticket.target->health.OnSuccess(now);
+  if (ticket.sent == TimePoint()) return;
+  const std::chrono::duration<double> time = now - ticket.sent;
+  const auto [mean, is_first] =
+      this->service_times.try_emplace({target.service, target.model}, time);
+  if (!is_first) mean->second += kServiceTimeWeight * (time - mean->second);
+}
+
+double DispatchTable::EffectiveSlots(const DispatchTarget& target) const {
+  const bool limited = target.rate_limit && target.rate_limit->IsLimited();
+  const auto time = limited ? this->service_times.find({target.service, target.model})
+                            : this->service_times.end();
+  if (time == this->service_times.end()) return target.slots;
+  const double slots = target.slots;
+  return std::min(slots, std::max(1.0, target.rate_limit->Concurrency(time->second)));
+}
+
+UpstreamRateLimit& DispatchTable::RateLimitOf(std::uint64_t upstream_boot) {
+  std::shared_ptr<UpstreamRateLimit>& limit = this->rate_limits[upstream_boot];
+  if (limit) return *limit;
+  limit = std::make_shared<UpstreamRateLimit>();
+  for (auto& [id, target] : this->targets) {
+    if (target->boot == upstream_boot) target->rate_limit = limit;
+  }
+  return *limit;
+}
+
+bool DispatchTable::OnStatedRate(const DispatchTicket& ticket, RequestRate rate, TimePoint now) {
+  if (!rate.IsLimited() && !this->rate_limits.contains(ticket.boot())) return false;
+  return this->RateLimitOf(ticket.boot()).OnResponse(rate, ticket.sent, now);
+}
+
+void DispatchTable::MergeRateLimits(const NodeId& node, const std::vector<RateLimitReport>& reports,
+                                    TimePoint now) {
+  for (const RateLimitReport& report : reports) {
+    const bool is_new_limit = report.stated && report.stated->rate.IsLimited();
+    if (!is_new_limit && !this->rate_limits.contains(report.upstream_boot)) continue;
+    this->RateLimitOf(report.upstream_boot).OnReport(node, report, now);
+  }
+}
+
+std::vector<RateLimitReport> DispatchTable::RateLimitReports(TimePoint now) {
+  std::vector<RateLimitReport> reports;
+  auto next = this->rate_limits.upper_bound(this->last_reported_limit);
+  for (std::size_t i = 0; i < this->rate_limits.size(); ++i) {
+    if (next == this->rate_limits.end()) next = this->rate_limits.begin();
+    if (reports.size() == kMaxRateLimitReports) break;
+    if (next->second->IsWorthReporting(now)) {
+      reports.push_back(next->second->Report(next->first, now));
+      this->last_reported_limit = next->first;
+    }
+    ++next;
+  }
+  return reports;
+}
+
+void DispatchTable::StartRateLimitRounds(std::size_t nodes, TimePoint now) {
+  const auto erased = std::erase_if(
+      this->rate_limits, [now](const auto& entry) { return entry.second->IsObsolete(now); });
+  if (erased > 0) {
+    for (auto& [id, target] : this->targets) {
+      if (!this->rate_limits.contains(target->boot)) target->rate_limit.reset();
+    }
+  }
+  std::uniform_real_distribution<double> fraction;
+  for (auto& [boot, limit] : this->rate_limits)
+    limit->StartRound(nodes, fraction(this->random), now);
+}
+
+std::optional<double> DispatchTable::LimitedRate(const DispatchRequest& request,
+                                                 TimePoint now) const {
+  double rate = 0;
+  for (const auto& [id, target] : this->targets) {
+    if (!MatchesRequest(*target, request, now) || target->health.IsLost()) continue;
+    if (!target->rate_limit || target->rate_limit->CanSend()) return std::nullopt;
+    const auto expected = target->rate_limit->ExpectedRate();
+    if (!expected) return std::nullopt;
+    rate += *expected;
+  }
+  return rate;
 }
 
 bool DispatchTable::OnLeaving(const DispatchTicket& ticket, TimePoint now) {
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -15,6 +15,7 @@
 #include "core/group-planner.h"
 #include "core/runner.h"
 #include "core/upstream-health.h"
+#include "core/upstream-rate-limit.h"
 #include "limpetfall/time.h"
 
 namespace limpetfall {
@@ -76,6 +77,7 @@
   bool said_leaving = false;     ///< The upstream itself has said that it leaves.
   Deadline paused_until;         ///< The upstream has asked this node to send nothing until then.
   bool trial_in_flight = false;  ///< The first request after a suspension is in flight.
+  std::shared_ptr<UpstreamRateLimit> rate_limit;  ///< Null if the upstream has stated none.
   std::set<UpstreamLossListener*> listeners;
 };
 
@@ -101,6 +103,9 @@
   [[nodiscard]] bool IsWanted(TimePoint now) const;
   [[nodiscard]] TimePoint last_progress() const { return this->target->last_progress; }
 
+  /** Records that the request is being sent to the upstream. */
+  void OnSent(TimePoint now);
+
   /** The listener is no longer notified of the loss of the upstream. */
   void RemoveListener();
 
@@ -110,6 +115,7 @@
 
   std::shared_ptr<detail::DispatchTarget> target;
   UpstreamLossListener* listener = nullptr;
+  TimePoint sent;
 };
 
 /**
@@ -152,6 +158,17 @@
    * whatever its entry in the store says. Returns whether this is new. */
   bool OnLeaving(const DispatchTicket& ticket, TimePoint now);
 
+  /** Records what a response states about the rate limit of its upstream. Returns whether it has
+   * changed. */
+  bool OnStatedRate(const DispatchTicket& ticket, RequestRate rate, TimePoint now);
+
+  /**
+   * If all upstreams that could serve the request limit their rate and take none now, returns the
+   * rate at which this node may expect to send to them, in requests per second.
+   */
+  [[nodiscard]] std::optional<double> LimitedRate(const DispatchRequest& request,
+                                                  TimePoint now) const;
+
   /** Records that an upstream wants nothing from this node until `until`. A later end stays valid.
    */
   void OnPause(const DispatchTicket& ticket, Deadline until);
@@ -176,9 +193,20 @@
    */
   void ShareFreeSlots(std::size_t nodes, TimePoint now);
 
+  /** Grants this node its part of all rate limits. `nodes` is the number of nodes that may send,
+   * including those that this node does not hear at present. Called as `ShareFreeSlots`. */
+  void StartRateLimitRounds(std::size_t nodes, TimePoint now);
+
   /** Replaces the numbers of requests that another node has in flight. */
   void SetPeerLoad(const NodeId& node, std::map<VmId, int> in_flight, TimePoint now);
 
+  /** Records what another node knows about rate limits. */
+  void MergeRateLimits(const NodeId& node, const std::vector<RateLimitReport>& reports,
+                       TimePoint now);
+
+  /** Returns what the other nodes should know about rate limits. */
+  [[nodiscard]] std::vector<RateLimitReport> RateLimitReports(TimePoint now);
+
   /** Returns the number of requests of this node in flight, by upstream. */
   [[nodiscard]] std::map<VmId, int> LocalLoad() const;
 
@@ -206,12 +234,19 @@
                                    TimePoint now) const;
   void RefreshTarget(const Runner& runner, const PlannedGroup* group, int slots);
   void SetInFlightLimit(detail::DispatchTarget& target, int free_slots);
+  /** Returns the number of requests that an upstream can have in flight, given its rate limit. */
+  [[nodiscard]] double EffectiveSlots(const detail::DispatchTarget& target) const;
+  /** Returns the rate limit of an upstream, which is created if necessary. */
+  UpstreamRateLimit& RateLimitOf(std::uint64_t upstream_boot);
 
   DispatchOptions options;
   std::map<VmId, std::shared_ptr<detail::DispatchTarget>> targets;
   std::map<VmId, TimePoint> missing_since;
   std::map<VmId, Runner> recent_runners;  ///< Entries present or missing for less than the grace.
   std::map<std::uint64_t, TimePoint> leaving_boots;  ///< When upstreams said that they leave.
+  std::map<std::uint64_t, std::shared_ptr<UpstreamRateLimit>> rate_limits;  ///< By upstream boot.
+  std::uint64_t last_reported_limit = 0;                                    ///< Upstream boot.
+  std::map<std::pair<ServiceName, ModelName>, std::chrono::duration<double>> service_times;
   std::map<NodeId, PeerLoad> peers;
   std::uint64_t selection_count = 0;  ///< Rotates the choice among upstreams of equal cost.
   double free_slot_fraction = 1;      ///< Free slots that this node may use; 1 for a single node.
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -732,6 +732,7 @@
   this->gateway_state.ShareFreeSlots();
   PeerStatus status = this->MakeStatus();
   status.demands = this->gateway_state.relay.SlotDemand();
+  status.rate_limits = this->gateway_state.dispatch.RateLimitReports(now);
   const CrashAttribution& crash_attribution = this->gateway_state.crash_attribution;
   status.crash_digest = crash_attribution.Digest(now);
   status.crashes = crash_attribution.CollectRecent(
@@ -741,6 +742,7 @@
   standby_status.loads.clear();
   standby_status.suspended.clear();
   standby_status.demands.clear();
+  standby_status.rate_limits.clear();
   struct Target {
     std::uint64_t echo = 0;
     bool is_core = true;
@@ -813,6 +815,7 @@
       loads.emplace(*runner, in_flight);
   }
   this->gateway_state.dispatch.SetPeerLoad(status.node, std::move(loads), now);
+  this->gateway_state.dispatch.MergeRateLimits(status.node, status.rate_limits, now);
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
--- a/src/gateway/gateway-state.cc
+++ b/src/gateway/gateway-state.cc
@@ -110,7 +110,12 @@
 void GatewayState::ShareFreeSlots() {
   const std::size_t other_active_nodes =
       this->traffic_set.active.size() - (this->IsActive(this->options.node) ? 1 : 0);
-  this->dispatch.ShareFreeSlots(other_active_nodes + 1, Clock::now());
+  const TimePoint now = Clock::now();
+  this->dispatch.ShareFreeSlots(other_active_nodes + 1, now);
+  // A node that this one no longer hears may still send.
+  const std::size_t retained =
+      std::min(this->peers.Addresses(now).size() + 1, this->options.traffic.min_nodes);
+  this->dispatch.StartRateLimitRounds(std::max(other_active_nodes + 1, retained), now);
   this->relay.DispatchWaiting();
 }
 
--- a/src/gateway/peer-wire.cc
+++ b/src/gateway/peer-wire.cc
@@ -6,7 +6,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
+#include <limits>
 #include <type_traits>
 #include <utility>
 
@@ -96,6 +98,43 @@
   return evidence;
 }
 
+// Age of a statement in the report of a node that has heard none itself.
+constexpr std::uint32_t kNoStatement = UINT32_MAX;
+
+void EncodeRateLimits(const std::vector<RateLimitReport>& reports, wire::PeerStatus::Builder root,
+                      TimePoint now) {
+  auto list = root.initRateLimits(static_cast<unsigned>(reports.size()));
+  for (unsigned i = 0; i < list.size(); ++i) {
+    const RateLimitReport& report = reports[i];
+    list[i].setUpstreamBoot(report.upstream_boot);
+    list[i].setRecentSends(static_cast<float>(report.recent_sends));
+    list[i].setStatedAgeMs(kNoStatement);
+    if (!report.stated) continue;
+    const auto& [rate, at] = *report.stated;
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
+    list[i].setPerSecond(rate.IsLimited() ? rate.per_second()
+                                          : std::numeric_limits<double>::infinity());
+    list[i].setStatedAgeMs(
+        static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, kNoStatement - 1)));
+  }
+}
+
+std::vector<RateLimitReport> DecodeRateLimits(capnp::List<wire::PeerStatus::RateLimit>::Reader list,
+                                              TimePoint now) {
+  std::vector<RateLimitReport> reports;
+  for (const auto entry : list) {
+    const auto rate = RequestRate::FromPerSecond(entry.getPerSecond());
+    const double sends = entry.getRecentSends();
+    if (!rate || !std::isfinite(sends) || sends < 0) continue;
+    RateLimitReport report{entry.getUpstreamBoot(), std::nullopt, sends};
+    const std::uint32_t age_ms = entry.getStatedAgeMs();
+    if (age_ms != kNoStatement)
+      report.stated = StatedRate{*rate, now - std::chrono::milliseconds(age_ms)};
+    reports.push_back(report);
+  }
+  return reports;
+}
+
 /** Decodes a message. Cap'n Proto reports malformed messages by exception. */
 template <typename Schema, typename Read>
 auto Parse(std::string_view bytes, Read read)
@@ -152,6 +191,7 @@
     demands[index].setPlaces(static_cast<float>(places));
     ++index;
   }
+  EncodeRateLimits(status.rate_limits, root, now);
   root.setCrashDigest(status.crash_digest);
   if (status.crashes != CrashEvidence()) {
     EncodeCrashEvidence(status.crashes, root.initCrashes(), now);
@@ -179,6 +219,7 @@
     for (const auto demand : root.getDemands()) {
       status.demands[ModelName(String(demand.getModel()))] = demand.getPlaces();
     }
+    status.rate_limits = DecodeRateLimits(root.getRateLimits(), now);
     status.crash_digest = root.getCrashDigest();
     status.crashes = DecodeCrashEvidence(root.getCrashes(), now);
     return status;
--- a/src/gateway/peer-wire.h
+++ b/src/gateway/peer-wire.h
@@ -10,6 +10,7 @@
 #include "base/ids.h"
 #include "core/crash-attribution.h"
 #include "core/state-mirror.h"
+#include "core/upstream-rate-limit.h"
 #include "limpetfall/result.h"
 #include "limpetfall/time.h"
 
@@ -27,11 +28,12 @@
   std::uint64_t echo_at_ns = 0;    ///< `sent_at_ns` of the receiver's last message; 0 for none.
   std::int64_t proof_age_ms = -1;  ///< Age of the sender's proof, see `ProofAgeMs`.
   std::int64_t mirror_revision = 0;
-  std::map<std::uint64_t, int> loads;    ///< Requests in flight, by hash of the upstream's id.
-  std::vector<std::uint64_t> suspended;  ///< Hashes of suspended upstreams.
-  std::map<ModelName, double> demands;   ///< Slots that its callers would occupy concurrently.
-  std::uint64_t crash_digest = 0;        ///< `CrashAttribution::Digest` of the sender.
-  CrashEvidence crashes;                 ///< On the clock of the node that holds this object.
+  std::map<std::uint64_t, int> loads;        ///< Requests in flight, by hash of the upstream's id.
+  std::vector<std::uint64_t> suspended;      ///< Hashes of suspended upstreams.
+  std::map<ModelName, double> demands;       ///< Slots that its callers would occupy concurrently.
+  std::vector<RateLimitReport> rate_limits;  ///< On the clock of the node that holds this object.
+  std::uint64_t crash_digest = 0;            ///< `CrashAttribution::Digest` of the sender.
+  CrashEvidence crashes;                     ///< On the clock of the node that holds this object.
 
   friend bool operator==(const PeerStatus&, const PeerStatus&) = default;
 };
--- a/src/gateway/peer.capnp.h
+++ b/src/gateway/peer.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(8cfde5dc1715331d);
 CAPNP_DECLARE_SCHEMA(801f910e1c784470);
 CAPNP_DECLARE_SCHEMA(f1781b1f1124c1a6);
+CAPNP_DECLARE_SCHEMA(d0785254e386ccea);
 CAPNP_DECLARE_SCHEMA(cf51a925c06c1065);
 CAPNP_DECLARE_SCHEMA(fd034a20ba81a56a);
 CAPNP_DECLARE_SCHEMA(d6dc5fdf8f9f8c65);
@@ -40,9 +41,10 @@
   class Pipeline;
   struct Demand;
   struct Load;
+  struct RateLimit;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8cfde5dc1715331d, 6, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(8cfde5dc1715331d, 6, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -79,6 +81,21 @@
   };
 };
 
+struct PeerStatus::RateLimit {
+  RateLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d0785254e386ccea, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct CrashEvidence {
   CrashEvidence() = delete;
 
@@ -230,6 +247,9 @@
 
   inline  ::uint64_t getCrashDigest() const;
 
+  inline bool hasRateLimits() const;
+  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -336,6 +356,13 @@
   inline  ::uint64_t getCrashDigest();
   inline void setCrashDigest( ::uint64_t value);
 
+  inline bool hasRateLimits();
+  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>::Builder getRateLimits();
+  inline void setRateLimits( ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>::Builder initRateLimits(unsigned int size);
+  inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -530,6 +557,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class PeerStatus::RateLimit::Reader {
+public:
+  typedef RateLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstreamBoot() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getStatedAgeMs() const;
+
+  inline float getRecentSends() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerStatus::RateLimit::Builder {
+public:
+  typedef RateLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstreamBoot();
+  inline void setUpstreamBoot( ::uint64_t value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getStatedAgeMs();
+  inline void setStatedAgeMs( ::uint32_t value);
+
+  inline float getRecentSends();
+  inline void setRecentSends(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerStatus::RateLimit::Pipeline {
+public:
+  typedef RateLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CrashEvidence::Reader {
 public:
   typedef CrashEvidence Reads;
@@ -1499,6 +1617,40 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerStatus::Reader::hasRateLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerStatus::Builder::hasRateLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>::Reader PeerStatus::Reader::getRateLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>::Builder PeerStatus::Builder::getRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void PeerStatus::Builder::setRateLimits( ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>::Builder PeerStatus::Builder::initRateLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void PeerStatus::Builder::adoptRateLimits(
+    ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>> PeerStatus::Builder::disownRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline bool PeerStatus::Demand::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1575,6 +1727,62 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PeerStatus::RateLimit::Reader::getUpstreamBoot() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerStatus::RateLimit::Builder::getUpstreamBoot() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerStatus::RateLimit::Builder::setUpstreamBoot( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double PeerStatus::RateLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double PeerStatus::RateLimit::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PeerStatus::RateLimit::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PeerStatus::RateLimit::Reader::getStatedAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PeerStatus::RateLimit::Builder::getStatedAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PeerStatus::RateLimit::Builder::setStatedAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline float PeerStatus::RateLimit::Reader::getRecentSends() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline float PeerStatus::RateLimit::Builder::getRecentSends() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PeerStatus::RateLimit::Builder::setRecentSends(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CrashEvidence::Reader::hasReports() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -32,6 +32,9 @@
 // Time limit for reading the rest of a refusal, so that its connection can be reused.
 constexpr Milliseconds kRefusalReadTime{200};
 
+// Status with which an upstream refuses a request that is meant for another one.
+constexpr int kMisdirected = 421;
+
 // Kind of a failure in logs and counters: the upstream sent more bytes than a response may have.
 constexpr const char* kOversized = "oversized";
 
@@ -474,6 +477,15 @@
   if (call.parked_stream) {
     request.start_by = std::min(call.deadline, call.last_event + silence_limit);
   }
+  if (const auto rate = this->table.LimitedRate(wanted, now)) {
+    const std::chrono::duration<double> time_left =
+        std::min(request.deadline, request.start_by) - now;
+    const double starts = *rate * time_left.count();
+    if (starts <= 0 || static_cast<double>(this->queue.QueuedBefore(request)) > starts) {
+      co_return NotRun(ErrorCode::kResourceExhausted,
+                       "the rate limits of the upstreams allow no start in time");
+    }
+  }
   const auto id = this->queue.Enqueue(request, now);
   if (!id) co_return id.error();
   Waiter waiter(*this, call);
@@ -555,6 +567,7 @@
     Log(LogLevel::kInfo, "upstream_leaves",
         {{"request", call.request_id}, {"upstream", slot.ticket.upstream().value}});
   }
+  this->ObeyRateLimit(call, slot, head, now);
   constexpr int kUnavailable = 503;
   const auto asked = head.Find(names.retry_after);
   if (head.status != kUnavailable || !asked) return;
@@ -571,6 +584,33 @@
        {"obeyed_s", seconds.value_or(0)}});
 }
 
+void Relay::ObeyRateLimit(const Call& call, const UpstreamSlot& slot, const ResponseHead& head,
+                          TimePoint now) {
+  const RelayHeaders& names = this->options.headers;
+  // Another upstream has answered at a reused address.
+  if (head.status == kMisdirected) return;
+  const auto stated = head.Find(names.rate_limit);
+  // A late response to an earlier request does not show that the limit has ended.
+  if (!stated && head.Find(names.request_id).value_or("") != call.request_id) return;
+  const auto rate = stated ? RequestRate::Parse(*stated) : RequestRate();
+  if (rate) {
+    if (!this->table.OnStatedRate(slot.ticket, *rate, now)) return;
+    this->metrics->Add("upstream_rate_limits_total", {{"limited", stated ? "yes" : "no"}});
+    Log(LogLevel::kInfo, "upstream_rate_limit",
+        {{"request", call.request_id},
+         {"upstream", slot.ticket.upstream().value},
+         {"per_second", stated ? std::to_string(rate->per_second()) : "unlimited"}});
+    return;
+  }
+  this->metrics->Add("upstream_rate_limits_invalid_total", {});
+  if (!this->invalid_limit_log.TryTake(now)) return;
+  Log(LogLevel::kWarning, "upstream_rate_limit_invalid",
+      {{"request", call.request_id},
+       {"upstream", slot.ticket.upstream().value},
+       {"stated", stated->substr(0, 40)},
+       {"suppressed", this->invalid_limit_log.TakeSuppressed()}});
+}
+
 asio::awaitable<Result<std::shared_ptr<HttpConnection>>> Relay::ConnectTo(const UpstreamSlot& slot,
                                                                           const Call& call) {
   const Deadline connect_by = std::min(call.deadline, Clock::now() + this->options.connect_timeout);
@@ -609,6 +649,7 @@
   ++call.sends;
 
   const TimePoint sent = Clock::now();
+  slot.ticket.OnSent(sent);
   call.sent = sent;
   call.first_event = TimePoint();
   call.is_harmless = false;
@@ -653,7 +694,6 @@
     co_return Outcome::kLost;
   }
   const int status = head.value().status;
-  constexpr int kMisdirected = 421;
   if (head.value().Find(names.not_run) || status == kMisdirected) {
     std::string ignored;
     const auto done = co_await connection->ReadSome(ignored, Clock::now() + kRefusalReadTime);
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -40,6 +40,7 @@
   std::string digest;       ///< In a response: digest that signs the body.
   std::string last_event_id;
   std::string leaving;      ///< In a response: the upstream leaves and wants no further requests.
+  std::string rate_limit;   ///< In a response: requests per second that the upstream takes.
   std::string retry_after;  ///< In a refusal: seconds for which the upstream wants no requests.
 
   friend bool operator==(const RelayHeaders&, const RelayHeaders&) = default;
@@ -206,6 +207,10 @@
   /** Takes note of what an upstream says of itself in a response to any request. */
   void ObeyUpstream(const Call& call, const UpstreamSlot& slot, const ResponseHead& head);
 
+  /** Takes note of the rate limit that a response states, or that it states none. */
+  void ObeyRateLimit(const Call& call, const UpstreamSlot& slot, const ResponseHead& head,
+                     TimePoint now);
+
   /** Counts and logs a failed attempt. */
   void ReportUpstreamFailure(const Call& call, const UpstreamSlot& slot, const char* what,
                              const std::string& detail);
@@ -224,6 +229,7 @@
   SharedRetryBudget budget;
   BufferBudget response_buffers;
   LogRateLimit oversized_log_limit;
+  LogRateLimit invalid_limit_log;
   AdmissionQueue queue;
   DemandMeter demand;
   StartDeadlinePolicy start_policy;
--- a/test/dispatch-test.cc
+++ b/test/dispatch-test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <set>
 
 namespace limpetfall {
 namespace {
@@ -30,6 +31,15 @@
   CPPUNIT_TEST(MisdirectedFaultSuspendsUpstream);
   CPPUNIT_TEST(NonRetryableRequestIsNotUsedAsTrial);
   CPPUNIT_TEST(LastUpstreamIsUsedWhileSuspended);
+  CPPUNIT_TEST(LimitedUpstreamIsNotChosenBeyondItsGrants);
+  CPPUNIT_TEST(StartedResponseKeepsRateLimit);
+  CPPUNIT_TEST(RateLimitSurvivesMissingEntryAndEndsWithNewStart);
+  CPPUNIT_TEST(RateLimitReportedByPeerIsKept);
+  CPPUNIT_TEST(LimitedUpstreamIsAvoidedBeyondItsRate);
+  CPPUNIT_TEST(ExpectedRateIsKnownOnlyIfAllUpstreamsAreLimited);
+  CPPUNIT_TEST(NumberOfReportedRateLimitsIsBounded);
+  CPPUNIT_TEST(UpstreamIsUsedAfterItsRateLimitIsForgotten);
+  CPPUNIT_TEST(ExpectedRateIsUnknownBeforeFirstRound);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -282,7 +292,145 @@
     CPPUNIT_ASSERT(this->Choose(10).has_value());
   }
 
+  // Guards against requests to an upstream in need beyond what it has asked for (LIMIT).
+  void LimitedUpstreamIsNotChosenBeyondItsGrants() {
+    this->OpenGroup("h1", {"h1", "m1"});
+    this->StateRate(*this->Choose(), 2, 0);
+    CPPUNIT_ASSERT(!this->Choose().has_value());
+    int chosen = 0;
+    for (int ms = 200; ms <= 20000; ms += 200) {
+      this->table.StartRateLimitRounds(1, At(ms));
+      while (auto ticket = this->Choose(ms)) {
+        ticket->OnSent(At(ms));
+        ++chosen;
+      }
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(chosen), 30 <= chosen && chosen <= 50);
+  }
+
+  void StartedResponseKeepsRateLimit() {
+    this->OpenGroup("h1", {"h1", "m1"});
+    this->StateRate(*this->Choose(), 2, 0);
+    this->request.response_started = true;
+    CPPUNIT_ASSERT(!this->Choose().has_value());
+  }
+
+  void RateLimitSurvivesMissingEntryAndEndsWithNewStart() {
+    this->OpenGroup("h1", {"h1", "m1"});
+    this->StateRate(*this->Choose(), 2, 0);
+    const Runner head = this->runners.at(VmId("h1"));
+    this->runners.erase(VmId("h1"));
+    this->Update(100);
+    this->Update(2000);
+    this->runners[VmId("h1")] = head;
+    this->Update(2100);
+    CPPUNIT_ASSERT(!this->Choose(2100).has_value());
+    this->runners[VmId("h1")].started_ms = 7;
+    this->plan.groups.front().started_ms.front() = 7;
+    this->Update(2200);
+    CPPUNIT_ASSERT(this->Choose(2200).has_value());
+  }
+
+  // Guards against a burst from a node that has not heard the limit itself.
+  void RateLimitReportedByPeerIsKept() {
+    this->StartNodes(2);
+    const auto ticket = this->nodes[0].Choose(this->request, nullptr, At(0));
+    CPPUNIT_ASSERT(
+        this->nodes[0].OnStatedRate(*ticket, RequestRate::FromPerSecond(2).value(), At(0)));
+    this->nodes[1].MergeRateLimits(NodeId("0"), this->nodes[0].RateLimitReports(At(10)), At(10));
+    CPPUNIT_ASSERT(!this->nodes[1].Choose(this->request, nullptr, At(10)));
+  }
+
+  void LimitedUpstreamIsAvoidedBeyondItsRate() {
+    this->OpenGroup("h1", {"h1", "m1"});
+    {
+      auto ticket = this->Choose();
+      ticket->OnSent(At(0));
+      this->table.OnSuccess(*ticket, At(500));
+      this->StateRate(*ticket, 4, 500);
+    }
+    this->OpenGroup("h2", {"h2", "m2"});
+    // At 4 requests a second of half a second each, two are in flight.
+    for (int i = 1; i <= 10; ++i) {
+      this->table.StartRateLimitRounds(1, At(500 + 1000 * i));
+      this->tickets.push_back(*this->Choose());
+    }
+    const auto load = this->table.LocalLoad();
+    CPPUNIT_ASSERT_EQUAL(1, load.at(VmId("h1")));
+    CPPUNIT_ASSERT_EQUAL(9, load.at(VmId("h2")));
+  }
+
+  void ExpectedRateIsKnownOnlyIfAllUpstreamsAreLimited() {
+    this->OpenGroup("h1", {"h1", "m1"});
+    CPPUNIT_ASSERT(!this->table.LimitedRate(this->request, At(0)));
+    this->StateRate(*this->Choose(), 4, 0);
+    this->table.StartRateLimitRounds(2, At(200));
+    while (const auto ticket = this->Choose(200)) continue;
+    const double rate = this->table.LimitedRate(this->request, At(200)).value();
+    CPPUNIT_ASSERT(0 < rate && rate <= 4);
+    this->OpenGroup("h2", {"h2", "m2"});
+    CPPUNIT_ASSERT(!this->table.LimitedRate(this->request, At(200)));
+  }
+
+  // Guards against status messages that exceed a datagram in a large fleet.
+  void NumberOfReportedRateLimitsIsBounded() {
+    constexpr std::size_t kUpstreams = 1200;
+    for (std::size_t i = 0; i < kUpstreams; ++i) {
+      Runner runner;
+      runner.id = VmId("p" + std::to_string(i));
+      runner.service = ServiceName("plain");
+      runner.address = "10.0.0.1:1";
+      runner.slots = 1;
+      this->runners[runner.id] = runner;
+    }
+    this->Update(0);
+    this->request.service = ServiceName("plain");
+    this->request.model = ModelName();
+    while (auto ticket = this->Choose()) {
+      this->StateRate(*ticket, 4, 0);
+      this->tickets.push_back(std::move(*ticket));
+    }
+    CPPUNIT_ASSERT_EQUAL(kUpstreams, this->tickets.size());
+    std::set<std::uint64_t> reported;
+    for (int round = 0; round < 3; ++round) {
+      const auto some = this->table.RateLimitReports(At(10));
+      CPPUNIT_ASSERT(some.size() <= 500);
+      for (const RateLimitReport& report : some) reported.insert(report.upstream_boot);
+    }
+    CPPUNIT_ASSERT_EQUAL(kUpstreams, reported.size());
+  }
+
+  // Guards against an upstream that is never used again after a quiet time with a limit.
+  void UpstreamIsUsedAfterItsRateLimitIsForgotten() {
+    this->OpenGroup("h1", {"h1", "m1"});
+    this->StateRate(*this->Choose(), 2, 0);
+    constexpr int kQuietMs = 601'000;
+    this->table.StartRateLimitRounds(1, At(200));
+    this->table.StartRateLimitRounds(1, At(kQuietMs));
+    int chosen = 0;
+    for (int ms = kQuietMs + 200; ms <= kQuietMs + 60'000; ms += 200) {
+      this->table.StartRateLimitRounds(1, At(ms));
+      auto ticket = this->Choose(ms);
+      if (!ticket) continue;
+      ++chosen;
+      ticket->OnSent(At(ms));
+      this->table.OnStatedRate(*ticket, RequestRate(), At(ms + 50));
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(chosen), 100 <= chosen);
+  }
+
+  // Guards against refusing requests at the beginning of a limit that allows many of them.
+  void ExpectedRateIsUnknownBeforeFirstRound() {
+    this->OpenGroup("h1", {"h1", "m1"});
+    this->StateRate(*this->Choose(), 50, 0);
+    CPPUNIT_ASSERT(!this->table.LimitedRate(this->request, At(10)));
+  }
+
  private:
+  void StateRate(const DispatchTicket& ticket, double per_second, int ms) {
+    this->table.OnStatedRate(ticket, RequestRate::FromPerSecond(per_second).value(), At(ms));
+  }
+
   static TimePoint At(int ms) { return TimePoint(std::chrono::seconds(100)) + Milliseconds(ms); }
 
   /** Adds an open group. The first of `members` is the head. */
--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -413,6 +413,7 @@
   received.runner = runner.id;
   received.target = request.target;
   received.headers = request.headers;
+  received.arrived = Clock::now();
   this->runner_requests.push_back(std::move(received));
   const std::size_t request_index = this->runner_requests.size() - 1;
   const std::string id(GetHeader(request.headers, "X-Request-Id"));
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -41,6 +41,7 @@
   std::string runner;
   std::string target;
   Headers headers;
+  TimePoint arrived;
   bool ran = false;
   bool caller_disconnected = false;  ///< The connection closed before the end of the answer.
 };
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(ChangesRoundTripThroughEncoding);
   CPPUNIT_TEST(HeldTimeIsNotCountedAsProofAge);
   CPPUNIT_TEST(OutOfRangeProofAgeIsDiscarded);
+  CPPUNIT_TEST(RateLimitsOutOfRangeAreDiscarded);
+  CPPUNIT_TEST(HeldMessagesKeepOrderOfStatements);
   CPPUNIT_TEST(MalformedMessagesDoNotCrash);
   CPPUNIT_TEST(StoredQuarantinesRoundTripThroughEncoding);
   CPPUNIT_TEST(MalformedStoredQuarantinesAreErrors);
@@ -90,6 +92,9 @@
     status.suspended = {5, 6};
     status.demands = {{ModelName("folds"), 12.5}};
     const TimePoint now = At(90000);
+    status.rate_limits = {{17, StatedRate{RequestRate::FromPerSecond(4.8).value(), At(89500)}, 2.5},
+                          {18, StatedRate{RequestRate(), At(89900)}, 0},
+                          {19, std::nullopt, 1.5}};
     status.crashes = {
         {{11, 12, {12, 13}, At(80000), At(80100)}, {14, 15, {}, At(70000), At(70200)}},
         {{16, At(89000)}},
@@ -136,6 +141,33 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{-1}, DecodePeerStatus(bytes, At(0)).value().proof_age_ms);
   }
 
+  // Guards against counts of a damaged message that would stop all requests to an upstream.
+  void RateLimitsOutOfRangeAreDiscarded() {
+    PeerStatus status = Status("n2", 1);
+    const StatedRate stated{RequestRate::FromPerSecond(3).value(), At(0)};
+    status.rate_limits = {{1, stated, -1},
+                          {2, stated, std::numeric_limits<double>::infinity()},
+                          {3, stated, std::numeric_limits<double>::quiet_NaN()},
+                          {4, stated, 1}};
+    const auto decoded = DecodePeerStatus(EncodePeerStatus(status, At(0)), At(0)).value();
+    CPPUNIT_ASSERT(decoded.rate_limits == std::vector{status.rate_limits.back()});
+  }
+
+  // Guards against a paused node that takes the end of a limit for older than its beginning.
+  void HeldMessagesKeepOrderOfStatements() {
+    PeerStatus status = Status("n2", 1);
+    status.rate_limits = {{1, StatedRate{RequestRate::FromPerSecond(3).value(), At(1000)}, 0}};
+    const std::string limited = EncodePeerStatus(status, At(1100));
+    status.rate_limits = {{1, StatedRate{RequestRate(), At(2000)}, 0}};
+    const std::string ended = EncodePeerStatus(status, At(4000));
+    UpstreamRateLimit limit;
+    for (const std::string& bytes : {limited, ended}) {
+      const auto decoded = DecodePeerStatus(bytes, At(4100)).value();
+      limit.OnReport(NodeId("n2"), decoded.rate_limits.front(), At(4100));
+    }
+    CPPUNIT_ASSERT(!limit.IsLimited());
+  }
+
   // Guards against a quarantine that lasts longer or shorter at a node that reads it from the
   // store.
   void StoredQuarantinesRoundTripThroughEncoding() {
