--- a/test/harness/gateway-fixture.h
+++ b/test/harness/gateway-fixture.h
@@ -150,9 +150,9 @@
     return *answer;
   }
 
-  void StartRequest(const std::string& method, const std::string& target, const std::string& id,
-                    const std::string& key, const std::string& body,
-                    std::optional<Answer>& answer) {
+  [[nodiscard]] HttpRequest MakeRequest(const std::string& method, const std::string& target,
+                                        const std::string& id, const std::string& key,
+                                        const std::string& body) const {
     HttpRequest request;
     request.method = method;
     request.target = target;
@@ -161,6 +161,13 @@
     if (target.starts_with("/chat/")) request.headers["X-Model"] = "m";
     if (!this->prompt_parts.empty()) request.headers["X-Prefix-Hash"] = this->prompt_parts;
     request.body = body;
+    return request;
+  }
+
+  void StartRequest(const std::string& method, const std::string& target, const std::string& id,
+                    const std::string& key, const std::string& body,
+                    std::optional<Answer>& answer) {
+    HttpRequest request = this->MakeRequest(method, target, id, key, body);
     boost::asio::co_spawn(*this->io, this->Send(std::move(request), answer), boost::asio::detached);
   }
 
--- a/test/harness/gateway-process-fixture.h
+++ b/test/harness/gateway-process-fixture.h
@@ -45,15 +45,14 @@
       const std::string ip = "127.0.0." + std::to_string(i + 1);
       const std::string name = "p" + std::to_string(i);
       const std::string settings_path = (this->folder / (name + ".toml")).string();
-      const auto address = [&ip] { return FreeAddress(ip); };
-      const std::string caller = address();
+      const std::string caller = FreeAddress(ip);
       std::ofstream(settings_path)
           << "[node]\nid = \"" << name << "\"\nzone = \"z1\"\nip = \"" << ip
           << "\"\ncaller_address = \"" << caller
           << "\"\nfirst_start = true\npeer_port = " << peer_port
           << "\nmetrics_port = " << PortOf(FreeAddress(ip))
-          << "\nseeds = [\"127.0.0.1:1\"]\n[platform]\nready_address = \"" << address()
-          << "\"\ndirectory_address = \"" << address() << "\"\nstore_address = \""
+          << "\nseeds = [\"127.0.0.1:1\"]\n[platform]\nready_address = \"" << FreeAddress(ip)
+          << "\"\ndirectory_address = \"" << FreeAddress(ip) << "\"\nstore_address = \""
           << this->deployment->store_address()
           << "\"\n[limits]\ncpu_share = 1.0\ncores = 1\nstop_grace_s = 8\nstrict_keys = true\n"
              "key_revocation_ms = 5000\nretry_share = 0.2\nretry_slack = 100\n"
