Look up the service time once for each choice of an upstream

Cause: reading the change once more. The usual duration of requests was looked up, with two strings copied, for each limited upstream at each choice, though all of them serve the same service and model; the counts of other nodes were decayed twice in each round. Three tests built requests by hand although the fixture does so.

Change: one lookup for each choice, one pass over the counts, MakeRequest in the tests. No behaviour, bound or assertion changes.

--- a/src/core/dispatch.cc
+++ b/src/core/dispatch.cc
@@ -210,6 +210,7 @@
 std::optional<DispatchTicket> DispatchTable::Choose(const DispatchRequest& request,
                                                     UpstreamLossListener* listener, TimePoint now) {
   const bool any_healthy = this->HasHealthyUpstream(request, now);
+  const auto service_time = this->service_times.find({request.service, request.model});
   std::vector<const std::shared_ptr<DispatchTarget>*> best;
   double best_cost = std::numeric_limits<double>::max();
   for (const auto& [id, target] : this->targets) {
@@ -219,8 +220,10 @@
     if (in_flight >= request.max_load * target->slots) continue;
     if (!request.response_started && target->in_flight >= target->in_flight_limit) continue;
     if (target->rate_limit && !target->rate_limit->CanSend()) continue;
-    const double cost =
-        this->RoutingCost(*target, request, in_flight / this->EffectiveSlots(*target), now);
+    double slots = target->slots;
+    if (service_time != this->service_times.end())
+      slots = EffectiveSlots(*target, service_time->second);
+    const double cost = this->RoutingCost(*target, request, in_flight / slots, now);
     constexpr double kCostTolerance = 1e-3;
     if (cost < best_cost - kCostTolerance) best.clear();
     if (cost < best_cost + kCostTolerance) {
@@ -268,13 +271,11 @@
   if (!is_first) mean->second += kServiceTimeWeight * (time - mean->second);
 }
 
-double DispatchTable::EffectiveSlots(const DispatchTarget& target) const {
-  const bool limited = target.rate_limit && target.rate_limit->IsLimited();
-  const auto time = limited ? this->service_times.find({target.service, target.model})
-                            : this->service_times.end();
-  if (time == this->service_times.end()) return target.slots;
+double DispatchTable::EffectiveSlots(const DispatchTarget& target,
+                                     std::chrono::duration<double> service_time) {
   const double slots = target.slots;
-  return std::min(slots, std::max(1.0, target.rate_limit->Concurrency(time->second)));
+  if (!target.rate_limit || !target.rate_limit->IsLimited()) return slots;
+  return std::min(slots, std::max(1.0, target.rate_limit->Concurrency(service_time)));
 }
 
 UpstreamRateLimit& DispatchTable::RateLimitOf(std::uint64_t upstream_boot) {
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -235,7 +235,8 @@
   void RefreshTarget(const Runner& runner, const PlannedGroup* group, int slots);
   void SetInFlightLimit(detail::DispatchTarget& target, int free_slots);
   /** Returns the number of requests that an upstream can have in flight, given its rate limit. */
-  [[nodiscard]] double EffectiveSlots(const detail::DispatchTarget& target) const;
+  [[nodiscard]] static double EffectiveSlots(const detail::DispatchTarget& target,
+                                             std::chrono::duration<double> service_time);
   /** Returns the rate limit of an upstream, which is created if necessary. */
   UpstreamRateLimit& RateLimitOf(std::uint64_t upstream_boot);
 
--- a/src/core/upstream-rate-limit.cc
+++ b/src/core/upstream-rate-limit.cc
@@ -99,10 +99,13 @@
 }
 
 double UpstreamRateLimit::SumPeerSends(TimePoint now) {
-  std::erase_if(this->peer_sends,
-                [now](const auto& entry) { return entry.second.At(now) < kNegligibleSends; });
   double sum = 0;
-  for (const auto& [node, peer] : this->peer_sends) sum += peer.At(now);
+  std::erase_if(this->peer_sends, [now, &sum](const auto& entry) {
+    const double count = entry.second.At(now);
+    if (count < kNegligibleSends) return true;
+    sum += count;
+    return false;
+  });
   return sum;
 }
 
--- a/src/core/upstream-rate-limit.h
+++ b/src/core/upstream-rate-limit.h
@@ -135,6 +135,7 @@
   /** Returns the rate to keep. An upstream that takes nothing still gets a request now and then,
    * because only its responses tell when the limit ends. */
   [[nodiscard]] double KeptRate() const;
+  /** Returns the recent sends of the other nodes, and forgets negligible ones. */
   [[nodiscard]] double SumPeerSends(TimePoint now);
 
   std::optional<StatedRate> own;  ///< What the last response to this node has stated.
--- a/test/planned-stop-integration-test.cc
+++ b/test/planned-stop-integration-test.cc
@@ -153,11 +153,8 @@
 
   /** Sends an order on a kept connection and reads the response. */
   Answer CallOn(HttpConnection& connection, const std::string& id) {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = "/order/1";
-    request.headers = {
-        {"Host", "h"}, {"X-Request-Id", id}, {"X-Key", "k1"}, {"X-Deadline-Ms", "1000"}};
+    HttpRequest request = this->MakeRequest("POST", "/order/1", id, "k1", "");
+    request.headers["X-Deadline-Ms"] = "1000";
     const auto response = RunUntilDone(
         *this->io, connection.Call(request, Clock::now() + Milliseconds(2000), 1 << 16));
     if (!response) return {};
--- a/test/planned-work-soak-integration-test.cc
+++ b/test/planned-work-soak-integration-test.cc
@@ -308,15 +308,10 @@
   asio::awaitable<void> Exchange(HttpConnection& connection, SentRequest& sent) {
     const bool is_stream = sent.kind == RequestKind::kStream;
     const bool is_order = sent.kind == RequestKind::kOrder;
-    HttpRequest request;
-    request.method = is_order ? "POST" : "GET";
-    request.target = is_stream ? "/chat/1" : is_order ? "/order/1" : "/lookup/1";
-    request.headers = {{"Host", "h"},
-                       {"X-Request-Id", sent.id},
-                       {"X-Key", "k1"},
-                       {"X-Deadline-Ms", is_stream ? "5000" : "1500"}};
-    if (is_stream) request.headers["X-Model"] = "m";
-    if (is_order) request.body = "{}";
+    const std::string target = is_stream ? "/chat/1" : is_order ? "/order/1" : "/lookup/1";
+    HttpRequest request =
+        this->MakeRequest(is_order ? "POST" : "GET", target, sent.id, "k1", is_order ? "{}" : "");
+    request.headers["X-Deadline-Ms"] = is_stream ? "5000" : "1500";
     sent.sent = Clock::now();
     const Deadline deadline = sent.sent + Milliseconds(9000);
     co_await this->ReadAnswer(connection, request, deadline, sent);
--- a/test/upstream-rate-limit-integration-test.cc
+++ b/test/upstream-rate-limit-integration-test.cc
@@ -135,14 +135,9 @@
  private:
   /** Sends a request whose remaining time shows that it was refused before. */
   void StartCallerRetry(std::optional<Answer>& answer) {
-    HttpRequest request;
-    request.method = "GET";
-    request.target = "/chat/1";
-    request.headers = {{"Host", "h"},
-                       {"X-Request-Id", "retry-" + std::to_string(this->last_id++)},
-                       {"X-Key", "k1"},
-                       {"X-Model", "m"},
-                       {"X-Deadline-Ms", "3000"}};
+    HttpRequest request =
+        this->MakeRequest("GET", "/chat/1", "retry-" + std::to_string(this->last_id++), "k1", "");
+    request.headers["X-Deadline-Ms"] = "3000";
     boost::asio::co_spawn(*this->io, this->Send(std::move(request), answer), boost::asio::detached);
   }
 
