Log how every accepted request ends, also when its handler does not return

Cause: a handler that is cancelled (its caller has left) or destroyed (the process ends while a write to a caller is blocked) wrote no line, and the last lines of a process were lost if the reader of its output had not taken them. The users' record of LOST names requests that no line of any node names; the log could not tell these cases apart.

Change: the "request" line is written when the handler ends in any way, with the outcomes caller_gone and unfinished and what the request waited for.

--- a/src/base/log-sink.cc
+++ b/src/base/log-sink.cc
@@ -1,6 +1,7 @@
 #include "base/log-sink.h"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -22,6 +23,15 @@
   }
 }
 
+void LogSink::Drain(Deadline deadline) {
+  for (this->Flush(); !this->pending.empty(); this->Flush()) {
+    const Milliseconds left = TimeLeft(deadline, Clock::now());
+    pollfd writable{this->descriptor, POLLOUT, 0};
+    const int ready = ::poll(&writable, 1, static_cast<int>(left.count()));
+    if (ready <= 0 || (writable.revents & POLLERR) != 0) return;
+  }
+}
+
 void LogSink::Append(const std::string& line) {
   if (this->pending.size() + line.size() + 1 > this->options.max_pending_bytes) {
     ++this->dropped_lines;
--- a/src/base/log-sink.h
+++ b/src/base/log-sink.h
@@ -29,6 +29,9 @@
   /** Writes `line`, which has no trailing newline. A routine line is subject to the rate limit. */
   void Write(const std::string& line, bool routine, TimePoint now);
 
+  /** Waits until the reader has taken all lines, for the last lines of a process. */
+  void Drain(Deadline deadline);
+
   [[nodiscard]] std::uint64_t dropped() const { return this->dropped_lines; }
 
  private:
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -112,6 +112,12 @@
   state.sink.emplace(STDOUT_FILENO, LogSinkOptions{});
 }
 
+void FlushLog(Deadline deadline) {
+  LogState& state = State();
+  const std::lock_guard lock(state.mutex);
+  if (state.sink) state.sink->Drain(deadline);
+}
+
 Result<void> StartLogging(std::string_view program, std::string_view level) {
   const auto min_level = ParseLevel(level);
   if (!min_level) {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "limpetfall/result.h"
+#include "limpetfall/time.h"
 
 namespace limpetfall {
 
@@ -35,6 +36,10 @@
  */
 void LogToStandardOutput();
 
+/** Waits until the reader of the standard output has taken all lines. Otherwise, the last lines of
+ * a process are lost. */
+void FlushLog(Deadline deadline);
+
 /**
  * Configures logging of this process, by default to standard error. `level` is the minimum level:
  * debug, info, warning or error.
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -871,8 +871,11 @@
     if (this->stop_by + gateway_detail::kFinalResponseTime <= now) break;
     co_await detail::PauseUntil(Clock::now() + Milliseconds(20));
   }
+  this->gateway_state.relay.OnProcessEnd();
   Log(LogLevel::kInfo, "stopped",
-      {{"in_flight", server.in_flight()}, {"connections", server.connections()}});
+      {{"in_flight", server.in_flight()},
+       {"connections", server.connections()},
+       {"unsent_bytes", server.unsent_bytes()}});
   on_finished();
 }
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -134,7 +134,9 @@
   bool pinned = false;             ///< No longer fails over to another upstream.
   Error error;                     ///< Why the last attempt failed.
   VmId upstream;                   ///< Upstream of the last attempt.
-  const char* outcome = "failed";  ///< Outcome in the final log event.
+  bool is_accepted = false;        ///< Has a route and may be sent.
+  const char* outcome = nullptr;   ///< Outcome in the final log event; null until it is known.
+  const char* waits_for = "slot";  ///< What the request waits for, or waited for at its end.
   CauseId request_cause = 0;       ///< Stands for the whole request in `causes`.
   Causes causes;                   ///< What may crash an upstream that runs this request.
   TimePoint sent;                  ///< When the current attempt was sent.
@@ -464,6 +466,7 @@
   request.priority = QueuePriority(call.priority + (call.is_caller_retry ? 1 : 0));
   request.deadline = call.deadline;
   request.is_retry = call.sends > 0;
+  call.waits_for = "slot";
   request.response_started = call.stream_started;
   const Milliseconds silence_limit =
       CallerAbandonTimeout(call.route->objective, call.route->event_gap_objective);
@@ -625,6 +628,7 @@
 
 asio::awaitable<Relay::Outcome> Relay::AttemptOnce(Call& call, UpstreamSlot& slot,
                                                    HttpExchange& exchange) {
+  call.waits_for = "upstream";
   const auto connected = co_await this->ConnectTo(slot, call);
   if (!connected) {
     const auto cancellation = co_await asio::this_coro::cancellation_state;
@@ -787,6 +791,7 @@
     const auto total = now - call.sent;
     this->stop_admission.OnCompleted(call.route->name, {call.answer_tokens, total, total}, now);
   }
+  call.waits_for = "caller";
   const auto sent = co_await exchange.Send(std::move(response));
   co_return sent ? Outcome::kAnswered : Outcome::kCallerDisconnected;
 }
@@ -797,6 +802,7 @@
   const auto pause = call.route->event_gap_objective + this->options.group_stall_margin;
   bool first = true;
   for (;;) {
+    call.waits_for = "upstream";
     const Deadline read_by =
         call.CanFailOver() ? std::min(call.deadline, NextStallCheck(call.stall)) : call.deadline;
     const auto done = co_await call.connection->ReadSome(call.events.bytes(), read_by);
@@ -831,6 +837,7 @@
       if (call.sends == 1) this->start_policy.OnFirstBytes(call.Lane(), now - sent);
       call.stall.upstream_stall_timeout = pause;
     }
+    call.waits_for = "caller";
     if (!call.stream_started && (!complete.value().empty() || done.value())) {
       const auto started =
           co_await exchange.StartStream(head.status, EndToEndHeaders(head.headers));
@@ -918,7 +925,10 @@
       const std::uint64_t boot = slot.value().ticket.boot();
       if (outcome == Outcome::kLost) this->ExamineLoss(call, slot.value());
       const bool parked = outcome == Outcome::kLost && this->ParkStream(call, slot.value());
-      if (outcome == Outcome::kLost && !parked) co_await this->AwaitExamination(call, boot);
+      if (outcome == Outcome::kLost && !parked) {
+        call.waits_for = "examination";
+        co_await this->AwaitExamination(call, boot);
+      }
       call.connection.reset();
       call.events.DiscardPartialEvent();
       if (parked && this->MayRetry(call, outcome)) continue;
@@ -934,6 +944,7 @@
     if (!sent || !this->MayRetry(call, outcome)) break;
   }
   co_await this->RespondWithFailure(call, exchange);
+  call.outcome = "failed";
 }
 
 double Relay::RetryAfter(const Call& call) {
@@ -971,6 +982,7 @@
 }
 
 asio::awaitable<void> Relay::RespondWithFailure(Call& call, HttpExchange& exchange) {
+  call.waits_for = "caller";
   if (call.stream_started) {
     Log(LogLevel::kWarning, "stream_broken",
         {{"request", call.request_id}, {"sends", call.sends}, {"detail", call.error.message}});
@@ -993,10 +1005,36 @@
   co_await this->Refuse(exchange, status, call.error, 0);
 }
 
+void Relay::LogEnd(const Call& call) {
+  if (!call.is_accepted) return;
+  const std::chrono::duration<double> passed = Clock::now() - call.arrived;
+  constexpr double kMsPerS = 1000;
+  // A handler is cancelled when its caller disconnects, and destroyed when the process ends.
+  const char* interrupted = this->process_ends ? "unfinished" : "caller_gone";
+  const bool is_unfinished = call.outcome == nullptr && this->process_ends;
+  Log(is_unfinished ? LogLevel::kWarning : LogLevel::kInfo, "request",
+      {{"request", call.request_id},
+       {"route", call.route->name},
+       {"team", call.team.value},
+       {"upstream", call.upstream.value},
+       {"outcome", call.outcome != nullptr ? call.outcome : interrupted},
+       {"waits_for", call.outcome != nullptr ? "" : call.waits_for},
+       {"sends", call.sends},
+       {"ms", std::lround(passed.count() * kMsPerS)},
+       {"waited_ms", call.queue_time.count()},
+       {"config", call.routes->config().version},
+       {"proof_age_ms", call.proof_age.count()}});
+  this->metrics->Observe("request_seconds",
+                         {{"team", call.team.value}, {"route", call.route->name}}, passed.count());
+}
+
 asio::awaitable<void> Relay::Handle(HttpExchange& exchange) {
   Call call;
   this->calls.insert(&call);
-  const std::shared_ptr<void> listed(nullptr, [this, &call](void*) { this->calls.erase(&call); });
+  const std::shared_ptr<void> listed(nullptr, [this, &call](void*) {
+    this->calls.erase(&call);
+    this->LogEnd(call);
+  });
   call.arrived = Clock::now();
   call.request_id = GetHeader(exchange.request().headers, this->options.headers.request_id);
   const auto checked = this->PrepareCall(call, exchange.request());
@@ -1008,22 +1046,8 @@
     co_return co_await this->Refuse(exchange, status, checked.error(),
                                     status == 503 ? kNoConfigRetryS : 0);
   }
+  call.is_accepted = true;
   co_await this->RunAttempts(call, exchange);
-  const std::chrono::duration<double> passed = Clock::now() - call.arrived;
-  constexpr double kMsPerS = 1000;
-  Log(LogLevel::kInfo, "request",
-      {{"request", call.request_id},
-       {"route", call.route->name},
-       {"team", call.team.value},
-       {"upstream", call.upstream.value},
-       {"outcome", call.outcome},
-       {"sends", call.sends},
-       {"ms", std::lround(passed.count() * kMsPerS)},
-       {"waited_ms", call.queue_time.count()},
-       {"config", call.routes->config().version},
-       {"proof_age_ms", call.proof_age.count()}});
-  this->metrics->Observe("request_seconds",
-                         {{"team", call.team.value}, {"route", call.route->name}}, passed.count());
 }
 
 }  // namespace limpetfall
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -119,6 +119,10 @@
    * off a stream that has begun. */
   void EndCalls();
 
+  /** Announces that the process ends now. Requests that are still handled are logged as unfinished.
+   */
+  void OnProcessEnd() { this->process_ends = true; }
+
   /** Returns how many slots the callers of this node would occupy concurrently, by model. */
   [[nodiscard]] std::map<ModelName, double> SlotDemand() {
     return this->demand.DemandedSlots(Clock::now());
@@ -150,6 +154,9 @@
     return outcome == Outcome::kAnswered || outcome == Outcome::kCallerDisconnected;
   }
 
+  /** Logs how the handling of a request has ended. */
+  void LogEnd(const Call& call);
+
   [[nodiscard]] Result<void> PrepareCall(Call& call, const HttpRequest& request);
   /** Sets what may crash an upstream that runs the request. The team must be known. */
   void FindCauses(Call& call, const HttpRequest& request) const;
@@ -237,6 +244,7 @@
   StopAdmission stop_admission;
   std::set<Call*> calls;     ///< Requests that are being handled.
   bool calls_ended = false;  ///< `EndCalls` was called.
+  bool process_ends = false;
   std::unordered_map<AdmissionId, Waiter*> waiters;
   std::map<std::uint64_t, std::shared_ptr<Examination>> examinations;  ///< By upstream boot.
   std::mt19937_64 random;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,5 +1,8 @@
 #include "http/server.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -151,6 +154,14 @@
 
   [[nodiscard]] tcp::socket::executor_type executor() { return this->socket.get_executor(); }
 
+  /** Returns how many sent bytes the peer has not acknowledged yet. */
+  [[nodiscard]] std::size_t unsent_bytes() {
+    int bytes = 0;
+    if (!this->socket.is_open() || ioctl(this->socket.native_handle(), SIOCOUTQ, &bytes) != 0)
+      return 0;
+    return static_cast<std::size_t>(bytes);
+  }
+
   static asio::awaitable<void> Run(std::shared_ptr<Connection> self) {
     error_code ignored;
     self->socket.set_option(tcp::no_delay(true), ignored);
@@ -592,6 +603,12 @@
     return this->core->connections.size();
   }
 
+  [[nodiscard]] std::size_t unsent_bytes() const override {
+    std::size_t bytes = 0;
+    for (const auto& connection : this->core->Connections()) bytes += connection->unsent_bytes();
+    return bytes;
+  }
+
   [[nodiscard]] std::uint64_t requests_begun() const override { return this->core->requests_begun; }
 
  private:
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -88,6 +88,9 @@
   /** Returns the number of open connections, also idle ones. */
   [[nodiscard]] virtual std::size_t connections() const = 0;
 
+  /** Returns how many bytes of responses the peers have not acknowledged yet. */
+  [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
+
   /** Returns the number of requests whose first byte has arrived since the start. */
   [[nodiscard]] virtual std::uint64_t requests_begun() const = 0;
 };
--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -373,8 +373,8 @@
       exchange.Abort();
       co_return;
     }
-    const std::string event =
-        "id: " + std::to_string(next) + "\ndata: " + std::to_string(next) + "\n\n";
+    const std::string event = "id: " + std::to_string(next) + "\ndata: " + std::to_string(next) +
+                              std::string(this->event_padding, 'x') + "\n\n";
     const auto written = co_await exchange.WriteChunk(event);
     if (!written) co_return;
   }
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -115,6 +115,7 @@
   int plain_status = 200;
   std::vector<RunnerRequest> runner_requests;
   int events_in_stream = 6;
+  std::size_t event_padding = 0;  ///< Bytes that are added to each event.
   Milliseconds event_interval{20};
   Milliseconds plain_response_delay{0};  ///< Time that plain services work on a request.
   /** A runner crashes when it begins to run a request whose target or prompt contains this text. */
--- a/test/harness/gateway-process-fixture.h
+++ b/test/harness/gateway-process-fixture.h
@@ -54,7 +54,9 @@
           << "\nseeds = [\"127.0.0.1:1\"]\n[platform]\nready_address = \"" << FreeAddress(ip)
           << "\"\ndirectory_address = \"" << FreeAddress(ip) << "\"\nstore_address = \""
           << this->deployment->store_address()
-          << "\"\n[limits]\ncpu_share = 1.0\ncores = 1\nstop_grace_s = 8\nstrict_keys = true\n"
+          << "\"\n[limits]\ncpu_share = 1.0\ncores = 1\nstop_grace_s = "
+          << static_cast<double>(this->stop_grace.count()) / 1000
+          << "\nstrict_keys = true\n"
              "key_revocation_ms = 5000\nretry_share = 0.2\nretry_slack = 100\n"
              "retry_window_s = 10\ngroup_stall_ms = 1000\n";
       this->processes.push_back(Process::Start("limpetfall-gateway", {"--settings", settings_path},
--- a/test/log-sink-test.cc
+++ b/test/log-sink-test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <thread>
 
 namespace limpetfall {
 namespace {
@@ -14,6 +15,7 @@
   CPPUNIT_TEST(BlockedReaderDoesNotBlockWrites);
   CPPUNIT_TEST(RoutineLinesAreRateLimited);
   CPPUNIT_TEST(DroppedLinesAreReported);
+  CPPUNIT_TEST(DrainWaitsForSlowReaderUntilDeadline);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -46,6 +48,22 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{80}, sink.dropped());
   }
 
+  // Guards against the loss of the last lines of a process whose log reader is busy.
+  void DrainWaitsForSlowReaderUntilDeadline() {
+    LogSink sink(this->pipe_ends[1], {1e9, 1e9, 1 << 20});
+    const std::string line(1 << 10, 'x');
+    constexpr std::size_t kLines = 300;  // More than the pipe holds.
+    for (std::size_t i = 0; i < kLines; ++i) sink.Write(line, true, kStart);
+    sink.Drain(Clock::now() + Milliseconds(20));
+    std::size_t received = 0;
+    std::thread reader([&] {
+      while (received < kLines * (line.size() + 1)) received += this->Read().size();
+    });
+    sink.Drain(Clock::now() + Milliseconds(5000));
+    reader.join();
+    CPPUNIT_ASSERT_EQUAL(kLines * (line.size() + 1), received);
+  }
+
   // Guards against gaps in the log that are not reported.
   void DroppedLinesAreReported() {
     LogSink sink(this->pipe_ends[1], {0, 1, 1 << 20});
--- /dev/null
+++ b/test/request-end-integration-test.cc
@@ -0,0 +1,115 @@
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "harness/gateway-process-fixture.h"
+
+// The log of a gateway process names each request that it has accepted, however it ends.
+namespace limpetfall::testing {
+namespace {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+class RequestEndIntegrationTest : public GatewayProcessFixture {
+  CPPUNIT_TEST_SUITE(RequestEndIntegrationTest);
+  CPPUNIT_TEST(RequestWhoseCallerLeavesTheQueueIsLogged);
+  CPPUNIT_TEST(RequestInHandWhenTheProcessEndsIsLogged);
+  CPPUNIT_TEST(RequestCutAtTheEndOfGraceIsLogged);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against requests that end without a line in the log (LOST).
+  void RequestWhoseCallerLeavesTheQueueIsLogged() {
+    this->StartProcesses(1);
+    this->deployment->events_in_stream = 100;
+    this->deployment->event_interval = Milliseconds(50);
+    constexpr std::size_t kSlots = 18;
+    std::vector<std::optional<Answer>> running(kSlots);
+    for (std::size_t i = 0; i < kSlots; ++i)
+      this->StartRequest("GET", "/chat/1", "s" + std::to_string(i), "k1", "", running[i]);
+    this->RunUntil([&] { return this->deployment->runner_requests.size() == kSlots; }, 1000);
+    const auto queued = this->SendWithoutReading("queued");
+    this->RunFor(100);
+    queued->Close();
+    this->ExpectEnd("queued", "caller_gone", "slot");
+  }
+
+  // Guards against requests that end with the process without a line in the log (LOST).
+  void RequestInHandWhenTheProcessEndsIsLogged() {
+    this->stop_grace = Milliseconds(2000);
+    this->StartProcesses(1);
+    this->deployment->events_in_stream = 400;
+    this->deployment->event_interval = Milliseconds(0);
+    this->deployment->event_padding = 50 << 10;  // 20 MB in all, more than sockets buffer.
+    const auto unread = this->SendWithoutReading("unread");
+    this->RunFor(700);
+    this->Stop();
+    this->ExpectEnd("unread", "unfinished", "caller");
+    CPPUNIT_ASSERT(this->FindLine("stopped", "unsent_bytes")->at("unsent_bytes") > 0);
+  }
+
+  void RequestCutAtTheEndOfGraceIsLogged() {
+    this->stop_grace = Milliseconds(2000);
+    this->StartProcesses(1);
+    this->deployment->events_in_stream = 100;
+    this->deployment->event_interval = Milliseconds(40);
+    std::optional<Answer> answer;
+    this->StartRequest("GET", "/chat/1", "cut", "k1", "", answer);
+    this->RunFor(300);
+    this->Stop();
+    CPPUNIT_ASSERT(answer && !answer->complete);
+    this->ExpectEnd("cut", "failed", "");
+  }
+
+ private:
+  void Stop() {
+    this->processes.front()->Signal(SIGTERM);
+    this->RunUntil([&] { return !this->processes.front()->running(); }, 2500);
+    CPPUNIT_ASSERT_EQUAL(0, this->processes.front()->exit_code());
+  }
+
+  /** Sends a stream request and reads nothing of the response. */
+  std::shared_ptr<HttpConnection> SendWithoutReading(const std::string& id) {
+    std::shared_ptr<HttpConnection> connection;
+    asio::co_spawn(
+        *this->io,
+        [&]() -> asio::awaitable<void> {
+          const Deadline deadline = Clock::now() + Milliseconds(20000);
+          connection =
+              (co_await HttpConnection::Connect(*this->io, this->caller_address, deadline)).value();
+          const HttpRequest request = this->MakeRequest("GET", "/chat/1", id, "k1", "");
+          (co_await connection->Send(request, deadline)).value();
+        },
+        asio::detached);
+    this->RunFor(100);
+    CPPUNIT_ASSERT(connection != nullptr);
+    return connection;
+  }
+
+  /** Returns the first line of an event with a field, or nothing. */
+  [[nodiscard]] std::optional<json> FindLine(const std::string& event, const std::string& field,
+                                             const std::string& value = "") const {
+    std::istringstream lines(this->processes.front()->log());
+    for (std::string line; std::getline(lines, line);) {
+      const json entry = json::parse(line, nullptr, false);
+      if (entry.is_discarded() || entry.value("event", "") != event || !entry.contains(field))
+        continue;
+      if (value.empty() || entry.at(field) == value) return entry;
+    }
+    return std::nullopt;
+  }
+
+  void ExpectEnd(const std::string& id, const std::string& outcome, const std::string& waits_for) {
+    std::optional<json> line;
+    this->RunUntil([&] { return (line = this->FindLine("request", "request", id)).has_value(); },
+                   1000);
+    CPPUNIT_ASSERT_EQUAL(outcome, line->value("outcome", ""));
+    CPPUNIT_ASSERT_EQUAL(waits_for, line->value("waits_for", ""));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestEndIntegrationTest);
+
+}  // namespace
+}  // namespace limpetfall::testing
