Do not count an upstream as lost while a caller does not read

What callers saw: a caller that reads a stream slowly has its stream moved to another upstream, or broken off when its attempts are used up, and so have other callers of the same upstream.

Cause: while a write to the caller is blocked, nothing is read from the upstream, but the time without bytes went on, so the node took its upstream for silent. Class: silence that this process causes itself, counted against the other side.

Change: the time without bytes begins again when the caller has taken what has arrived.

Evidence: StreamOfSlowCallerStaysAtItsUpstream (a pause of 2.5 s, 20 MB) failed before with an upstream_failure of kind "silent", and passes now. Found while the request log was tested with a caller that does not read.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -102,6 +102,23 @@
   return std::find(kPromises.begin(), kPromises.end(), status) != kPromises.end();
 }
 
+/** What a request waits for at present. */
+enum class WaitsFor { kSlot, kUpstream, kExamination, kCaller };
+
+constexpr std::string_view ToString(WaitsFor waits_for) {
+  switch (waits_for) {
+    case WaitsFor::kSlot:
+      return "slot";
+    case WaitsFor::kUpstream:
+      return "upstream";
+    case WaitsFor::kExamination:
+      return "examination";
+    case WaitsFor::kCaller:
+      return "caller";
+  }
+  return "unknown";
+}
+
 Priority QueuePriority(int priority) {
   if (priority <= 1) return Priority::kHigh;
   return priority == 2 ? Priority::kNormal : Priority::kLow;
@@ -130,20 +147,20 @@
   std::optional<HttpResponse> failure;  ///< Complete error response of an upstream.
   std::shared_ptr<HttpConnection> connection;
   StallState stall;
-  TimePoint last_event;            ///< When the last event was sent to the caller.
-  bool pinned = false;             ///< No longer fails over to another upstream.
-  Error error;                     ///< Why the last attempt failed.
-  VmId upstream;                   ///< Upstream of the last attempt.
-  bool is_accepted = false;        ///< Has a route and may be sent.
-  const char* outcome = nullptr;   ///< Outcome in the final log event; null until it is known.
-  const char* waits_for = "slot";  ///< What the request waits for, or waited for at its end.
-  CauseId request_cause = 0;       ///< Stands for the whole request in `causes`.
-  Causes causes;                   ///< What may crash an upstream that runs this request.
-  TimePoint sent;                  ///< When the current attempt was sent.
-  TimePoint first_event;           ///< Of the current attempt; the epoch before it.
-  bool is_harmless = false;        ///< The current attempt would have crashed its upstream by now.
-  Milliseconds queue_time{0};      ///< Time spent waiting for a slot, over all attempts.
-  Milliseconds proof_age{0};       ///< Proof age of the configuration when the request arrived.
+  TimePoint last_event;           ///< When the last event was sent to the caller.
+  bool pinned = false;            ///< No longer fails over to another upstream.
+  Error error;                    ///< Why the last attempt failed.
+  VmId upstream;                  ///< Upstream of the last attempt.
+  bool is_accepted = false;       ///< Has a route and may be sent.
+  const char* outcome = nullptr;  ///< Outcome in the final log event; null until it is known.
+  WaitsFor waits_for = WaitsFor::kSlot;
+  CauseId request_cause = 0;   ///< Stands for the whole request in `causes`.
+  Causes causes;               ///< What may crash an upstream that runs this request.
+  TimePoint sent;              ///< When the current attempt was sent.
+  TimePoint first_event;       ///< Of the current attempt; the epoch before it.
+  bool is_harmless = false;    ///< The current attempt would have crashed its upstream by now.
+  Milliseconds queue_time{0};  ///< Time spent waiting for a slot, over all attempts.
+  Milliseconds proof_age{0};   ///< Proof age of the configuration when the request arrived.
 
   [[nodiscard]] bool IsRepeatable() const {
     return this->route->retry_policy == RetryPolicy::kIdempotent || this->route->resumable;
@@ -466,7 +483,7 @@
   request.priority = QueuePriority(call.priority + (call.is_caller_retry ? 1 : 0));
   request.deadline = call.deadline;
   request.is_retry = call.sends > 0;
-  call.waits_for = "slot";
+  call.waits_for = WaitsFor::kSlot;
   request.response_started = call.stream_started;
   const Milliseconds silence_limit =
       CallerAbandonTimeout(call.route->objective, call.route->event_gap_objective);
@@ -628,7 +645,7 @@
 
 asio::awaitable<Relay::Outcome> Relay::AttemptOnce(Call& call, UpstreamSlot& slot,
                                                    HttpExchange& exchange) {
-  call.waits_for = "upstream";
+  call.waits_for = WaitsFor::kUpstream;
   const auto connected = co_await this->ConnectTo(slot, call);
   if (!connected) {
     const auto cancellation = co_await asio::this_coro::cancellation_state;
@@ -717,6 +734,8 @@
 
 void Relay::WatchForStall(Call& call, UpstreamSlot& slot) {
   call.connection->SetExpiryHook([this, &call, &slot](TimePoint now) {
+    // Nothing is read from the upstream while the caller does not take what has arrived.
+    if (call.waits_for == WaitsFor::kCaller) call.stall.last_bytes = now;
     call.stall.upstream_progress = slot.ticket.last_progress();
     const StallVerdict verdict = CheckStall(call.stall, now);
     if (verdict == StallVerdict::kWaiting) {
@@ -791,7 +810,7 @@
     const auto total = now - call.sent;
     this->stop_admission.OnCompleted(call.route->name, {call.answer_tokens, total, total}, now);
   }
-  call.waits_for = "caller";
+  call.waits_for = WaitsFor::kCaller;
   const auto sent = co_await exchange.Send(std::move(response));
   co_return sent ? Outcome::kAnswered : Outcome::kCallerDisconnected;
 }
@@ -802,7 +821,7 @@
   const auto pause = call.route->event_gap_objective + this->options.group_stall_margin;
   bool first = true;
   for (;;) {
-    call.waits_for = "upstream";
+    call.waits_for = WaitsFor::kUpstream;
     const Deadline read_by =
         call.CanFailOver() ? std::min(call.deadline, NextStallCheck(call.stall)) : call.deadline;
     const auto done = co_await call.connection->ReadSome(call.events.bytes(), read_by);
@@ -837,7 +856,7 @@
       if (call.sends == 1) this->start_policy.OnFirstBytes(call.Lane(), now - sent);
       call.stall.upstream_stall_timeout = pause;
     }
-    call.waits_for = "caller";
+    call.waits_for = WaitsFor::kCaller;
     if (!call.stream_started && (!complete.value().empty() || done.value())) {
       const auto started =
           co_await exchange.StartStream(head.status, EndToEndHeaders(head.headers));
@@ -851,6 +870,7 @@
       call.last_event = now;
       const auto written = co_await exchange.WriteChunk(complete.value());
       if (!written) co_return Outcome::kCallerDisconnected;
+      call.stall.last_bytes = Clock::now();
     }
     if (done.value()) break;
   }
@@ -926,7 +946,7 @@
       if (outcome == Outcome::kLost) this->ExamineLoss(call, slot.value());
       const bool parked = outcome == Outcome::kLost && this->ParkStream(call, slot.value());
       if (outcome == Outcome::kLost && !parked) {
-        call.waits_for = "examination";
+        call.waits_for = WaitsFor::kExamination;
         co_await this->AwaitExamination(call, boot);
       }
       call.connection.reset();
@@ -982,7 +1002,7 @@
 }
 
 asio::awaitable<void> Relay::RespondWithFailure(Call& call, HttpExchange& exchange) {
-  call.waits_for = "caller";
+  call.waits_for = WaitsFor::kCaller;
   if (call.stream_started) {
     Log(LogLevel::kWarning, "stream_broken",
         {{"request", call.request_id}, {"sends", call.sends}, {"detail", call.error.message}});
@@ -1018,7 +1038,7 @@
        {"team", call.team.value},
        {"upstream", call.upstream.value},
        {"outcome", call.outcome != nullptr ? call.outcome : interrupted},
-       {"waits_for", call.outcome != nullptr ? "" : call.waits_for},
+       {"waits_for", call.outcome != nullptr ? "" : ToString(call.waits_for)},
        {"sends", call.sends},
        {"ms", std::lround(passed.count() * kMsPerS)},
        {"waited_ms", call.queue_time.count()},
--- a/test/request-end-integration-test.cc
+++ b/test/request-end-integration-test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(RequestWhoseCallerLeavesTheQueueIsLogged);
   CPPUNIT_TEST(RequestInHandWhenTheProcessEndsIsLogged);
   CPPUNIT_TEST(RequestCutAtTheEndOfGraceIsLogged);
+  CPPUNIT_TEST(StreamOfSlowCallerStaysAtItsUpstream);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -62,6 +63,36 @@
     this->ExpectEnd("cut", "failed", "");
   }
 
+  // Guards against a healthy upstream that counts as lost because a caller reads slowly.
+  void StreamOfSlowCallerStaysAtItsUpstream() {
+    this->StartProcesses(1);
+    this->deployment->events_in_stream = 400;
+    this->deployment->event_interval = Milliseconds(0);
+    this->deployment->event_padding = 50 << 10;  // 20 MB in all, more than sockets buffer.
+    const auto unread = this->SendWithoutReading("slow");
+    this->RunFor(2500);
+    std::string body;
+    std::optional<bool> whole;
+    asio::co_spawn(
+        *this->io,
+        [&]() -> asio::awaitable<void> {
+          const Deadline deadline = Clock::now() + Milliseconds(4000);
+          auto done = (co_await unread->ReadHead(deadline)).has_value()
+                          ? co_await unread->ReadSome(body, deadline)
+                          : Result<bool>(false);
+          while (done && !done.value()) done = co_await unread->ReadSome(body, deadline);
+          whole = done.has_value();
+        },
+        asio::detached);
+    this->RunUntil([&] { return whole.has_value(); }, 5000);
+    CPPUNIT_ASSERT(*whole);
+    const auto padding = static_cast<std::size_t>(this->deployment->events_in_stream) *
+                         this->deployment->event_padding;
+    CPPUNIT_ASSERT(padding < body.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->deployment->runner_requests.size());
+    CPPUNIT_ASSERT(!this->FindLine("upstream_failure", "request", "slow"));
+  }
+
  private:
   void Stop() {
     this->processes.front()->Signal(SIGTERM);
