Keep serving when the reader of the log has ended

What callers saw: all requests of a node end at once, streams after their status and some events, and no line names them (LOST, as in the users' record).

Cause: nobody handled SIGPIPE. When the reader of the process's output ends, the next log line ends the process with all requests in flight.

Change: SIGPIPE is ignored when logging starts, in both entry programs; lines that cannot be written are dropped and counted, as before for a slow reader.

Evidence: ProcessOutlivesTheReaderOfItsLog failed before (the process ended and answered nothing) and passes now. Whether the users' 26 cases are of this kind is not known: their record does not say how the processes ended.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <csignal>
 #include <cstdint>
 #include <cstdio>
 #include <ctime>
@@ -124,6 +125,8 @@
     return NotRun(ErrorCode::kInvalidArgument, "unknown log level \"" + std::string(level) + "\"");
   }
   ConfigureLibrary();
+  // By default, a process ends when it writes to a pipe whose reader has ended.
+  std::signal(SIGPIPE, SIG_IGN);
   LogState& state = State();
   const std::lock_guard lock(state.mutex);
   state.program = program;
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -42,7 +42,7 @@
 
 /**
  * Configures logging of this process, by default to standard error. `level` is the minimum level:
- * debug, info, warning or error.
+ * debug, info, warning or error. The process runs on when the reader of its log ends.
  */
 Result<void> StartLogging(std::string_view program, std::string_view level);
 
--- a/test/gateway-signal-integration-test.cc
+++ b/test/gateway-signal-integration-test.cc
@@ -1,3 +1,7 @@
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <csignal>
 
 #include "harness/gateway-process-fixture.h"
@@ -12,6 +16,7 @@
   CPPUNIT_TEST(ReloadSignalDuringStartDoesNotEndProcess);
   CPPUNIT_TEST(StopSignalDuringStartIsGraceful);
   CPPUNIT_TEST(SignalsDuringExitDoNotChangeItsCode);
+  CPPUNIT_TEST(ProcessOutlivesTheReaderOfItsLog);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -60,6 +65,32 @@
     for (const auto& process : this->processes) CPPUNIT_ASSERT_EQUAL(0, process->exit_code());
   }
 
+  // Guards against a process that ends with its requests because the reader of its output has ended
+  // (LOST).
+  void ProcessOutlivesTheReaderOfItsLog() {
+    this->StartProcesses(1);
+    this->processes.front().reset();
+    const std::string settings = (this->folder / "p0.toml").string();
+    const std::string pipe = settings + ".pipe";
+    CPPUNIT_ASSERT_EQUAL(0, mkfifo(pipe.c_str(), 0600));
+    const int reader = open(pipe.c_str(), O_RDONLY | O_NONBLOCK);
+    CPPUNIT_ASSERT(reader >= 0);
+    this->processes.front() = Process::Start("limpetfall-gateway", {"--settings", settings}, pipe);
+    this->ConnectAsSoonAsPossible();
+    this->RunFor(500);
+    CPPUNIT_ASSERT(this->processes.front()->running());
+    close(reader);
+    for (int i = 0; i < 3; ++i) {
+      const auto caller = this->ConnectAsSoonAsPossible();
+      // The refusal writes a line.
+      caller->Send(
+          "GET /none HTTP/1.1\r\nHost: h\r\nX-Request-Id: any\r\n"
+          "Connection: close\r\n\r\n");
+      CPPUNIT_ASSERT(caller->ReadAll().starts_with("HTTP/1.1 404 "));
+    }
+    CPPUNIT_ASSERT(this->processes.front()->running());
+  }
+
  private:
   std::unique_ptr<RawClient> ConnectAsSoonAsPossible() const {
     const Deadline limit = Clock::now() + Milliseconds(5000);
