Let the fake deployment restore its store from a copy

The store of the fake deployment can be copied and restored: it then begins a new era, which all its answers state in Store-Era, gives out revisions and lease numbers again, and answers 410 to watches from revisions that it does not have.

No product code is changed.

--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -16,6 +16,8 @@
 namespace asio = boost::asio;
 using nlohmann::json;
 
+constexpr std::string_view kConfigKey = "op/config";
+
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
 std::string QueryParameter(const std::string& target, const std::string& name) {
@@ -42,7 +44,7 @@
       HttpServer::Create(this->io, "127.0.0.1:0",
                          [this, address](HttpExchange& exchange) -> asio::awaitable<void> {
                            if (this->refused_stores.contains(*address)) {
-                             return this->Reply(exchange, 429, json::object());
+                             return this->ReplyFromStore(exchange, 429, json::object());
                            }
                            return this->ServeStore(exchange);
                          },
@@ -92,6 +94,9 @@
   ++runner.boot;
   runner.orders = 0;
   runner.group = json();
+  runner.model.clear();
+  runner.highest_epoch = 0;
+  runner.state = "ready";
   runner.extra_headers.clear();
   this->Publish(runner);
 }
@@ -102,12 +107,13 @@
              {"zone", "z1"},
              {"version", "v1"},
              {"slots", 6},
-             {"state", "ready"},
+             {"state", runner.state},
              {"seq", 1},
              {"born", runner.boot},
              {"domain", runner.domain},
              {"staged", runner.staged}};
   if (!runner.group.is_null()) entry["group"] = runner.group;
+  if (!runner.model.empty()) entry["models"] = {{{"name", runner.model}, {"version", 1}}};
   this->Put("servers/" + runner.id, entry.dump());
 }
 
@@ -122,7 +128,36 @@
   for (asio::steady_timer* watcher : this->watchers) watcher->cancel();
 }
 
+std::shared_ptr<const FakeDeployment::StoreCopy> FakeDeployment::CopyStore() const {
+  return std::make_shared<const StoreCopy>(
+      StoreCopy{this->items, this->events, this->leases, this->revision, this->last_lease});
+}
+
+void FakeDeployment::RestoreStore(const StoreCopy& copy) {
+  ++this->era;
+  this->items = copy.items;
+  this->events = copy.events;
+  this->leases = copy.leases;
+  this->revision = copy.revision;
+  this->last_lease = copy.last_lease;
+  for (auto& [id, lease] : this->leases) lease.expires = Clock::now() + lease.lifetime;
+  for (asio::steady_timer* watcher : this->watchers) watcher->cancel();
+}
+
+void FakeDeployment::RewriteEntries() {
+  for (const auto& [id, runner] : this->runners) {
+    if (!runner->down) this->Publish(*runner);
+  }
+  if (!this->last_config.empty()) this->Put(std::string(kConfigKey), this->last_config);
+}
+
+std::int64_t FakeDeployment::GrantLease(Milliseconds lifetime) {
+  this->leases[++this->last_lease] = {Clock::now() + lifetime, lifetime};
+  return this->last_lease;
+}
+
 void FakeDeployment::Put(const std::string& key, const std::string& value, std::int64_t lease) {
+  if (key == kConfigKey) this->last_config = value;
   ++this->revision;
   Item& item = this->items[key];
   if (item.created == 0) item.created = this->revision;
@@ -201,6 +236,17 @@
           {"lease", item.lease}};
 }
 
+asio::awaitable<void> FakeDeployment::ReplyFromStore(HttpExchange& exchange, int status,
+                                                     json body) {
+  HttpResponse response;
+  response.status = status;
+  response.headers["Content-Type"] = "application/json";
+  const std::string era = this->stated_era.value_or(std::to_string(this->era));
+  if (!era.empty()) response.headers["Store-Era"] = era;
+  response.body = body.dump();
+  [[maybe_unused]] const auto sent = co_await exchange.Send(std::move(response));
+}
+
 json FakeDeployment::Transact(const json& body, int& status) {
   for (const json& row : body.at("expected")) {
     const auto found = this->items.find(row.at("key").get<std::string>());
@@ -228,13 +274,19 @@
   const std::string target = exchange.request().target;
   const std::int64_t after = std::stoll(QueryParameter(target, "after"));
   const Milliseconds wait(std::stoll(QueryParameter(target, "waitMs")));
-  if (this->revision <= after) {
+  const std::int64_t era_before = this->era;
+  if (this->revision == after) {
     asio::steady_timer timer(this->io, Clock::now() + wait);
     this->watchers.insert(&timer);
     const std::shared_ptr<void> registered(nullptr,
                                            [this, &timer](void*) { this->watchers.erase(&timer); });
     co_await timer.async_wait(kNoThrow);
   }
+  // The history of this revision does not exist, or does not exist any more.
+  if (this->revision < after || this->era != era_before) {
+    co_await this->ReplyFromStore(exchange, 410, json::object());
+    co_return;
+  }
   json found = json::array();
   for (const Event& event : this->events) {
     if (event.revision <= after) continue;
@@ -248,13 +300,13 @@
   json body;
   body["events"] = std::move(found);
   body["currentRev"] = this->revision;
-  co_await this->Reply(exchange, 200, std::move(body));
+  co_await this->ReplyFromStore(exchange, 200, std::move(body));
 }
 
 asio::awaitable<void> FakeDeployment::ServeStore(HttpExchange& exchange) {
   const std::string target = exchange.request().target;
   if (this->store_mode == StoreMode::kRefusing) {
-    co_await this->Reply(exchange, 503, json::object());
+    co_await this->ReplyFromStore(exchange, 503, json::object());
     co_return;
   }
   if (this->store_mode == StoreMode::kUnresponsive) {
@@ -269,7 +321,7 @@
     answer["items"] = std::move(found);
     answer["hasMore"] = false;
     answer["currentRev"] = this->revision;
-    co_await this->Reply(exchange, 200, std::move(answer));
+    co_await this->ReplyFromStore(exchange, 200, std::move(answer));
   } else if (target.starts_with("/api/kv-watch")) {
     if (this->store_mode == StoreMode::kHangingWatches)
       co_await limpetfall::detail::PauseUntil(Clock::now() + Milliseconds(60000));
@@ -283,30 +335,29 @@
       exchange.Abort();
       co_return;
     }
-    co_await this->Reply(exchange, status, answer);
+    co_await this->ReplyFromStore(exchange, status, answer);
   } else if (target == "/api/kv-lease") {
     const Milliseconds lifetime(json::parse(body).at("ttlMs").get<std::int64_t>());
-    this->leases[++this->last_lease] = {Clock::now() + lifetime, lifetime};
     json answer;
-    answer["lease"] = this->last_lease;
+    answer["lease"] = this->GrantLease(lifetime);
     answer["ttlMs"] = lifetime.count();
-    co_await this->Reply(exchange, 200, std::move(answer));
+    co_await this->ReplyFromStore(exchange, 200, std::move(answer));
   } else if (target.starts_with("/api/kv-keep/")) {
     const auto lease = this->leases.find(std::stoll(target.substr(13)));
     if (lease == this->leases.end()) {
-      co_await this->Reply(exchange, 404, json::object());
+      co_await this->ReplyFromStore(exchange, 404, json::object());
       co_return;
     }
     lease->second.expires = Clock::now() + lease->second.lifetime;
     json answer;
     answer["ttlMs"] = lease->second.lifetime.count();
-    co_await this->Reply(exchange, 200, std::move(answer));
+    co_await this->ReplyFromStore(exchange, 200, std::move(answer));
   } else if (target.starts_with("/api/kv-lease-end/")) {
     const auto lease = this->leases.find(std::stoll(target.substr(18)));
     if (lease != this->leases.end()) this->EndLease(lease->first);
-    co_await this->Reply(exchange, 200, json::object());
+    co_await this->ReplyFromStore(exchange, 200, json::object());
   } else {
-    co_await this->Reply(exchange, 404, json::object());
+    co_await this->ReplyFromStore(exchange, 404, json::object());
   }
 }
 
@@ -321,6 +372,11 @@
   const bool member = !runner.group.is_null() && runner.group.at("name") == body.at("group") &&
                       runner.group.at("epoch") == body.at("epoch");
   if (op == "join") {
+    const auto epoch = body.at("epoch").get<std::int64_t>();
+    if (epoch < runner.highest_epoch) return 412;
+    runner.highest_epoch = epoch;
+    this->highest_epoch = std::max(this->highest_epoch, epoch);
+    runner.model = body.at("model");
     const auto members = body.at("members").get<std::vector<std::string>>();
     const auto rank = std::find(members.begin(), members.end(), runner.id) - members.begin();
     runner.group = {{"name", body.at("group")},
@@ -400,6 +456,8 @@
   if (request.target == "/api/report") {
     json report;
     report["seq"] = runner.orders;
+    report["born"] = runner.boot;
+    if (!runner.group.is_null()) report["group"] = runner.group;
     co_await this->Reply(exchange, 200, std::move(report));
     co_return;
   }
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -53,6 +54,33 @@
  */
 class FakeDeployment {
  public:
+  struct Item {
+    std::string value;
+    std::int64_t revision = 0;
+    std::int64_t created = 0;
+    std::int64_t lease = 0;
+  };
+
+  struct Event {
+    std::int64_t revision = 0;
+    std::string key;
+    bool removed = false;
+  };
+
+  struct Lease {
+    Deadline expires;
+    Milliseconds lifetime{0};
+  };
+
+  /** What the store held at some moment. */
+  struct StoreCopy {
+    std::map<std::string, Item> items;
+    std::vector<Event> events;
+    std::map<std::int64_t, Lease> leases;
+    std::int64_t revision = 0;
+    std::int64_t last_lease = 0;
+  };
+
   explicit FakeDeployment(boost::asio::io_context& context);
 
   [[nodiscard]] std::string store_address() const { return this->store_server->address(); }
@@ -70,6 +98,15 @@
     this->runners.at(id)->extra_headers = std::move(headers);
   }
 
+  /** Publishes that a runner is "ready" or "draining". */
+  void SetRunnerState(const std::string& id, const std::string& state) {
+    this->runners.at(id)->state = state;
+    this->Publish(*this->runners.at(id));
+  }
+
+  /** Returns the highest epoch of any group that a runner has joined. */
+  [[nodiscard]] std::int64_t HighestEpoch() const { return this->highest_epoch; }
+
   /** Publishes another address for a runner, as if another server answered there. */
   void SetRunnerAddress(const std::string& id, const std::string& address);
 
@@ -99,6 +136,22 @@
   }
   [[nodiscard]] bool HasKey(const std::string& key) const { return this->items.contains(key); }
 
+  /** Returns a copy of what the store holds now, for `RestoreStore`. */
+  [[nodiscard]] std::shared_ptr<const StoreCopy> CopyStore() const;
+
+  /**
+   * Replaces what the store holds by a copy and begins a new era. Revisions and the numbers of
+   * leases go back to those of the copy; watches are cut. Call `RewriteEntries` for what the
+   * operators and the runners write again.
+   */
+  void RestoreStore(const StoreCopy& copy);
+
+  /** Writes the entries of all runners that are up, and the configuration last put, again. */
+  void RewriteEntries();
+
+  /** Grants a lease to another process than the nodes under test, and returns its number. */
+  std::int64_t GrantLease(Milliseconds lifetime);
+
   /** Ends a runner as a crash does. It comes back at another address after `crash_downtime`, as a
    * new process that is in no group. */
   void Crash(const std::string& id);
@@ -110,6 +163,8 @@
   [[nodiscard]] int CountRuns(const std::string& request_id) const;
 
   StoreMode store_mode = StoreMode::kServing;
+  /** Value of the header with the era; if not set, the era. Empty for no header. */
+  std::optional<std::string> stated_era;
   std::set<std::string> refused_stores;  ///< Addresses of the store that answer 429.
   /** Status with which runners of plain services answer requests that they have run. */
   int plain_status = 200;
@@ -126,24 +181,6 @@
   std::uint64_t transaction_calls = 0;  ///< Conditional writes that the store received.
 
  private:
-  struct Item {
-    std::string value;
-    std::int64_t revision = 0;
-    std::int64_t created = 0;
-    std::int64_t lease = 0;
-  };
-
-  struct Event {
-    std::int64_t revision = 0;
-    std::string key;
-    bool removed = false;
-  };
-
-  struct Lease {
-    Deadline expires;
-    Milliseconds lifetime{0};
-  };
-
   struct FakeRunner {
     std::string id;
     std::string service;
@@ -151,7 +188,10 @@
     std::int64_t orders = 0;
     RunnerMode mode = RunnerMode::kServing;
     Headers extra_headers;
+    std::string state = "ready";
     nlohmann::json group;
+    std::string model;  ///< Of its last group.
+    std::int64_t highest_epoch = 0;
     std::vector<std::string> staged;
     std::unique_ptr<HttpServer> server;
     std::string published_address;  ///< That of `server`, unless the test has set another.
@@ -169,6 +209,8 @@
   /** Ends a lease and removes its keys. */
   void EndLease(std::int64_t id);
   boost::asio::awaitable<void> Reply(HttpExchange& exchange, int status, nlohmann::json body);
+  boost::asio::awaitable<void> ReplyFromStore(HttpExchange& exchange, int status,
+                                              nlohmann::json body);
   [[nodiscard]] nlohmann::json Transact(const nlohmann::json& body, int& status);
   [[nodiscard]] nlohmann::json ItemJson(const std::string& key, const Item& item) const;
   [[nodiscard]] int Order(FakeRunner& runner, const nlohmann::json& body);
@@ -189,8 +231,11 @@
   std::map<std::string, Item> items;
   std::vector<Event> events;
   std::map<std::int64_t, Lease> leases;
+  std::int64_t era = 1;
   std::int64_t revision = 10;
   std::int64_t last_lease = 0;
+  std::string last_config;
+  std::int64_t highest_epoch = 0;
   std::set<boost::asio::steady_timer*> watchers;
   std::map<std::string, std::unique_ptr<FakeRunner>> runners;
 };
