--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -22,6 +22,10 @@
   crashes @13 :CrashEvidence;
   crashDigest @14 :UInt64;   # Hash of all that the sender knows about crashes; 0 for nothing.
   rateLimits @15 :List(RateLimit);
+  mirrorEra @16 :Int64;      # Era of mirrorRevision.
+  configVersion @17 :UInt64; # Newest configuration that the sender knows; 0 for none.
+  planEra @18 :Int64;        # Newest group plan that the sender knows.
+  planSequence @19 :Int64;
 
   struct Demand {
     model @0 :Text;
@@ -78,6 +82,7 @@
   proofAgeMs @2 :Int64;      # -1 without a proof.
   items @3 :List(Item);
   heldMs @4 :Int64;          # Time between the request and this answer at the node that sends it.
+  era @5 :Int64;             # Of all revisions in this message.
 
   struct Item {
     key @0 :Text;
--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -35,6 +35,13 @@
 
 }  // namespace
 
+PlanVersion PlanVersion::Next(std::int64_t current_era) const {
+  // More than the plans that are written in one era. The store may have lost plans of this era, and
+  // their epochs must not be given to other groups.
+  constexpr std::int64_t kEraStep = 1 << 20;
+  return {current_era, this->sequence + (current_era - this->era) * kEraStep + 1};
+}
+
 bool InGroup(const Runner& runner, const PlannedGroup& group) {
   return runner.membership && runner.membership->group == group.group &&
          runner.membership->epoch == group.epoch;
@@ -100,7 +107,7 @@
       if (order->second.kind == RunnerOrderKind::kJoin) return false;
       if (order->second.done) return true;
     }
-    return !InGroup(runner, group);
+    return runner.is_confirmed && !InGroup(runner, group);
   }
 
   /** Returns whether the head of a group is known to have left it. Its entry may be missing. */
@@ -231,7 +238,8 @@
     const Runner* head = this->Find(head_id);
     const bool head_restarted = head != nullptr && head->started_ms != group.started_ms.front();
     if (head_restarted) return true;
-    if (head != nullptr && !InGroup(*head, group) && !this->IsUnreachable(head_id)) {
+    const bool is_outside = head != nullptr && head->is_confirmed && !InGroup(*head, group);
+    if (is_outside && !this->IsUnreachable(head_id)) {
       // A delayed join order for this group may still arrive; a member of a later epoch ignores it.
       return true;
     }
@@ -297,6 +305,70 @@
     return entry->second <= this->now;
   }
 
+  /** Returns the groups in which runners are, as they say, that are not in the plan. Members that
+   * no runner claims to be have an empty id. */
+  [[nodiscard]] std::vector<PlannedGroup> FindUnplannedGroups() const {
+    std::set<GroupId> planned;
+    for (const PlannedGroup& group : this->next.groups) planned.insert(group.group);
+    std::map<std::pair<GroupId, Generation>, PlannedGroup> found;
+    for (const auto& [id, runner] : this->runners) {
+      const auto& membership = runner.membership;
+      constexpr int kMaxRank = 1000;
+      if (!membership || planned.contains(membership->group)) continue;
+      if (membership->rank < 0 || kMaxRank < membership->rank) continue;
+      PlannedGroup& group = found[{membership->group, membership->epoch}];
+      group.group = membership->group;
+      group.epoch = membership->epoch;
+      group.service = runner.service;
+      group.domain = runner.domain;
+      if (!runner.loaded.empty()) group.model = runner.loaded.front();
+      const auto rank = static_cast<std::size_t>(membership->rank);
+      const std::size_t size = std::max(group.members.size(), rank + 1);
+      group.members.resize(size);
+      group.started_ms.resize(size);
+      group.members[rank] = id;
+      group.started_ms[rank] = runner.started_ms;
+    }
+    std::vector<PlannedGroup> groups;
+    for (auto& [key, group] : found) groups.push_back(std::move(group));
+    return groups;
+  }
+
+  /** Returns whether all members of a group are known. */
+  [[nodiscard]] bool IsComplete(const PlannedGroup& group) const {
+    const ServedModel* model = this->ModelOf(group);
+    return model != nullptr &&
+           group.members.size() == static_cast<std::size_t>(model->group_size) &&
+           std::find(group.members.begin(), group.members.end(), VmId()) == group.members.end();
+  }
+
+  /**
+   * Takes the groups into the plan that were formed by plans which a restored store has lost.
+   * Complete groups go on. The others are dissolved: a head that is not known may still serve with
+   * the members that are. Planned groups whose members have moved there since are dropped.
+   */
+  void AdoptUnplannedGroups() {
+    for (PlannedGroup& group : this->FindUnplannedGroups()) {
+      const Runner* head = this->Find(group.members.front());
+      const bool may_serve = head == nullptr || !head->is_confirmed || IsServingHead(*head);
+      group.dissolving = !this->IsComplete(group);
+      // Members that have left already may be any runners of the domain.
+      if (group.dissolving && may_serve) {
+        this->planner.domain_holds[group.domain] = this->now + this->planner.options.stall_timeout;
+      }
+      std::erase_if(this->next.groups, [&](const PlannedGroup& former) {
+        const bool shares_members =
+            std::find_first_of(former.members.begin(), former.members.end(), group.members.begin(),
+                               group.members.end()) != former.members.end();
+        const Runner* former_head = this->Find(former.members.front());
+        return shares_members && former.epoch < group.epoch && former_head != nullptr &&
+               former_head->is_confirmed && !InGroup(*former_head, former);
+      });
+      this->next.groups.push_back(std::move(group));
+      this->changed = true;
+    }
+  }
+
   /**
    * Orders heads that serve a group missing from the plan to leave it. A head that was partitioned
    * while its group was dissolved has not received that order.
@@ -337,6 +409,9 @@
     for (const auto& [id, runner] : this->runners) {
       if (this->ModelsOf(runner.service).empty()) continue;
       if (assigned.contains(id) || runner.leaving || this->IsUnreachable(id)) continue;
+      const auto hold = this->planner.domain_holds.find(runner.domain);
+      const bool is_held = hold != this->planner.domain_holds.end() && this->now < hold->second;
+      if (!runner.is_confirmed || is_held) continue;
       // A delayed order may have opened a group again that is no longer planned.
       if (runner.membership && served.contains(runner.membership->group)) continue;
       if (IsServingHead(runner)) continue;
@@ -658,8 +733,8 @@
     if (!this->HasStartupSettled()) return;
     std::erase_if(this->planner.reservations,
                   [&](const auto& entry) { return entry.second.until <= this->now; });
-    // The revision of the plan only increases, so no two writes share an epoch.
-    const auto epoch = static_cast<Generation>(this->next.revision + 1);
+    // The sequence only increases, so no two plans share an epoch.
+    const auto epoch = static_cast<Generation>(this->next.version.sequence);
     for (int number = 1;; ++number) {
       const FreeByDomain free = this->FreeRunners();
       const auto candidate = this->BestCandidate(free);
@@ -700,9 +775,13 @@
   this->load_budget.updated = now;
 
   for (const auto& [id, runner] : runners) this->first_listed.try_emplace(id, now);
+  const bool is_new_era = plan.version.era < plan.revision.era;
   struct Step step {
-    *this, runners, config, demand, now, concurrent_loads, plan, {}, false
+    *this, runners, config, demand, now, concurrent_loads, plan, {},
+        !plan.is_stored || (is_new_era && !plan.groups.empty())
   };
+  step.next.version = plan.version.Next(plan.revision.era);
+  step.next.is_stored = true;
   for (const PlannedGroup& group : plan.groups) {
     for (const VmId& member : group.members) {
       const Runner* runner = step.Find(member);
@@ -717,6 +796,7 @@
       }
     }
   }
+  if (is_new_era) step.AdoptUnplannedGroups();
   std::erase_if(step.next.groups, [&](const PlannedGroup& group) {
     if (!group.dissolving || !step.Dissolve(group)) return false;
     this->unreachable_head_deadlines.erase(group.group);
--- a/src/core/group-planner.h
+++ b/src/core/group-planner.h
@@ -32,9 +32,28 @@
 /** Returns whether the runner's store entry lists it in the group under the group's epoch. */
 [[nodiscard]] bool InGroup(const Runner& runner, const PlannedGroup& group);
 
+/**
+ * Order of the plans, which each plan states itself: a restored store gives out revisions again and
+ * may hold an older plan than the nodes know.
+ */
+struct PlanVersion {
+  std::int64_t era = 0;  ///< Of the store, when the plan was written.
+  std::int64_t sequence = 0;
+
+  /** Returns the version of the next plan, which is written in era `current_era`. */
+  [[nodiscard]] PlanVersion Next(std::int64_t current_era) const;
+
+  // clang-tidy 14 mistakes the 0 in the generated comparison for a null pointer.
+  friend auto operator<=>(const PlanVersion&,
+                          const PlanVersion&) = default;  // NOLINT(modernize-use-nullptr)
+  friend bool operator==(const PlanVersion&, const PlanVersion&) = default;
+};
+
 /** All groups. Stored under one key of the platform's store by compare-and-swap on its revision. */
 struct GroupPlan {
-  std::int64_t revision = 0;  ///< 0 when the key does not exist.
+  StoreRevision revision;  ///< Of the key, which may hold another plan; number 0 without the key.
+  PlanVersion version;
+  bool is_stored = true;  ///< False if the store was restored and holds an older plan or none.
   std::vector<PlannedGroup> groups;
 
   friend bool operator==(const GroupPlan&, const GroupPlan&) = default;
@@ -163,9 +182,9 @@
     RunnerOrderKind kind = RunnerOrderKind::kLeave;
     GroupId group;
     Generation epoch = 0;
-    std::int64_t started_ms = 0;      ///< Process start of the runner.
-    std::int64_t entry_revision = 0;  ///< Revision of the runner's entry when the order was sent.
-    bool done = false;                ///< The runner has confirmed the order.
+    std::int64_t started_ms = 0;   ///< Process start of the runner.
+    StoreRevision entry_revision;  ///< Of the runner's entry when the order was sent.
+    bool done = false;             ///< The runner has confirmed the order.
 
     /** Returns whether the order concerns this process of the runner and this group. */
     [[nodiscard]] bool Concerns(std::int64_t process_start, const PlannedGroup& target) const {
@@ -203,6 +222,8 @@
   std::map<GroupId, Deadline> unreachable_head_deadlines;
   LoadBudget load_budget;
   std::map<DomainId, Reservation> reservations;
+  /** When unknown members of adopted groups are certainly no longer needed by their heads. */
+  std::map<DomainId, Deadline> domain_holds;
   std::map<VmId, Deadline> staging_deadlines;  ///< When a staging order is considered failed.
 };
 
--- a/src/core/runner.h
+++ b/src/core/runner.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "core/store-revision.h"
 
 namespace limpetfall {
 
@@ -39,8 +40,10 @@
   int slots = 1;
   std::int64_t started_ms = 0;    ///< Process start; distinguishes restarts under the same id.
   std::vector<ModelName> staged;  ///< Models whose weights are on the VM's host.
+  std::vector<ModelName> loaded;  ///< Models that the process serves.
   std::optional<RunnerMembership> membership;
-  std::int64_t revision = 0;  ///< Store revision of the entry.
+  StoreRevision revision;    ///< Of the entry.
+  bool is_confirmed = true;  ///< False if the membership may have changed since it was written.
 
   friend bool operator==(const Runner&, const Runner&) = default;
 };
--- a/src/core/state-mirror.cc
+++ b/src/core/state-mirror.cc
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-void StateMirror::ApplyItem(const StateItem& item) {
+void StateMirror::ApplyItem(const StateItem& item, ChangeOrigin origin) {
   const auto existing = this->items.find(item.key);
   if (existing != this->items.end() && existing->second.revision >= item.revision) return;
   if (item.value) {
@@ -20,41 +20,49 @@
     if (existing == this->items.end()) return;
     this->items.erase(existing);
   }
-  this->observer(item);
+  this->observer(item, origin);
 }
 
-void StateMirror::Apply(const StateUpdate& update) {
-  if (update.revision < this->complete_revision) return;
+void StateMirror::RemoveUnlisted(const StateUpdate& snapshot, ChangeOrigin origin) {
+  std::set<std::string> listed;
+  for (const StateItem& item : snapshot.items) listed.insert(item.key);
+  std::vector<std::string> unlisted;
+  for (const auto& [key, item] : this->items) {
+    if (!listed.contains(key) && item.revision <= snapshot.revision) unlisted.push_back(key);
+  }
+  for (const std::string& key : unlisted) {
+    this->ApplyItem({key, std::nullopt, snapshot.revision, 0}, origin);
+  }
+}
+
+bool StateMirror::Apply(const StateUpdate& update) {
+  if (update.revision < this->complete_revision) return false;
+  const bool is_new_era = !this->IsEmpty() && update.revision.era != this->complete_revision.era;
+  if (is_new_era && !update.snapshot) return false;
+  const ChangeOrigin origin = is_new_era ? ChangeOrigin::kRestored : ChangeOrigin::kWritten;
   std::vector<StateItem> ordered = update.items;
   std::stable_sort(ordered.begin(), ordered.end(),
                    [](const StateItem& a, const StateItem& b) { return a.revision < b.revision; });
+  if (is_new_era) this->removed.clear();
   if (update.snapshot) {
-    std::set<std::string> snapshot_keys;
-    for (const StateItem& item : ordered) snapshot_keys.insert(item.key);
-    std::vector<std::string> removed_keys;
-    for (const auto& [key, item] : this->items) {
-      if (!snapshot_keys.contains(key) && item.revision <= update.revision)
-        removed_keys.push_back(key);
-    }
-    for (const std::string& key : removed_keys) {
-      this->ApplyItem({key, std::nullopt, update.revision, 0});
-    }
+    this->RemoveUnlisted(update, origin);
     this->removal_history_start = update.revision;
   }
-  for (const StateItem& item : ordered) this->ApplyItem(item);
-  this->complete_revision = std::max(this->complete_revision, update.revision);
+  for (const StateItem& item : ordered) this->ApplyItem(item, origin);
+  this->complete_revision = update.revision;
   this->confirmed_at = std::max(this->confirmed_at, update.confirmed);
   while (this->removed.size() > kMaxRemovals) {
     this->removal_history_start = this->removed.begin()->first;
     this->removed.erase(this->removed.begin());
   }
+  return true;
 }
 
-StateUpdate StateMirror::ChangesSince(std::int64_t after) const {
+StateUpdate StateMirror::ChangesSince(StoreRevision after) const {
   StateUpdate update;
   update.revision = this->complete_revision;
   update.confirmed = this->confirmed_at;
-  update.snapshot = after < this->removal_history_start || after == 0;
+  update.snapshot = after < this->removal_history_start || after == StoreRevision();
   for (const auto& [key, item] : this->items) {
     if (update.snapshot || item.revision > after) update.items.push_back(item);
   }
@@ -65,7 +73,8 @@
   return update;
 }
 
-bool StateMirror::HasChangesSince(std::int64_t after) const {
+bool StateMirror::HasChangesSince(StoreRevision after) const {
+  if (after.era < this->complete_revision.era) return true;
   if (this->FirstRemovalAfter(after) != this->removed.end()) return true;
   return std::any_of(this->items.begin(), this->items.end(),
                      [after](const auto& entry) { return entry.second.revision > after; });
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -90,6 +90,12 @@
 inline constexpr Milliseconds kProbeInterval{220};
 inline constexpr Milliseconds kProbeTimeout{200};
 
+// Runners without a confirmed membership that are asked for it in one planning step.
+inline constexpr std::size_t kMaxConfirmations = 200;
+
+// Time for which a new owner waits for these confirmations after a restore of the store.
+inline constexpr Milliseconds kConfirmationTime{1500};
+
 // Interval at which the leader logs the capacity of each model.
 inline constexpr Milliseconds kCapacityInterval{1000};
 
@@ -109,6 +115,27 @@
 // the fleet, 5,200 entries of runners and a configuration of 4 MiB, is less than half of it.
 inline constexpr std::size_t kMaxChangesBytes = 24 << 20;
 
+// Requests of a follower: the changes since a revision, "ERA.NUMBER", and whether to wait for one.
+inline constexpr std::string_view kChangesTarget = "/v1/changes?after=";
+inline constexpr std::string_view kWaitSuffix = "&wait=1";
+
+// Request for the newest configuration and plan that a node knows.
+inline constexpr std::string_view kDocumentsTarget = "/v1/documents";
+
+/** Returns the revision in the request of a follower, or nothing for another target. */
+inline std::optional<StoreRevision> ParseChangesTarget(std::string_view target) {
+  if (!target.starts_with(kChangesTarget)) return std::nullopt;
+  target.remove_prefix(kChangesTarget.size());
+  const std::size_t dot = target.find('.');
+  if (dot == std::string_view::npos) return std::nullopt;
+  StoreRevision revision;
+  const bool is_valid =
+      boost::conversion::try_lexical_convert(target.substr(0, dot), revision.era) &&
+      boost::conversion::try_lexical_convert(target.substr(dot + 1), revision.number);
+  if (!is_valid || revision < StoreRevision()) return std::nullopt;
+  return revision;
+}
+
 }  // namespace gateway_detail
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
@@ -119,7 +146,8 @@
       gateway_state(context, std::move(settings), std::move(counters)),
       store(platform_store),
       adapter(deployment),
-      mirror([this](const StateItem& item) { this->OnStoreItem(item); }),
+      mirror(
+          [this](const StateItem& item, ChangeOrigin origin) { this->OnStoreItem(item, origin); }),
       planner([this] {
         PlannerOptions planner_options = this->gateway_state.options.planner;
         planner_options.unlimited_loads_until =
@@ -167,11 +195,12 @@
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
-void GatewayNode<Store, Adapter>::OnStoreItem(const StateItem& item) {
+void GatewayNode<Store, Adapter>::OnStoreItem(const StateItem& item, ChangeOrigin origin) {
   if (item.key.starts_with(gateway_keys::kPrefix))
     return this->gateway_state.ApplyGatewayItem(item);
   auto change = this->adapter.Decode(item);
-  if (change) return this->gateway_state.ApplyDeploymentChange(std::move(change.value()));
+  if (change)
+    return this->gateway_state.ApplyDeploymentChange(std::move(change.value()), item, origin);
   Log(LogLevel::kWarning, "entry_unreadable",
       {{"key", item.key}, {"detail", change.error().message}});
   this->gateway_state.metrics->Add("unreadable_entries_total", {});
@@ -179,21 +208,52 @@
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 void GatewayNode<Store, Adapter>::ApplyUpdate(const StateUpdate& update) {
-  const std::int64_t before = this->mirror.revision();
-  this->mirror.Apply(update);
-  if (this->mirror.revision() != before) {
+  const TimePoint now = Clock::now();
+  const StoreRevision before = this->mirror.revision();
+  const bool was_empty = this->mirror.IsEmpty();
+  if (!this->mirror.Apply(update)) return;
+  const StoreRevision after = this->mirror.revision();
+  if (after != before) {
     for (boost::asio::steady_timer* follower : this->followers) follower->cancel();
   }
-  this->gateway_state.SetConfirmed(this->mirror.confirmed());
+  GroupPlan& plan = this->gateway_state.plan;
+  if (plan.revision.number == 0) plan.revision.era = after.era;
+  // No owner has written a plan since the last restore, so others may not have written either.
+  const bool is_new_to_owner = was_empty && !plan.groups.empty() && plan.version.era < after.era;
+  if (is_new_to_owner || (!was_empty && after.era != before.era)) {
+    this->gateway_state.OnStoreRestored(now);
+    this->LogRestore(before, now);
+  }
+  this->gateway_state.ConfirmConfiguration(this->mirror.confirmed(), now);
   this->gateway_state.Refresh();
 }
 
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+void GatewayNode<Store, Adapter>::LogRestore(StoreRevision before, TimePoint now) {
+  const GatewayState& state = this->gateway_state;
+  this->gateway_state.metrics->Add("store_restores_total", {});
+  Log(LogLevel::kWarning, "store_restored",
+      {{"era", this->mirror.revision().era},
+       {"revision", this->mirror.revision().number},
+       {"era_before", before.era},
+       {"revision_before", before.number},
+       {"config_stored", state.stored_config_version()},
+       {"config_kept", state.routes ? state.routes->config().version : 0},
+       {"plan_kept", state.plan.version.sequence},
+       {"plan_lost", !state.plan.is_stored},
+       {"entries_held_back", state.runners.held_count()},
+       {"proof_age_ms", ProofAgeMs(state.confirmed, BootClock::now())},
+       {"settles_in_ms", TimeLeft(state.rewritten_by(), now).count()}});
+}
+
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<Result<StateUpdate>> GatewayNode<Store, Adapter>::NextUpdate() {
   if (const Peer* source = this->PeerToFollow()) {
     return this->FetchFromPeer(source->status.peer_address);
   }
-  if (this->snapshot_needed)
+  // Other calls may have shown that the store was restored.
+  const bool is_new_era = this->mirror.revision().era < this->store.era();
+  if (this->snapshot_needed || is_new_era)
     return this->store.Snapshot(Clock::now() + gateway_detail::kStoreCallTimeout);
   return this->store.Watch(this->mirror.revision(), gateway_detail::kWatchTime);
 }
@@ -229,7 +289,7 @@
 boost::asio::awaitable<Result<LeaseGrant>> GatewayNode<Store, Adapter>::RenewLease(
     const std::optional<LeaseGrant>& held, Milliseconds time) {
   const Deadline deadline = Clock::now() + gateway_detail::kStoreCallTimeout;
-  if (held) return this->store.RenewLease(held->id, time, deadline);
+  if (held) return this->store.RenewLease(*held, time, deadline);
   return this->store.GrantLease(time, deadline);
 }
 
@@ -259,7 +319,8 @@
     }
     this->followed_peer_failed = false;
     if (update.error().code == ErrorCode::kNotFound) {
-      Log(LogLevel::kWarning, "store_history_lost", {{"revision", this->mirror.revision()}});
+      Log(LogLevel::kWarning, "store_history_lost",
+          {{"era", this->mirror.revision().era}, {"revision", this->mirror.revision().number}});
       this->snapshot_needed = true;
       continue;
     }
@@ -274,14 +335,23 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<Result<StateUpdate>> GatewayNode<Store, Adapter>::FetchFromPeer(
     std::string address) {
+  const StoreRevision revision = this->mirror.revision();
+  std::string target = std::string(gateway_detail::kChangesTarget) + std::to_string(revision.era) +
+                       "." + std::to_string(revision.number);
+  if (!this->mirror.IsEmpty()) target += gateway_detail::kWaitSuffix;
+  return this->CallPeer(std::move(address), std::move(target));
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<Result<StateUpdate>> GatewayNode<Store, Adapter>::CallPeer(
+    std::string address, std::string target) {
   const BootTime requested_at = BootClock::now();
   const Deadline deadline =
       Clock::now() + gateway_detail::kPeerWatchTime + gateway_detail::kPeerResponseTimeout;
   BOOST_OUTCOME_CO_TRY(auto connection,
                        co_await this->gateway_state.pool.Acquire(address, deadline));
   HttpRequest request;
-  request.target = "/v1/changes?after=" + std::to_string(this->mirror.revision());
-  if (this->mirror.revision() > 0) request.target += "&wait=1";
+  request.target = std::move(target);
   request.headers["Host"] = address;
   BOOST_OUTCOME_CO_TRY(
       const auto response,
@@ -294,33 +364,72 @@
   co_return DecodeChanges(response.body, requested_at, BootClock::now());
 }
 
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+bool GatewayNode<Store, Adapter>::IsAhead(const PeerStatus& peer) const {
+  // Otherwise the next update of the copy brings what the peer knows.
+  if (this->mirror.IsEmpty() || this->mirror.revision() < peer.mirror_revision) return false;
+  const GatewayState& state = this->gateway_state;
+  const ConfigVersion own = state.routes ? state.routes->config().version : 0;
+  return own < peer.config_version || state.plan.version < peer.plan_version;
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::FetchNewestDocuments(
+    std::string address) {
+  if (std::exchange(this->fetching_documents, true)) co_return;
+  const std::shared_ptr<void> fetching(nullptr,
+                                       [this](void*) { this->fetching_documents = false; });
+  const auto fetched =
+      co_await this->CallPeer(address, std::string(gateway_detail::kDocumentsTarget));
+  if (!fetched) {
+    Log(LogLevel::kWarning, "documents_missing",
+        {{"peer", address}, {"detail", fetched.error().message}});
+    co_return;
+  }
+  for (const StateItem& item : fetched.value().items) {
+    if (!item.value) continue;
+    if (item.key == gateway_keys::kPlan) {
+      if (auto plan = DecodePlan(*item.value, fetched.value().revision))
+        this->gateway_state.AdoptPlan(std::move(plan.value()));
+      continue;
+    }
+    auto change = this->adapter.Decode(item);
+    if (!change) continue;
+    if (auto* config = std::get_if<GatewayConfig>(&change.value()))
+      this->gateway_state.AdoptConfig(std::move(*config), item);
+  }
+  this->gateway_state.Refresh();
+}
+
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::ServePeer(HttpExchange& exchange) {
-  constexpr std::string_view kChanges = "/v1/changes?after=";
-  constexpr std::string_view kWait = "&wait=1";
   const BootTime requested_at = BootClock::now();
   std::string target = exchange.request().target;
-  const bool wait = target.ends_with(kWait);
-  if (wait) target.resize(target.size() - kWait.size());
-  std::int64_t after = -1;
-  if (target.starts_with(kChanges)) {
-    boost::conversion::try_lexical_convert(target.substr(kChanges.size()), after);
-  }
+  const bool wait = target.ends_with(gateway_detail::kWaitSuffix);
+  if (wait) target.resize(target.size() - gateway_detail::kWaitSuffix.size());
+  const auto after = gateway_detail::ParseChangesTarget(target);
+  const bool wants_documents = target == gateway_detail::kDocumentsTarget;
   HttpResponse response;
-  if (after < 0 || this->mirror.revision() == 0) {
+  response.headers["Content-Type"] = "application/octet-stream";
+  response.status = 200;
+  if ((!after && !wants_documents) || this->mirror.IsEmpty()) {
     response = ErrorResponse(
-        after < 0 ? 404 : 503,
+        this->mirror.IsEmpty() ? 503 : 404,
         NotRun(ErrorCode::kUnavailable, "unknown target, or no copy of the store yet"), "");
+  } else if (wants_documents) {
+    StateUpdate documents;
+    documents.items = this->gateway_state.NewestDocuments();
+    documents.revision = this->mirror.revision();
+    response.body = EncodeChanges(documents, requested_at, BootClock::now());
   } else {
-    if (wait && !this->mirror.HasChangesSince(after)) {
+    if (wait && !this->mirror.HasChangesSince(*after)) {
       boost::asio::steady_timer timer(this->io, Clock::now() + gateway_detail::kPeerWatchTime);
       this->followers.insert(&timer);
       [[maybe_unused]] const auto [ended] = co_await timer.async_wait(gateway_detail::kNoThrow);
       this->followers.erase(&timer);
     }
-    response.status = 200;
-    response.headers["Content-Type"] = "application/octet-stream";
-    response.body = EncodeChanges(this->mirror.ChangesSince(after), requested_at, BootClock::now());
+    response.body =
+        EncodeChanges(this->mirror.ChangesSince(*after), requested_at, BootClock::now());
   }
   [[maybe_unused]] const auto sent = co_await exchange.Send(std::move(response));
 }
@@ -355,6 +464,8 @@
                                      : Milliseconds(100 + static_cast<int>(this->random() % 150))));
     // The stop has begun meanwhile and releases the lease.
     if (this->gateway_state.stopping) co_return;
+    if (this->leader_lease && !this->IsOfCurrentEra(*this->leader_lease))
+      this->leader_lease.reset();
     const bool leads =
         this->gateway_state.leader && this->gateway_state.leader->value == this->LeaderValue();
     const bool candidate =
@@ -378,6 +489,7 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::WriteRegistration() {
   StoreWrite write;
+  write.era = this->node_lease->era;
   write.puts.push_back({std::string(gateway_keys::kNodes) + this->gateway_state.options.node.value,
                         this->gateway_state.options.peer_address, this->node_lease->id});
   const auto written = co_await this->store.Write(std::move(write),
@@ -390,10 +502,12 @@
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::Campaign() {
+  if (!this->IsOfCurrentEra(*this->leader_lease)) co_return;
   StoreWrite write;
+  write.era = this->mirror.revision().era;
   write.conditions.push_back(
       {std::string(gateway_keys::kLeader),
-       this->gateway_state.leader ? this->gateway_state.leader->revision : 0});
+       this->gateway_state.leader ? this->gateway_state.leader->revision : StoreRevision()});
   write.puts.push_back(
       {std::string(gateway_keys::kLeader), this->LeaderValue(), this->leader_lease->id});
   const auto written = co_await this->store.Write(std::move(write),
@@ -405,17 +519,22 @@
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 std::string GatewayNode<Store, Adapter>::LeaderValue() const {
-  return this->gateway_state.options.node.value + " " + std::to_string(this->incarnation);
+  return EncodeLeader(this->gateway_state.options.node, this->incarnation,
+                      this->mirror.revision().era);
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 bool GatewayNode<Store, Adapter>::CanCampaign() const {
-  if (this->mirror.revision() == 0) return false;
-  if (!this->gateway_state.leader) return true;
+  if (this->mirror.IsEmpty()) return false;
+  const GatewayState& state = this->gateway_state;
+  if (!state.leader || state.leader_node == NodeId()) return true;
   // The leader key of an earlier process of this node remains until its lease expires.
-  const std::string& holder = *this->gateway_state.leader->value;
-  return holder != this->LeaderValue() &&
-         holder.starts_with(this->gateway_state.options.node.value + " ");
+  return state.leader_node == state.options.node && state.leader->value != this->LeaderValue();
+}
+
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+bool GatewayNode<Store, Adapter>::IsOfCurrentEra(const LeaseGrant& lease) const {
+  return lease.era == this->mirror.revision().era && lease.era == this->store.era();
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
@@ -423,25 +542,31 @@
   if (this->gateway_state.stopping || !this->gateway_state.leader || !this->leader_lease)
     return false;
   if (this->gateway_state.leader->value != this->LeaderValue()) return false;
+  if (!this->IsOfCurrentEra(*this->leader_lease)) return false;
   // Orders derived from an outdated copy can break groups that another leader has rebuilt since.
-  if (this->gateway_state.confirmed + gateway_detail::kLeaderProofAge < BootClock::now())
-    return false;
+  if (this->mirror.confirmed() + gateway_detail::kLeaderProofAge < BootClock::now()) return false;
   return BootClock::now() + gateway_detail::kLeaderLeaseMargin < this->leader_lease->until;
 }
 
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+bool GatewayNode<Store, Adapter>::MayOrder() const {
+  return this->IsLeader() && !this->gateway_state.IsRestoring(Clock::now());
+}
+
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 std::map<ModelName, double> GatewayNode<Store, Adapter>::GroupDemand() {
   std::map<ModelName, double> slots = this->gateway_state.relay.SlotDemand();
   for (const Peer* peer : this->gateway_state.peers.LivePeers(Clock::now())) {
     for (const auto& [model, wanted] : peer->status.demands) slots[model] += wanted;
   }
+  const std::map<VmId, Runner>& runners = this->gateway_state.runners.runners();
   std::map<ModelName, double> demand;
   for (const auto& named : this->gateway_state.routes->config().services) {
     const GatewayService& service = named.second;
     if (!service.engine) continue;
-    const auto members =
-        std::count_if(this->gateway_state.runners.begin(), this->gateway_state.runners.end(),
-                      [&](const auto& entry) { return entry.second.service == service.name; });
+    const auto members = std::count_if(runners.begin(), runners.end(), [&](const auto& entry) {
+      return entry.second.service == service.name;
+    });
     // The measured demand of one model is not comparable with the expected demand of another.
     const bool measured =
         std::all_of(service.engine->models.begin(), service.engine->models.end(),
@@ -457,37 +582,50 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::PlannerLoop() {
   bool was_leader = false;
+  Deadline confirm_by;
   for (;;) {
     co_await detail::PauseUntil(Clock::now() + gateway_detail::kPlannerInterval);
-    if (!this->gateway_state.routes || !this->IsLeader()) {
+    if (!this->gateway_state.routes || !this->MayOrder()) {
       was_leader = false;
       continue;
     }
-    if (!was_leader) this->planner.OnOwnershipGained();
+    const TimePoint now = Clock::now();
+    if (!was_leader) {
+      this->planner.OnOwnershipGained();
+      const GroupPlan& plan = this->gateway_state.plan;
+      // The store may have lost the plans by which runners are in groups.
+      if (plan.version.era < plan.revision.era && !plan.groups.empty()) {
+        this->gateway_state.runners.DoubtMemberships();
+        confirm_by = now + gateway_detail::kConfirmationTime;
+      }
+    }
     was_leader = true;
     boost::asio::co_spawn(this->io, this->StoreQuarantines(), boost::asio::detached);
-    const TimePoint now = Clock::now();
     this->ProbeSuspectRunners(now);
+    if (now < confirm_by && !this->gateway_state.runners.Unconfirmed().empty()) continue;
     const std::map<ModelName, double> demand = this->GroupDemand();
-    PlannerOutput output = this->planner.Step(this->gateway_state.runners, this->gateway_state.plan,
-                                              this->gateway_state.routes->config(), demand, now);
+    PlannerOutput output =
+        this->planner.Step(this->gateway_state.runners.runners(), this->gateway_state.plan,
+                           this->gateway_state.routes->config(), demand, now);
     this->LogCapacity(demand, now);
     for (RunnerOrder& order : output.orders) {
       boost::asio::co_spawn(this->io, this->SendOrder(std::move(order)), boost::asio::detached);
     }
     if (!output.proposal) continue;
     StoreWrite write;
+    write.era = this->mirror.revision().era;
     write.conditions.push_back(
         {std::string(gateway_keys::kLeader), this->gateway_state.leader->revision});
     write.conditions.push_back(
         {std::string(gateway_keys::kPlan), this->gateway_state.plan.revision});
     write.puts.push_back({std::string(gateway_keys::kPlan), EncodePlan(*output.proposal), 0});
-    const std::int64_t before = this->gateway_state.plan.revision;
+    const StoreRevision before = this->gateway_state.plan.revision;
     const auto written =
         co_await this->store.Write(std::move(write), now + gateway_detail::kStoreCallTimeout);
     Log(LogLevel::kInfo, "plan",
         {{"groups", output.proposal->groups.size()},
-         {"from", before},
+         {"from", before.number},
+         {"era", before.era},
          {"outcome", !written          ? written.error().message
                      : written.value() ? "written"
                                        : "lost"}});
@@ -510,10 +648,11 @@
   const StateItem* stored = this->mirror.Find(std::string(gateway_keys::kQuarantines));
   const auto active = known.CollectAll(now).quarantines;
   StoreWrite write;
+  write.era = this->mirror.revision().era;
   write.conditions.push_back(
       {std::string(gateway_keys::kLeader), this->gateway_state.leader->revision});
-  write.conditions.push_back(
-      {std::string(gateway_keys::kQuarantines), stored == nullptr ? 0 : stored->revision});
+  write.conditions.push_back({std::string(gateway_keys::kQuarantines),
+                              stored == nullptr ? StoreRevision() : stored->revision});
   write.puts.push_back({std::string(gateway_keys::kQuarantines),
                         EncodeQuarantines(active, now, std::chrono::system_clock::now()), 0});
   const auto written =
@@ -553,10 +692,15 @@
   std::vector<VmId> suspects = this->gateway_state.dispatch.SuspendedUpstreams(now);
   for (const Peer* peer : this->gateway_state.peers.LivePeers(now)) {
     for (const std::uint64_t hash : peer->status.suspended) {
-      if (const VmId* runner = this->gateway_state.FindByHash(hash)) suspects.push_back(*runner);
+      if (const VmId* runner = this->gateway_state.runners.FindByHash(hash))
+        suspects.push_back(*runner);
     }
   }
   std::set<VmId> to_probe = this->unreachable_runners;
+  std::vector<VmId> unconfirmed = this->gateway_state.runners.Unconfirmed();
+  std::shuffle(unconfirmed.begin(), unconfirmed.end(), this->random);
+  unconfirmed.resize(std::min(unconfirmed.size(), gateway_detail::kMaxConfirmations));
+  to_probe.insert(unconfirmed.begin(), unconfirmed.end());
   for (const PlannedGroup& group : this->gateway_state.plan.groups) {
     if (std::find(suspects.begin(), suspects.end(), group.members.front()) == suspects.end()) {
       continue;
@@ -564,8 +708,8 @@
     to_probe.insert(group.members.begin(), group.members.end());
   }
   for (const VmId& id : to_probe) {
-    const auto runner = this->gateway_state.runners.find(id);
-    if (runner == this->gateway_state.runners.end()) {
+    const auto runner = this->gateway_state.runners.runners().find(id);
+    if (runner == this->gateway_state.runners.runners().end()) {
       this->unreachable_runners.erase(id);
       continue;
     }
@@ -590,20 +734,23 @@
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::ProbeRunner(RunnerOrder order) {
-  const auto count = co_await this->adapter.FetchOrderCount(
+  const auto report = co_await this->adapter.FetchReport(
       this->gateway_state.pool, order, Clock::now() + gateway_detail::kProbeTimeout);
   RunnerProbeResult result = RunnerProbeResult::kRunning;
-  if (!count) {
+  if (!report) {
     result = RunnerProbeResult::kUnreachable;
-  } else if (!count.value()) {
+  } else if (!report.value()) {
     result = RunnerProbeResult::kReplaced;
+  } else {
+    const RunnerReport& stated = *report.value();
+    this->gateway_state.runners.Confirm(order.runner, stated.started_ms, stated.membership);
   }
   this->OnProbeResult(order.runner, result);
   Log(LogLevel::kInfo, "runner_probe",
       {{"runner", order.runner.value},
-       {"outcome", !count          ? count.error().message
-                   : count.value() ? "alive"
-                                   : "elsewhere"}});
+       {"outcome", !report          ? report.error().message
+                   : report.value() ? "alive"
+                                    : "elsewhere"}});
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
@@ -612,14 +759,14 @@
   const Deadline deadline = Clock::now() + gateway_detail::kOrderTimeout;
   const std::pair runner_process{order.runner, order.started_ms};
   if (!this->accepted_orders.contains(runner_process)) {
-    BOOST_OUTCOME_CO_TRY(const auto count, co_await this->adapter.FetchOrderCount(
-                                               this->gateway_state.pool, order, deadline));
-    if (!count) co_return OrderResult::kWrongRunner;
-    this->accepted_orders[runner_process] = *count;
+    BOOST_OUTCOME_CO_TRY(const auto report, co_await this->adapter.FetchReport(
+                                                this->gateway_state.pool, order, deadline));
+    if (!report) co_return OrderResult::kWrongRunner;
+    this->accepted_orders[runner_process] = report->accepted_orders;
   }
   const std::int64_t accepted = this->accepted_orders[runner_process];
   // The process may have been paused while it waited for the count.
-  if (!this->IsLeader()) co_return NotRun(ErrorCode::kConflict, "no longer the leader");
+  if (!this->MayOrder()) co_return NotRun(ErrorCode::kConflict, "no longer the leader");
   auto response =
       co_await this->adapter.SendOrder(this->gateway_state.pool, order, accepted, deadline);
   if (!response || response.value() == OrderResult::kRefused) {
@@ -685,7 +832,10 @@
   status.capacity = this->gateway_state.options.capacity;
   status.sent_at_ns = static_cast<std::uint64_t>(now.time_since_epoch().count());
   status.mirror_revision = this->mirror.revision();
-  status.proof_age_ms = ProofAgeMs(this->gateway_state.confirmed, now);
+  status.proof_age_ms = ProofAgeMs(this->mirror.confirmed(), now);
+  status.config_version =
+      this->gateway_state.routes ? this->gateway_state.routes->config().version : 0;
+  status.plan_version = this->gateway_state.plan.version;
   for (const auto& [upstream, in_flight] : this->gateway_state.dispatch.LocalLoad()) {
     status.loads[UpstreamHash(upstream)] = in_flight;
   }
@@ -810,11 +960,15 @@
       this->gateway_state.crash_attribution.Merge(status.crashes, now));
   std::map<VmId, int> loads;
   for (const auto& [hash, in_flight] : status.loads) {
-    if (const VmId* runner = this->gateway_state.FindByHash(hash))
+    if (const VmId* runner = this->gateway_state.runners.FindByHash(hash))
       loads.emplace(*runner, in_flight);
   }
   this->gateway_state.dispatch.SetPeerLoad(status.node, std::move(loads), now);
   this->gateway_state.dispatch.MergeRateLimits(status.node, status.rate_limits, now);
+  if (this->IsAhead(status) && !this->fetching_documents) {
+    boost::asio::co_spawn(this->io, this->FetchNewestDocuments(status.peer_address),
+                          boost::asio::detached);
+  }
 }
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
@@ -837,9 +991,10 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::ReleaseLeases() {
   for (const std::optional<LeaseGrant>& held : {this->leader_lease, this->node_lease}) {
-    if (!held) continue;
-    const auto ended = co_await this->store.RevokeLease(
-        held->id, Clock::now() + gateway_detail::kStoreCallTimeout);
+    // In a later era, the number may belong to a lease of another process.
+    if (!held || !this->IsOfCurrentEra(*held)) continue;
+    const auto ended =
+        co_await this->store.RevokeLease(*held, Clock::now() + gateway_detail::kStoreCallTimeout);
     if (!ended) Log(LogLevel::kWarning, "lease_not_ended", {{"detail", ended.error().message}});
   }
 }
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -20,6 +20,7 @@
 #include "core/drain.h"
 #include "core/gateway-config.h"
 #include "core/group-planner.h"
+#include "core/runner-registry.h"
 #include "core/runner.h"
 #include "core/state-mirror.h"
 #include "core/traffic-set.h"
@@ -49,11 +50,20 @@
   kWrongRunner,  ///< The address belongs to another runner.
 };
 
+/** What a runner states of itself when it is asked. */
+struct RunnerReport {
+  std::int64_t accepted_orders = 0;
+  std::int64_t started_ms = 0;  ///< Process start.
+  std::optional<RunnerMembership> membership;
+
+  friend bool operator==(const RunnerReport&, const RunnerReport&) = default;
+};
+
 /**
  * Translates between the gateway and the deployment's wire formats. An order states how
  * many orders the runner has accepted before it. The runner refuses an order with another count, so
- * a delayed order has no effect. `FetchOrderCount` returns the count, or nothing if the address
- * belongs to another runner.
+ * a delayed order has no effect. `FetchReport` returns what the runner states, or nothing if the
+ * address belongs to another runner.
  */
 template <typename T>
 concept DeploymentAdapter = requires(T& adapter, const StateItem& item, const RunnerOrder& order,
@@ -64,8 +74,8 @@
     adapter.SendOrder(pool, order, accepted, deadline)
     } -> std::same_as<boost::asio::awaitable<Result<OrderResult>>>;
   {
-    adapter.FetchOrderCount(pool, order, deadline)
-    } -> std::same_as<boost::asio::awaitable<Result<std::optional<std::int64_t>>>>;
+    adapter.FetchReport(pool, order, deadline)
+    } -> std::same_as<boost::asio::awaitable<Result<std::optional<RunnerReport>>>>;
 };
 
 struct GatewayOptions {
@@ -83,6 +93,7 @@
   TrafficSetOptions traffic;
   DispatchOptions dispatch;
   PlannerOptions planner;
+  RunnerRegistryOptions runners;
   RelayOptions relay;
 
   /** Returns how long callers may use a directory response: for three times its lifetime. */
@@ -95,17 +106,45 @@
   GatewayState(boost::asio::io_context& context, GatewayOptions settings,
                std::shared_ptr<Metrics> counters);
 
-  /** Applies a change that the deployment has written to the store. */
-  void ApplyDeploymentChange(DeploymentChange change);
+  /** Applies a change that the deployment has written to the store in `item`. */
+  void ApplyDeploymentChange(DeploymentChange change, const StateItem& item, ChangeOrigin origin);
 
   /** Applies a store item that the gateway nodes write themselves. */
   void ApplyGatewayItem(const StateItem& item);
 
+  /** Adopts a configuration that another node sent, encoded in `item`, if it is the newest. */
+  void AdoptConfig(GatewayConfig config, const StateItem& item);
+
+  /** Adopts a plan that another node sent, if it is the newest. */
+  void AdoptPlan(GroupPlan newer);
+
+  /** Returns the newest configuration and plan that this node knows, as store items. The store may
+   * have been restored from a copy with older ones. */
+  [[nodiscard]] std::vector<StateItem> NewestDocuments() const;
+
+  /** Returns the newest configuration version that this node or another one knows. */
+  [[nodiscard]] ConfigVersion NewestConfigVersion() const;
+
+  /** Records that the store was restored from a copy, after the copy has been applied. */
+  void OnStoreRestored(TimePoint now);
+
+  /** Returns whether the writers of the store have had no time to write again after a restore. */
+  [[nodiscard]] bool IsRestoring(TimePoint now) const { return now < this->rewrite_deadline; }
+
+  /** Returns when the writers of the store will have written again after the last restore. */
+  [[nodiscard]] Deadline rewritten_by() const { return this->rewrite_deadline; }
+
+  /** Returns the version of the configuration in the store, which may be an earlier one. */
+  [[nodiscard]] ConfigVersion stored_config_version() const { return this->stored_version; }
+
   /** Updates dispatching and routing after changes, and dispatches waiting requests. */
   void Refresh();
 
-  /** Records that the configuration was in force at `confirmed`. Earlier times are ignored. */
-  void SetConfirmed(BootTime confirmed);
+  /**
+   * Records that the copy was the store's newest state at `copy_confirmed`. That proves nothing
+   * about the configuration while the store holds an older one than is known, or may hold one.
+   */
+  void ConfirmConfiguration(BootTime copy_confirmed, TimePoint now);
 
   /** Recomputes which nodes carry traffic and which read the store. */
   void UpdateTrafficSet();
@@ -113,9 +152,6 @@
   /** Recomputes this node's share of the free slots, before its load is sent to other nodes. */
   void ShareFreeSlots();
 
-  /** Returns the runner with the hash that a message of another node contains, or null. */
-  [[nodiscard]] const VmId* FindByHash(std::uint64_t hash) const;
-
   [[nodiscard]] bool IsActive(const NodeId& node) const;
   [[nodiscard]] bool IsWatcher(const NodeId& node) const;
 
@@ -132,15 +168,25 @@
   CrashAttribution crash_attribution;
   Relay relay;
   PeerTable peers;
-  std::map<VmId, Runner> runners;
-  std::map<std::uint64_t, VmId> runner_by_hash;
-  GroupPlan plan;
+  RunnerRegistry runners;
+  GroupPlan plan;                              ///< The newest one known.
   std::vector<Quarantine> stored_quarantines;  ///< Those in the store.
   std::shared_ptr<const RouteTable> routes;
-  BootTime confirmed;
+  BootTime confirmed;               ///< Latest time at which `routes` is proven to be in force.
   std::optional<StateItem> leader;  ///< Leader key; its holder assembles groups.
+  NodeId leader_node;               ///< Holder of the leader key in this era; empty if none.
   bool stopping = false;
   TrafficSet traffic_set;
+
+ private:
+  void ApplyLeader(const StateItem& item);
+  void ApplyPlan(const StateItem& item);
+  void ApplyQuarantines(const StateItem& item);
+
+  StateItem config_item;  ///< Encodes `routes`.
+  ConfigVersion stored_version = 0;
+  Deadline rewrite_deadline;
+  bool config_rewritten = true;  ///< The configuration was written since the restore, if any.
 };
 
 /** Names of the gateway's own keys in the store. */
@@ -152,6 +198,12 @@
 inline constexpr std::string_view kNodes = "limpetfall/nodes/";
 }  // namespace gateway_keys
 
+/**
+ * Returns the value of the leader key. It states the era of the store in which it was written,
+ * because leases end with their era, and a restored store may hold the key of an earlier leader.
+ */
+std::string EncodeLeader(const NodeId& node, std::uint64_t incarnation, std::int64_t era);
+
 /**
  * One gateway node: mirrors the platform's store, exchanges state with the other nodes, serves
  * callers, and assembles groups while it holds the leader key. Runs on one thread.
@@ -175,6 +227,13 @@
   boost::asio::awaitable<Result<LeaseGrant>> RenewLease(const std::optional<LeaseGrant>& held,
                                                         Milliseconds time);
   boost::asio::awaitable<Result<StateUpdate>> FetchFromPeer(std::string address);
+  boost::asio::awaitable<Result<StateUpdate>> CallPeer(std::string address, std::string target);
+
+  /** Fetches the newest configuration and plan from another node. */
+  boost::asio::awaitable<void> FetchNewestDocuments(std::string address);
+
+  /** Returns whether a peer knows a newer configuration or plan, which the store does not hold. */
+  [[nodiscard]] bool IsAhead(const PeerStatus& peer) const;
   boost::asio::awaitable<void> ElectionLoop();
   [[nodiscard]] const Peer* PeerToFollow() const;
   [[nodiscard]] PeerStatus MakeStatus() const;
@@ -200,7 +259,8 @@
   /** Writes the quarantines to the store if they have changed, for nodes that start later. */
   boost::asio::awaitable<void> StoreQuarantines();
 
-  void OnStoreItem(const StateItem& item);
+  void OnStoreItem(const StateItem& item, ChangeOrigin origin);
+  void LogRestore(StoreRevision before, TimePoint now);
   void ApplyUpdate(const StateUpdate& update);
   void OnPeerStatus(const PeerStatus& status);
   void ProbeSuspectRunners(TimePoint now);
@@ -213,6 +273,13 @@
   [[nodiscard]] bool CanCampaign() const;
   [[nodiscard]] bool IsLeader() const;
 
+  /** Returns whether this node may order runners about. After a restore of the store, a new owner
+   * waits until the runners have written again. */
+  [[nodiscard]] bool MayOrder() const;
+
+  /** Returns whether a lease was granted in the current era of the store. */
+  [[nodiscard]] bool IsOfCurrentEra(const LeaseGrant& lease) const;
+
   boost::asio::io_context& io;
   GatewayState gateway_state;
   Store& store;
@@ -228,6 +295,7 @@
   bool registered = false;
   bool snapshot_needed = true;
   bool store_available = true;
+  bool fetching_documents = false;
   /** The last update from the followed peer failed or was outdated. */
   bool followed_peer_failed = false;
   Drain drain;
--- a/src/gateway/gateway-state.cc
+++ b/src/gateway/gateway-state.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <sstream>
 
 #include "base/log.h"
 #include "gateway/gateway-node.h"
@@ -7,6 +8,10 @@
 
 namespace limpetfall {
 
+std::string EncodeLeader(const NodeId& node, std::uint64_t incarnation, std::int64_t era) {
+  return node.value + " " + std::to_string(incarnation) + " " + std::to_string(era);
+}
+
 GatewayState::GatewayState(boost::asio::io_context& context, GatewayOptions settings,
                            std::shared_ptr<Metrics> counters)
     : options(std::move(settings)),
@@ -15,74 +20,139 @@
       dispatch(this->options.dispatch),
       relay(context, this->options.relay, this->dispatch, this->pool, this->crash_attribution,
             this->metrics),
-      peers(PeerOptions{this->options.node}) {
+      peers(PeerOptions{this->options.node}),
+      runners(this->options.runners) {
   this->UpdateTrafficSet();
 }
 
-void GatewayState::ApplyDeploymentChange(DeploymentChange change) {
+void GatewayState::ApplyDeploymentChange(DeploymentChange change, const StateItem& item,
+                                         ChangeOrigin origin) {
+  const TimePoint now = Clock::now();
   if (auto* runner = std::get_if<Runner>(&change)) {
-    this->runner_by_hash[UpstreamHash(runner->id)] = runner->id;
-    this->runners.insert_or_assign(runner->id, std::move(*runner));
-    return;
+    this->runners.Apply(std::move(*runner), origin, now);
+  } else if (const auto* removed = std::get_if<RunnerRemoved>(&change)) {
+    this->runners.Remove(removed->id, origin, now);
+  } else if (auto* config = std::get_if<GatewayConfig>(&change)) {
+    this->stored_version = config->version;
+    this->config_rewritten = origin == ChangeOrigin::kWritten;
+    this->AdoptConfig(std::move(*config), item);
+  } else if (!item.value && item.key == this->config_item.key) {
+    this->stored_version = 0;
   }
-  if (const auto* removed = std::get_if<RunnerRemoved>(&change)) {
-    this->runners.erase(removed->id);
-    this->runner_by_hash.erase(UpstreamHash(removed->id));
-    return;
+}
+
+void GatewayState::AdoptConfig(GatewayConfig config, const StateItem& item) {
+  if (this->routes && config.version <= this->routes->config().version) return;
+  Log(LogLevel::kInfo, "configuration",
+      {{"version", config.version}, {"routes", config.routes.size()}});
+  this->routes =
+      std::make_shared<const RouteTable>(std::make_shared<const GatewayConfig>(std::move(config)));
+  this->config_item = item;
+}
+
+void GatewayState::ApplyLeader(const StateItem& item) {
+  this->leader = item.value ? std::optional(item) : std::nullopt;
+  std::istringstream value(item.value.value_or(""));
+  std::uint64_t incarnation = 0;
+  std::int64_t era = 0;
+  value >> this->leader_node.value >> incarnation;
+  // Earlier programs state no era.
+  if (value >> era && era != item.revision.era) this->leader_node = NodeId();
+  Log(LogLevel::kInfo, "leader", {{"node", item.value.value_or("")}});
+}
+
+void GatewayState::ApplyPlan(const StateItem& item) {
+  GroupPlan stored;
+  stored.revision = item.revision;
+  if (!item.value) {
+    stored.revision.number = 0;
+  } else if (auto decoded = DecodePlan(*item.value, item.revision)) {
+    stored = std::move(decoded.value());
+  } else {
+    Log(LogLevel::kError, "plan_unreadable", {{"detail", decoded.error().message}});
   }
-  if (auto* config = std::get_if<GatewayConfig>(&change)) {
-    if (this->routes && config->version <= this->routes->config().version) return;
-    Log(LogLevel::kInfo, "configuration",
-        {{"version", config->version}, {"routes", config->routes.size()}});
-    this->routes = std::make_shared<const RouteTable>(
-        std::make_shared<const GatewayConfig>(std::move(*config)));
+  const bool is_newest = this->plan.version <= stored.version;
+  if (is_newest) {
+    this->plan = std::move(stored);
+    return;
   }
+  this->plan.revision = stored.revision;
+  this->plan.is_stored = false;
 }
 
-void GatewayState::ApplyGatewayItem(const StateItem& item) {
+void GatewayState::AdoptPlan(GroupPlan newer) {
+  if (newer.version <= this->plan.version) return;
+  newer.revision = this->plan.revision;
+  newer.is_stored = false;
+  this->plan = std::move(newer);
+}
+
+void GatewayState::ApplyQuarantines(const StateItem& item) {
   const TimePoint now = Clock::now();
-  if (item.key == gateway_keys::kLeader) {
-    this->leader = item.value ? std::optional(item) : std::nullopt;
-    Log(LogLevel::kInfo, "leader", {{"node", item.value.value_or("")}});
+  if (!item.value) {
+    this->stored_quarantines.clear();
     return;
   }
-  if (item.key == gateway_keys::kPlan && item.value) {
-    if (auto decoded = DecodePlan(*item.value, item.revision)) {
-      this->plan = std::move(decoded.value());
-    } else {
-      Log(LogLevel::kError, "plan_unreadable", {{"detail", decoded.error().message}});
-    }
+  auto decoded = DecodeQuarantines(*item.value, now, std::chrono::system_clock::now());
+  if (!decoded) {
+    Log(LogLevel::kError, "quarantines_unreadable", {{"detail", decoded.error().message}});
     return;
   }
-  if (item.key == gateway_keys::kQuarantines && item.value) {
-    if (auto decoded = DecodeQuarantines(*item.value, now, std::chrono::system_clock::now())) {
-      this->stored_quarantines = std::move(decoded.value());
-      this->relay.OnQuarantined(
-          this->crash_attribution.Merge({{}, {}, this->stored_quarantines}, now));
-    } else {
-      Log(LogLevel::kError, "quarantines_unreadable", {{"detail", decoded.error().message}});
-    }
-    return;
-  }
-  if (item.key.starts_with(gateway_keys::kNodes) && item.value) {
+  this->stored_quarantines = std::move(decoded.value());
+  this->relay.OnQuarantined(this->crash_attribution.Merge({{}, {}, this->stored_quarantines}, now));
+}
+
+void GatewayState::ApplyGatewayItem(const StateItem& item) {
+  if (item.key == gateway_keys::kLeader) {
+    this->ApplyLeader(item);
+  } else if (item.key == gateway_keys::kPlan) {
+    this->ApplyPlan(item);
+  } else if (item.key == gateway_keys::kQuarantines) {
+    this->ApplyQuarantines(item);
+  } else if (item.key.starts_with(gateway_keys::kNodes) && item.value) {
     const NodeId node(item.key.substr(gateway_keys::kNodes.size()));
-    this->peers.OnRegistered(node, *item.value, now);
+    this->peers.OnRegistered(node, *item.value, Clock::now());
+  }
+}
+
+std::vector<StateItem> GatewayState::NewestDocuments() const {
+  std::vector<StateItem> documents;
+  if (this->routes) documents.push_back(this->config_item);
+  if (!this->plan.groups.empty()) {
+    documents.push_back(
+        {std::string(gateway_keys::kPlan), EncodePlan(this->plan), this->plan.revision, 0});
   }
+  return documents;
+}
+
+ConfigVersion GatewayState::NewestConfigVersion() const {
+  const ConfigVersion own = this->routes ? this->routes->config().version : 0;
+  return std::max(own, this->peers.NewestConfigVersion());
+}
+
+void GatewayState::OnStoreRestored(TimePoint now) {
+  this->rewrite_deadline = now + this->options.runners.rewrite_time;
+  this->config_rewritten = false;
 }
 
 void GatewayState::Refresh() {
+  const TimePoint now = Clock::now();
+  this->runners.ApplyDue(now);
   if (!this->routes) return;
   std::map<ServiceName, int> slots;
   for (const auto& [name, service] : this->routes->config().services) {
     if (service.engine) slots.emplace(name, service.engine->slots);
   }
-  this->dispatch.Update(this->runners, this->plan, slots, Clock::now());
+  this->dispatch.Update(this->runners.runners(), this->plan, slots, now);
   this->relay.SetContext({this->routes, this->confirmed});
   this->relay.DispatchWaiting();
 }
 
-void GatewayState::SetConfirmed(BootTime time) {
-  this->confirmed = std::max(this->confirmed, time);
+void GatewayState::ConfirmConfiguration(BootTime copy_confirmed, TimePoint now) {
+  if (this->stored_version < this->NewestConfigVersion()) return;
+  // A newer configuration that no node has seen may have been lost.
+  if (!this->config_rewritten && this->IsRestoring(now)) return;
+  this->confirmed = std::max(this->confirmed, copy_confirmed);
 }
 
 bool GatewayState::IsReady() const {
@@ -119,11 +189,6 @@
   this->relay.DispatchWaiting();
 }
 
-const VmId* GatewayState::FindByHash(std::uint64_t hash) const {
-  const auto found = this->runner_by_hash.find(hash);
-  return found == this->runner_by_hash.end() ? nullptr : &found->second;
-}
-
 bool GatewayState::IsActive(const NodeId& node) const {
   return std::find(this->traffic_set.active.begin(), this->traffic_set.active.end(), node) !=
          this->traffic_set.active.end();
@@ -135,8 +200,7 @@
 }
 
 bool GatewayState::IsCore(const NodeId& node) const {
-  const bool leads = this->leader && this->leader->value->starts_with(node.value + " ");
-  return leads || this->IsActive(node) || this->IsWatcher(node);
+  return this->leader_node == node || this->IsActive(node) || this->IsWatcher(node);
 }
 
 std::vector<std::string> GatewayState::CallerAddresses(const std::string& zone) const {
--- a/src/gateway/peer-wire.cc
+++ b/src/gateway/peer-wire.cc
@@ -3,7 +3,6 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <kj/exception.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <cmath>
@@ -153,10 +152,6 @@
 
 }  // namespace
 
-std::uint64_t UpstreamHash(const VmId& upstream) {
-  return XXH3_64bits(upstream.value.data(), upstream.value.size());
-}
-
 std::int64_t ProofAgeMs(BootTime confirmed, BootTime now) {
   if (confirmed == BootTime()) return -1;
   return std::chrono::ceil<std::chrono::milliseconds>(now - confirmed).count();
@@ -174,7 +169,11 @@
   root.setSentAtNs(status.sent_at_ns);
   root.setEchoAtNs(status.echo_at_ns);
   root.setProofAgeMs(status.proof_age_ms);
-  root.setMirrorRevision(status.mirror_revision);
+  root.setMirrorEra(status.mirror_revision.era);
+  root.setMirrorRevision(status.mirror_revision.number);
+  root.setConfigVersion(status.config_version);
+  root.setPlanEra(status.plan_version.era);
+  root.setPlanSequence(status.plan_version.sequence);
   auto loads = root.initLoads(static_cast<unsigned>(status.loads.size()));
   unsigned index = 0;
   for (const auto& [upstream, in_flight] : status.loads) {
@@ -211,7 +210,9 @@
     status.sent_at_ns = root.getSentAtNs();
     status.echo_at_ns = root.getEchoAtNs();
     status.proof_age_ms = IsProofAge(root.getProofAgeMs()) ? root.getProofAgeMs() : -1;
-    status.mirror_revision = root.getMirrorRevision();
+    status.mirror_revision = {root.getMirrorEra(), root.getMirrorRevision()};
+    status.config_version = root.getConfigVersion();
+    status.plan_version = {root.getPlanEra(), root.getPlanSequence()};
     for (const auto load : root.getLoads()) {
       status.loads[load.getUpstream()] = load.getInFlight();
     }
@@ -229,7 +230,8 @@
 std::string EncodeChanges(const StateUpdate& update, BootTime requested_at, BootTime now) {
   capnp::MallocMessageBuilder message;
   auto root = message.initRoot<wire::MirrorChanges>();
-  root.setRevision(update.revision);
+  root.setEra(update.revision.era);
+  root.setRevision(update.revision.number);
   root.setSnapshot(update.snapshot);
   root.setProofAgeMs(ProofAgeMs(update.confirmed, now));
   root.setHeldMs(std::chrono::duration_cast<std::chrono::milliseconds>(now - requested_at).count());
@@ -242,7 +244,7 @@
       items[i].setValue(
           {reinterpret_cast<const kj::byte*>(item.value->data()), item.value->size()});
     }
-    items[i].setRevision(item.revision);
+    items[i].setRevision(item.revision.number);
     items[i].setCreatedRevision(item.created_revision);
   }
   return Serialize(message);
@@ -251,7 +253,7 @@
 Result<StateUpdate> DecodeChanges(std::string_view bytes, BootTime requested_at, BootTime now) {
   return Parse<wire::MirrorChanges>(bytes, [requested_at, now](wire::MirrorChanges::Reader root) {
     StateUpdate update;
-    update.revision = root.getRevision();
+    update.revision = {root.getEra(), root.getRevision()};
     update.snapshot = root.getSnapshot();
     if (IsProofAge(root.getProofAgeMs())) {
       const auto round_trip =
@@ -261,7 +263,9 @@
       update.confirmed = requested_at + held - std::chrono::milliseconds(root.getProofAgeMs());
     }
     for (const auto item : root.getItems()) {
-      StateItem decoded{String(item.getKey()), std::nullopt, item.getRevision(),
+      StateItem decoded{String(item.getKey()),
+                        std::nullopt,
+                        {update.revision.era, item.getRevision()},
                         item.getCreatedRevision()};
       if (!item.getRemoved()) {
         const auto value = item.getValue();
--- a/src/gateway/peer-wire.h
+++ b/src/gateway/peer-wire.h
@@ -9,6 +9,8 @@
 
 #include "base/ids.h"
 #include "core/crash-attribution.h"
+#include "core/group-planner.h"
+#include "core/runner-registry.h"
 #include "core/state-mirror.h"
 #include "core/upstream-rate-limit.h"
 #include "limpetfall/result.h"
@@ -27,7 +29,9 @@
   std::uint64_t sent_at_ns = 0;    ///< On the sender's clock.
   std::uint64_t echo_at_ns = 0;    ///< `sent_at_ns` of the receiver's last message; 0 for none.
   std::int64_t proof_age_ms = -1;  ///< Age of the sender's proof, see `ProofAgeMs`.
-  std::int64_t mirror_revision = 0;
+  StoreRevision mirror_revision;
+  ConfigVersion config_version = 0;          ///< Newest one that the sender knows; 0 for none.
+  PlanVersion plan_version;                  ///< Newest one that the sender knows.
   std::map<std::uint64_t, int> loads;        ///< Requests in flight, by hash of the upstream's id.
   std::vector<std::uint64_t> suspended;      ///< Hashes of suspended upstreams.
   std::map<ModelName, double> demands;       ///< Slots that its callers would occupy concurrently.
@@ -38,9 +42,6 @@
   friend bool operator==(const PeerStatus&, const PeerStatus&) = default;
 };
 
-/** Returns the hash that identifies an upstream in messages between nodes. */
-std::uint64_t UpstreamHash(const VmId& upstream);
-
 /**
  * Returns the age of a proof as messages state it, or -1 without a proof. The proof is the latest
  * time at which the node's copy of the store is certain to have been current.
--- a/src/gateway/peer.capnp.h
+++ b/src/gateway/peer.capnp.h
@@ -44,7 +44,7 @@
   struct RateLimit;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8cfde5dc1715331d, 6, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(8cfde5dc1715331d, 10, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -168,7 +168,7 @@
   struct Item;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9c75615e6ebda6d0, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9c75615e6ebda6d0, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -250,6 +250,14 @@
   inline bool hasRateLimits() const;
   inline  ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
 
+  inline  ::int64_t getMirrorEra() const;
+
+  inline  ::uint64_t getConfigVersion() const;
+
+  inline  ::int64_t getPlanEra() const;
+
+  inline  ::int64_t getPlanSequence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -363,6 +371,18 @@
   inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::limpetfall::wire::PeerStatus::RateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
 
+  inline  ::int64_t getMirrorEra();
+  inline void setMirrorEra( ::int64_t value);
+
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
+  inline  ::int64_t getPlanEra();
+  inline void setPlanEra( ::int64_t value);
+
+  inline  ::int64_t getPlanSequence();
+  inline void setPlanSequence( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1057,6 +1077,8 @@
 
   inline  ::int64_t getHeldMs() const;
 
+  inline  ::int64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1104,6 +1126,9 @@
   inline  ::int64_t getHeldMs();
   inline void setHeldMs( ::int64_t value);
 
+  inline  ::int64_t getEra();
+  inline void setEra( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1651,6 +1676,62 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t PeerStatus::Reader::getMirrorEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PeerStatus::Builder::getMirrorEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PeerStatus::Builder::setMirrorEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerStatus::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerStatus::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void PeerStatus::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PeerStatus::Reader::getPlanEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PeerStatus::Builder::getPlanEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void PeerStatus::Builder::setPlanEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PeerStatus::Reader::getPlanSequence() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PeerStatus::Builder::getPlanSequence() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void PeerStatus::Builder::setPlanSequence( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerStatus::Demand::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2177,6 +2258,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t MirrorChanges::Reader::getEra() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t MirrorChanges::Builder::getEra() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void MirrorChanges::Builder::setEra( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MirrorChanges::Item::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -72,6 +72,14 @@
   return found == this->peers.end() ? nullptr : &found->second;
 }
 
+ConfigVersion PeerTable::NewestConfigVersion() const {
+  ConfigVersion newest = 0;
+  for (const auto& [node, peer] : this->peers) {
+    newest = std::max(newest, peer.status.config_version);
+  }
+  return newest;
+}
+
 const Peer* PeerTable::MostRecentlyConfirmed(TimePoint now) const {
   const auto alive = this->LivePeers(now);
   const auto most_recent =
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -61,6 +61,9 @@
 
   [[nodiscard]] const Peer* Find(const NodeId& node) const;
 
+  /** Returns the newest configuration version that a known peer has stated, 0 for none. */
+  [[nodiscard]] ConfigVersion NewestConfigVersion() const;
+
  private:
   [[nodiscard]] bool IsAlive(const Peer& peer, TimePoint now) const;
 
--- a/src/gateway/plan-codec.cc
+++ b/src/gateway/plan-codec.cc
@@ -20,14 +20,22 @@
                       {"started_ms", group.started_ms},
                       {"dissolving", group.dissolving}});
   }
-  return nlohmann::json{{"groups", std::move(groups)}}.dump();
+  return nlohmann::json{
+      {"era", plan.version.era}, {"sequence", plan.version.sequence}, {"groups", std::move(groups)}}
+      .dump();
 }
 
-Result<GroupPlan> DecodePlan(const std::string& text, std::int64_t revision) {
+Result<GroupPlan> DecodePlan(const std::string& text, StoreRevision revision) {
   try {
     GroupPlan plan;
     plan.revision = revision;
     const auto document = ParseBoundedJson(text);
+    // Earlier programs wrote no version. The epochs of their groups are at most the revision.
+    plan.version = {revision.era, revision.number};
+    if (document.contains("sequence")) {
+      plan.version = {ReadWholeNumber<std::int64_t>(document, "era", 0, revision.era),
+                      ReadWholeNumber<std::int64_t>(document, "sequence", 0)};
+    }
     for (const auto& entry : document.at("groups")) {
       PlannedGroup group;
       group.group = GroupId(entry.at("group").get<std::string>());
--- a/src/gateway/plan-codec.h
+++ b/src/gateway/plan-codec.h
@@ -8,10 +8,11 @@
 
 namespace limpetfall {
 
-/** Encodes the groups as JSON, without the revision, which the store assigns. */
+/** Encodes a plan as JSON, without the revision, which the store assigns. */
 std::string EncodePlan(const GroupPlan& plan);
 
-Result<GroupPlan> DecodePlan(const std::string& text, std::int64_t revision);
+/** Decodes the plan that the store holds at `revision`. */
+Result<GroupPlan> DecodePlan(const std::string& text, StoreRevision revision);
 
 }  // namespace limpetfall
 
--- a/test/endless-response-integration-test.cc
+++ b/test/endless-response-integration-test.cc
@@ -107,7 +107,7 @@
     boost::asio::co_spawn(
         *this->io,
         [&]() -> boost::asio::awaitable<void> {
-          const auto count = co_await this->adapter.FetchOrderCount(pool, order, deadline);
+          const auto count = co_await this->adapter.FetchReport(pool, order, deadline);
           if (!count) report = count.error().code;
           const auto result = co_await this->adapter.SendOrder(pool, order, 1, deadline);
           if (!result) join = result.error().code;
--- a/test/group-planner-history-test.cc
+++ b/test/group-planner-history-test.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <random>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "core/group-planner.h"
+#include "core/runner-registry.h"
 #include "harness/planner-config.h"
 
 // Random histories of runners whose orders, answers and store entries are lost
@@ -68,14 +70,22 @@
                       {kSmall, static_cast<double>(1 + this->random() % 6)}};
     }
     for (auto& [id, runner] : this->runners) this->Advance(runner);
-    const PlannerOutput output =
-        this->planner.Step(this->listed, this->plan, this->config, this->demand, this->now);
+    this->Remember();
+    if (this->restores && Chance(this->random, 50) && Chance(this->random, 1)) this->Restore();
+    if (this->now < this->settled) return;
+    this->ConfirmMemberships();
+    const PlannerOutput output = this->planner.Step(this->registry.runners(), this->plan,
+                                                    this->config, this->demand, this->now);
     for (const RunnerOrder& order : output.orders) this->Send(order);
     if (!output.proposal || Chance(this->random, 5)) return;
     this->plan = *output.proposal;
-    this->plan.revision += 1;
+    this->plan.revision.number = ++this->store_revision;
+    this->stored_plan = this->plan;
   }
 
+  /** From now on, the store is restored from copies at random moments. */
+  void EnableRestores() { this->restores = true; }
+
   [[nodiscard]] int opened_groups() const { return this->opened; }
 
  private:
@@ -86,8 +96,52 @@
       runner.entry.revision = found->second.revision;
       if (found->second == runner.entry) return;
     }
-    runner.entry.revision = ++this->store_revision;
+    runner.entry.revision = {this->era, ++this->store_revision};
     this->listed[runner.entry.id] = runner.entry;
+    this->registry.Apply(runner.entry, ChangeOrigin::kWritten, this->now);
+  }
+
+  /** Keeps what the store holds, as of the last 9 s. */
+  void Remember() {
+    constexpr std::size_t kSteps = 90;
+    this->copies.push_back({this->listed, this->stored_plan, this->store_revision});
+    if (this->copies.size() > kSteps) this->copies.pop_front();
+  }
+
+  /** The store comes back from a copy. Runners that reach it write again before the owner acts. */
+  void Restore() {
+    const StoreCopy copy = this->copies.at(this->random() % this->copies.size());
+    this->copies.clear();
+    ++this->era;
+    this->store_revision = copy.revision;
+    this->listed = copy.listed;
+    this->stored_plan = copy.plan;
+    this->stored_plan.revision.era = this->era;
+    const bool is_plan_lost = this->stored_plan.version < this->plan.version;
+    this->plan.revision = this->stored_plan.revision;
+    this->plan.is_stored = !is_plan_lost;
+    // No node that knows the newest plan has survived.
+    if (Chance(this->random, 40)) {
+      this->plan = this->stored_plan;
+      this->planner = GroupPlanner(PlannerOptions());
+      this->registry = RunnerRegistry(RunnerRegistryOptions());
+    }
+    for (auto& [id, entry] : this->listed) {
+      entry.revision.era = this->era;
+      this->registry.Apply(entry, ChangeOrigin::kRestored, this->now);
+    }
+    this->registry.DoubtMemberships();
+    this->planner.OnOwnershipGained();
+    this->settled = this->now + RunnerRegistryOptions().rewrite_time;
+  }
+
+  /** The owner asks the runners whose membership is not confirmed. */
+  void ConfirmMemberships() {
+    for (const VmId& id : this->registry.Unconfirmed()) {
+      const SimulatedRunner& runner = this->runners.at(id);
+      if (runner.cut_from_nodes_until <= this->now)
+        this->registry.Confirm(id, runner.entry.started_ms, runner.membership);
+    }
   }
 
   /** Completes joins and breaks heads that lost a member. */
@@ -265,7 +319,19 @@
   std::map<ModelName, double> demand{{kLarge, 1}, {kSmall, 3}};
   GroupPlan plan;
   std::map<VmId, SimulatedRunner> runners;
+  struct StoreCopy {
+    std::map<VmId, Runner> listed;
+    GroupPlan plan;
+    std::int64_t revision = 0;
+  };
+
   std::map<VmId, Runner> listed;  ///< The entries in the store.
+  RunnerRegistry registry{RunnerRegistryOptions()};
+  GroupPlan stored_plan;
+  std::deque<StoreCopy> copies;
+  bool restores = false;
+  TimePoint settled;  ///< After a restore, the owner acts from then on.
+  std::int64_t era = 1;
   std::int64_t store_revision = 10;
   std::set<std::tuple<VmId, GroupId, Generation>> ready;  ///< Members that were ever ready.
   std::vector<std::pair<Deadline, std::function<void()>>> events;
@@ -275,15 +341,24 @@
 class GroupPlannerHistoryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GroupPlannerHistoryTest);
   CPPUNIT_TEST(MembersAreNotGivenAwayWhileTheirHeadServes);
+  CPPUNIT_TEST(MembersAreNotGivenAwayAcrossRestores);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   // Guards against members that are given to another group while their head
   // still serves, after orders and answers that were lost or late (review/2,
   // TWO), and against incomplete groups (PARTIAL).
-  void MembersAreNotGivenAwayWhileTheirHeadServes() {
-    for (unsigned seed = 1; seed <= 400; ++seed) {
+  void MembersAreNotGivenAwayWhileTheirHeadServes() { RunHistories(400, false); }
+
+  // Guards against an owner that acts on the older plan and the older entries of a restored store
+  // (CONFIG, TWO), and against epochs that are given to two groups.
+  void MembersAreNotGivenAwayAcrossRestores() { RunHistories(200, true); }
+
+ private:
+  static void RunHistories(unsigned seeds, bool with_restores) {
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
       Fleet fleet(seed, seed % 4 * 10);
+      if (with_restores) fleet.EnableRestores();
       for (int step = 0; step < 900; ++step) {
         try {
           fleet.Step();
--- a/test/group-planner-test.cc
+++ b/test/group-planner-test.cc
@@ -43,6 +43,11 @@
   CPPUNIT_TEST(IdleLargeModelDoesNotHoldBackRunners);
   CPPUNIT_TEST(LoadsAreRateLimited);
   CPPUNIT_TEST(NewOwnerStartsWithoutLoadTokens);
+  CPPUNIT_TEST(EpochsRiseAcrossErasThoughPlansAreLost);
+  CPPUNIT_TEST(PlanThatTheStoreHasLostIsWrittenAgain);
+  CPPUNIT_TEST(CompleteGroupMissingInRestoredPlanGoesOn);
+  CPPUNIT_TEST(MemberOfUnknownHeadIsNotGivenAway);
+  CPPUNIT_TEST(HeadWithoutConfirmedMembershipKeepsMembers);
   CPPUNIT_TEST(RandomHistoriesKeepEveryRunnerInAtMostOneGroup);
   CPPUNIT_TEST_SUITE_END();
 
@@ -431,6 +436,74 @@
     CPPUNIT_ASSERT(this->Step().orders.empty());
   }
 
+  // Guards against epochs that runners refuse, or that two groups get, because the store has lost
+  // the newest plans (CONFIG).
+  void EpochsRiseAcrossErasThoughPlansAreLost() {
+    const PlanVersion restored{1, 5};
+    const PlanVersion lost{1, 90'000};
+    CPPUNIT_ASSERT(lost.sequence < restored.Next(2).sequence);
+    CPPUNIT_ASSERT(lost < restored.Next(2));
+    CPPUNIT_ASSERT(restored.Next(1) == (PlanVersion{1, 6}));
+    CPPUNIT_ASSERT(restored.Next(2).sequence < restored.Next(4).sequence);
+  }
+
+  void PlanThatTheStoreHasLostIsWrittenAgain() {
+    this->OpenGroup(kSmall);
+    this->plan.revision = {2, 3};
+    this->plan.is_stored = false;
+    const auto proposal = this->Step().proposal;
+    CPPUNIT_ASSERT(proposal.has_value());
+    CPPUNIT_ASSERT(proposal->groups == this->plan.groups);
+    CPPUNIT_ASSERT(proposal->is_stored);
+    CPPUNIT_ASSERT(this->plan.version < proposal->version);
+  }
+
+  // Guards against an owner that dissolves a group because the restored plan is older (CONFIG).
+  void CompleteGroupMissingInRestoredPlanGoesOn() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    for (auto& [id, runner] : this->runners) runner.loaded = {kSmall};
+    this->plan.groups.clear();
+    this->plan.revision = {2, 3};
+    const PlannerOutput output = this->Step();
+    CPPUNIT_ASSERT(GroupOrders(output).empty());
+    CPPUNIT_ASSERT(output.proposal->groups == std::vector{group});
+  }
+
+  // Guards against a member whose head the owner does not know, and which still serves (TWO).
+  void MemberOfUnknownHeadIsNotGivenAway() {
+    const PlannedGroup group = this->OpenGroup(kLarge);
+    this->runners.erase(group.members.front());
+    this->plan.groups.clear();
+    this->plan.revision = {2, 3};
+    this->demand = {{kSmall, 5}};
+    this->WritePlan(this->Step());
+    for (int second = 0; second < 6; ++second) {
+      for (const PlannedGroup& planned : this->plan.groups)
+        CPPUNIT_ASSERT(planned.group == group.group && planned.dissolving);
+      for (const RunnerOrder& order : this->Orders(RunnerOrderKind::kLeave)) {
+        this->planner.OnOrderDone(order);
+        this->SetMembership(order.runner, std::nullopt);
+      }
+    }
+    this->now += Milliseconds(6000);
+    this->WritePlan(this->Step());
+    this->WritePlan(this->Step());
+    CPPUNIT_ASSERT(this->plan.groups.front().model == kSmall);
+  }
+
+  // Guards against members that are given away because the entry of their head is that of a
+  // restored store (TWO).
+  void HeadWithoutConfirmedMembershipKeepsMembers() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    this->plan.groups.front().dissolving = true;
+    Runner& head = this->runners.at(group.members.front());
+    head.membership.reset();
+    head.is_confirmed = false;
+    CPPUNIT_ASSERT(!this->Step().proposal);
+    head.is_confirmed = true;
+    CPPUNIT_ASSERT(this->Step().proposal);
+  }
+
   // Guards against untested sequences of losses, returns and shifts, with seeded random histories.
   void RandomHistoriesKeepEveryRunnerInAtMostOneGroup() {
     for (unsigned seed = 1; seed <= 60; ++seed) this->RunRandomHistory(seed);
@@ -458,7 +531,7 @@
   void WritePlan(const PlannerOutput& output) {
     if (!output.proposal) return;
     this->plan = *output.proposal;
-    this->plan.revision += 1;
+    this->plan.revision.number += 1;
   }
 
   std::vector<RunnerOrder> Orders(RunnerOrderKind kind) {
@@ -553,7 +626,7 @@
   void SetMembership(const VmId& id, std::optional<RunnerMembership> membership) {
     Runner& runner = this->runners.at(id);
     runner.membership = std::move(membership);
-    runner.revision += 1;
+    runner.revision.number += 1;
   }
 
   /** Lets all runners confirm the orders of this kind. */
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -5,6 +5,7 @@
 #include <limits>
 #include <random>
 
+#include "gateway/plan-codec.h"
 #include "gateway/quarantine-codec.h"
 
 namespace limpetfall {
@@ -27,6 +28,8 @@
   CPPUNIT_TEST(MalformedMessagesDoNotCrash);
   CPPUNIT_TEST(StoredQuarantinesRoundTripThroughEncoding);
   CPPUNIT_TEST(MalformedStoredQuarantinesAreErrors);
+  CPPUNIT_TEST(PlanVersionRoundTripsThroughEncoding);
+  CPPUNIT_TEST(PlanOfEarlierProgramIsOrderedByItsRevision);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -87,7 +90,9 @@
     status.capacity = 0.5;
     status.echo_at_ns = 8;
     status.proof_age_ms = 9;
-    status.mirror_revision = 10;
+    status.mirror_revision = {2, 10};
+    status.config_version = 11;
+    status.plan_version = {2, 12};
     status.loads = {{1, 2}, {3, 4}};
     status.suspended = {5, 6};
     status.demands = {{ModelName("folds"), 12.5}};
@@ -104,8 +109,8 @@
 
   // Guards against changes that decode differently from what was encoded.
   void ChangesRoundTripThroughEncoding() {
-    StateUpdate update{{{"a", std::string("x\0y", 3), 4, 2}, {"b", std::nullopt, 5, 0}},
-                       6,
+    StateUpdate update{{{"a", std::string("x\0y", 3), {2, 4}, 2}, {"b", std::nullopt, {2, 5}, 0}},
+                       {2, 6},
                        true,
                        BootTime(std::chrono::seconds(90))};
     const BootTime sent(std::chrono::seconds(91));
@@ -120,7 +125,7 @@
   // against a stated held time that exceeds the time between request and response.
   void HeldTimeIsNotCountedAsProofAge() {
     const BootTime sent(std::chrono::seconds(91));
-    const StateUpdate update{{}, 6, false, sent - Milliseconds(300)};
+    const StateUpdate update{{}, {2, 6}, false, sent - Milliseconds(300)};
     const std::string bytes = EncodeChanges(update, sent - Milliseconds(400), sent);
     const BootTime requested_at(std::chrono::seconds(50));
     CPPUNIT_ASSERT(
@@ -187,6 +192,21 @@
     }
   }
 
+  void PlanVersionRoundTripsThroughEncoding() {
+    GroupPlan plan;
+    plan.revision = {3, 17};
+    plan.version = {2, 5};
+    CPPUNIT_ASSERT(DecodePlan(EncodePlan(plan), plan.revision).value() == plan);
+    // No plan is written in an era before it has begun.
+    CPPUNIT_ASSERT(!DecodePlan(EncodePlan(plan), {1, 17}));
+  }
+
+  // Guards against epochs that fall when programs are upgraded one after the other.
+  void PlanOfEarlierProgramIsOrderedByItsRevision() {
+    const GroupPlan plan = DecodePlan(R"({"groups":[]})", {1, 17}).value();
+    CPPUNIT_ASSERT(plan.version == (PlanVersion{1, 17}));
+  }
+
   // Guards against a crash on malformed datagrams of any sender (random damage, fixed seeds).
   void MalformedMessagesDoNotCrash() {
     PeerStatus status = Status("n2", 7);
--- a/test/platform-wire-test.cc
+++ b/test/platform-wire-test.cc
@@ -74,7 +74,7 @@
 
   // Guards against a field that is decoded from the wrong key of an entry.
   void RunnerEntryDecodesAllFields() {
-    const Runner runner = platform::DecodeRunner("i-1", kRunnerEntry, 17).value();
+    const Runner runner = platform::DecodeRunner("i-1", kRunnerEntry, {1, 17}).value();
     CPPUNIT_ASSERT(runner.id == VmId("i-1"));
     CPPUNIT_ASSERT_EQUAL(std::string("10.9.0.1:80"), runner.address);
     CPPUNIT_ASSERT(runner.domain == DomainId("rack-1"));
@@ -89,7 +89,7 @@
   void InvalidRunnerEntryIsAnError() {
     for (const char* text : {R"({"service":"s","addr":"a","zone":"z","state":"odd","slots":1})", "",
                              "[]", "\xff\xfe", R"({"service":7})", R"({"state":"ready"})"}) {
-      CPPUNIT_ASSERT(!platform::DecodeRunner("i-1", text, 1));
+      CPPUNIT_ASSERT(!platform::DecodeRunner("i-1", text, {1, 1}));
     }
   }
 
@@ -97,7 +97,7 @@
   // on.
   void OddFieldOfRunnerEntryIsAnError() {
     const auto entry = nlohmann::json::parse(kRunnerEntry);
-    CPPUNIT_ASSERT(platform::DecodeRunner("i-1", entry.dump(), 1).has_value());
+    CPPUNIT_ASSERT(platform::DecodeRunner("i-1", entry.dump(), {1, 1}).has_value());
     const std::vector<std::pair<std::string, std::string>> odd{{"/addr", R"("10.9.0.1:70000")"},
                                                                {"/addr", R"("10.9.0.1:0")"},
                                                                {"/addr", R"("10.9.0.1:-80")"},
@@ -122,12 +122,12 @@
       auto changed = entry;
       changed[nlohmann::json::json_pointer(field)] = nlohmann::json::parse(value);
       CPPUNIT_ASSERT_MESSAGE(std::string(field).append(" = ").append(value),
-                             !platform::DecodeRunner("i-1", changed.dump(), 1));
+                             !platform::DecodeRunner("i-1", changed.dump(), {1, 1}));
     }
     for (const char* id : {"", "a b", "a\r\nX-Tenant: t", "\xc3\xa9"})
-      CPPUNIT_ASSERT(!platform::DecodeRunner(id, entry.dump(), 1));
+      CPPUNIT_ASSERT(!platform::DecodeRunner(id, entry.dump(), {1, 1}));
     const std::string overflow = R"({"service":"s","addr":"10.9.0.1:80","born":1,"slots":1e999})";
-    CPPUNIT_ASSERT(!platform::DecodeRunner("i-1", overflow, 1));
+    CPPUNIT_ASSERT(!platform::DecodeRunner("i-1", overflow, {1, 1}));
   }
 
   // Guards against an entry without a process start that is taken for a restart, so that the
@@ -135,7 +135,7 @@
   void EntryWithoutStartIsAnError() {
     auto entry = nlohmann::json::parse(kRunnerEntry);
     entry.erase("born");
-    CPPUNIT_ASSERT(!platform::DecodeRunner("i-1", entry.dump(), 1));
+    CPPUNIT_ASSERT(!platform::DecodeRunner("i-1", entry.dump(), {1, 1}));
   }
 
   // Guards against an entry that takes many times its length in memory, and against a log line of
@@ -145,11 +145,11 @@
     for (const std::string& open : {std::string("["), std::string(R"({"a":)")}) {
       std::string text;
       for (std::size_t i = 0; i < kDepth / open.size(); ++i) text += open;
-      const auto decoded = platform::DecodeRunner("i-1", text, 1);
+      const auto decoded = platform::DecodeRunner("i-1", text, {1, 1});
       CPPUNIT_ASSERT(!decoded && decoded.error().message.size() < 300);
     }
     const std::string long_text = R"({"service":")" + std::string(kDepth, 'x') + "\x01";
-    CPPUNIT_ASSERT(platform::DecodeRunner("i-1", long_text, 1).error().message.size() < 300);
+    CPPUNIT_ASSERT(platform::DecodeRunner("i-1", long_text, {1, 1}).error().message.size() < 300);
   }
 
   // Guards against one invalid entry that makes all runners unavailable.
@@ -220,7 +220,7 @@
         }
         if (text.empty()) break;
       }
-      [[maybe_unused]] const auto runner = platform::DecodeRunner("i-1", text, 1);
+      [[maybe_unused]] const auto runner = platform::DecodeRunner("i-1", text, {1, 1});
       [[maybe_unused]] const auto config = platform::DecodeConfig(text);
     }
   }
--- a/test/runner-request-integration-test.cc
+++ b/test/runner-request-integration-test.cc
@@ -38,7 +38,7 @@
     this->deployment->Put("op/config", ConfigJson(6, R"("k1","k2")"));
     this->RunFor(1300);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, this->nodes.front()->state().routes->config().version);
-    for (const auto& [id, runner] : this->nodes.front()->state().runners)
+    for (const auto& [id, runner] : this->nodes.front()->state().runners.runners())
       CPPUNIT_ASSERT(!id.value.starts_with("odd-"));
     // What was known of a runner stays in force.
     for (int i = 0; i < 8; ++i) CPPUNIT_ASSERT_EQUAL(200, this->SendNext("/lookup/1").status);
