Register again after a restore, and ask only engines for their membership

A node whose lease had ended with its era granted a new lease but did not write its registration again; the owner asked runners of plain services for a membership, which they do not have, and counted them as unreachable; a node fetched a document that it could not read again with each status of its peer; a configuration that the operators had written again before a node read the restored store counted as unproven for 2.2 s.

Change: the registration follows its lease; only runners of engines are asked; documents are fetched at most twice a second; a configuration whose revision has changed is newer than the restore.

--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -119,6 +119,9 @@
 inline constexpr std::string_view kChangesTarget = "/v1/changes?after=";
 inline constexpr std::string_view kWaitSuffix = "&wait=1";
 
+// Time between two fetches of documents. A peer may hold some that this node cannot read.
+inline constexpr Milliseconds kDocumentFetchInterval{500};
+
 // Request for the newest configuration and plan that a node knows.
 inline constexpr std::string_view kDocumentsTarget = "/v1/documents";
 
@@ -252,8 +255,8 @@
     return this->FetchFromPeer(source->status.peer_address);
   }
   // Other calls may have shown that the store was restored.
-  const bool is_new_era = this->mirror.revision().era < this->store.era();
-  if (this->snapshot_needed || is_new_era)
+  const bool is_outdated = this->mirror.revision().era != this->CurrentEra();
+  if (this->snapshot_needed || is_outdated)
     return this->store.Snapshot(Clock::now() + gateway_detail::kStoreCallTimeout);
   return this->store.Watch(this->mirror.revision(), gateway_detail::kWatchTime);
 }
@@ -376,7 +379,8 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::FetchNewestDocuments(
     std::string address) {
-  if (std::exchange(this->fetching_documents, true)) co_return;
+  this->fetching_documents = true;
+  this->next_document_fetch = Clock::now() + gateway_detail::kDocumentFetchInterval;
   const std::shared_ptr<void> fetching(nullptr,
                                        [this](void*) { this->fetching_documents = false; });
   const auto fetched =
@@ -437,6 +441,10 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::RegistrationLoop() {
   while (!this->gateway_state.stopping) {
+    if (this->node_lease && this->node_lease->era != this->CurrentEra()) {
+      this->node_lease.reset();
+      this->registered = false;
+    }
     const auto grant = co_await this->RenewLease(this->node_lease, gateway_detail::kNodeLeaseTime);
     if (grant) {
       this->node_lease = grant.value();
@@ -464,7 +472,7 @@
                                      : Milliseconds(100 + static_cast<int>(this->random() % 150))));
     // The stop has begun meanwhile and releases the lease.
     if (this->gateway_state.stopping) co_return;
-    if (this->leader_lease && !this->IsOfCurrentEra(*this->leader_lease))
+    if (this->leader_lease && this->leader_lease->era != this->CurrentEra())
       this->leader_lease.reset();
     const bool leads =
         this->gateway_state.leader && this->gateway_state.leader->value == this->LeaderValue();
@@ -502,7 +510,8 @@
 
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::Campaign() {
-  if (!this->IsOfCurrentEra(*this->leader_lease)) co_return;
+  // The condition needs the revision of the leader key in the era of the lease.
+  if (this->leader_lease->era != this->mirror.revision().era) co_return;
   StoreWrite write;
   write.era = this->mirror.revision().era;
   write.conditions.push_back(
@@ -532,17 +541,13 @@
   return state.leader_node == state.options.node && state.leader->value != this->LeaderValue();
 }
 
-template <CoordinationStore Store, DeploymentAdapter Adapter>
-bool GatewayNode<Store, Adapter>::IsOfCurrentEra(const LeaseGrant& lease) const {
-  return lease.era == this->mirror.revision().era && lease.era == this->store.era();
-}
-
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 bool GatewayNode<Store, Adapter>::IsLeader() const {
   if (this->gateway_state.stopping || !this->gateway_state.leader || !this->leader_lease)
     return false;
   if (this->gateway_state.leader->value != this->LeaderValue()) return false;
-  if (!this->IsOfCurrentEra(*this->leader_lease)) return false;
+  const std::int64_t era = this->CurrentEra();
+  if (this->leader_lease->era != era || this->mirror.revision().era != era) return false;
   // Orders derived from an outdated copy can break groups that another leader has rebuilt since.
   if (this->mirror.confirmed() + gateway_detail::kLeaderProofAge < BootClock::now()) return false;
   return BootClock::now() + gateway_detail::kLeaderLeaseMargin < this->leader_lease->until;
@@ -602,7 +607,7 @@
     was_leader = true;
     boost::asio::co_spawn(this->io, this->StoreQuarantines(), boost::asio::detached);
     this->ProbeSuspectRunners(now);
-    if (now < confirm_by && !this->gateway_state.runners.Unconfirmed().empty()) continue;
+    if (now < confirm_by && !this->gateway_state.UnconfirmedEngines().empty()) continue;
     const std::map<ModelName, double> demand = this->GroupDemand();
     PlannerOutput output =
         this->planner.Step(this->gateway_state.runners.runners(), this->gateway_state.plan,
@@ -697,7 +702,7 @@
     }
   }
   std::set<VmId> to_probe = this->unreachable_runners;
-  std::vector<VmId> unconfirmed = this->gateway_state.runners.Unconfirmed();
+  std::vector<VmId> unconfirmed = this->gateway_state.UnconfirmedEngines();
   std::shuffle(unconfirmed.begin(), unconfirmed.end(), this->random);
   unconfirmed.resize(std::min(unconfirmed.size(), gateway_detail::kMaxConfirmations));
   to_probe.insert(unconfirmed.begin(), unconfirmed.end());
@@ -965,7 +970,7 @@
   }
   this->gateway_state.dispatch.SetPeerLoad(status.node, std::move(loads), now);
   this->gateway_state.dispatch.MergeRateLimits(status.node, status.rate_limits, now);
-  if (this->IsAhead(status) && !this->fetching_documents) {
+  if (this->IsAhead(status) && !this->fetching_documents && this->next_document_fetch <= now) {
     boost::asio::co_spawn(this->io, this->FetchNewestDocuments(status.peer_address),
                           boost::asio::detached);
   }
@@ -992,7 +997,7 @@
 boost::asio::awaitable<void> GatewayNode<Store, Adapter>::ReleaseLeases() {
   for (const std::optional<LeaseGrant>& held : {this->leader_lease, this->node_lease}) {
     // In a later era, the number may belong to a lease of another process.
-    if (!held || !this->IsOfCurrentEra(*held)) continue;
+    if (!held || held->era != this->CurrentEra()) continue;
     const auto ended =
         co_await this->store.RevokeLease(*held, Clock::now() + gateway_detail::kStoreCallTimeout);
     if (!ended) Log(LogLevel::kWarning, "lease_not_ended", {{"detail", ended.error().message}});
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -137,6 +137,9 @@
   /** Returns the version of the configuration in the store, which may be an earlier one. */
   [[nodiscard]] ConfigVersion stored_config_version() const { return this->stored_version; }
 
+  /** Returns the runners of engines whose membership is not confirmed. */
+  [[nodiscard]] std::vector<VmId> UnconfirmedEngines() const;
+
   /** Updates dispatching and routing after changes, and dispatches waiting requests. */
   void Refresh();
 
@@ -185,8 +188,9 @@
 
   StateItem config_item;  ///< Encodes `routes`.
   ConfigVersion stored_version = 0;
+  StoreRevision config_revision;  ///< At which the store last held the configuration in `routes`.
   Deadline rewrite_deadline;
-  bool config_rewritten = true;  ///< The configuration was written since the restore, if any.
+  bool config_rewritten = true;  ///< The stored configuration is no older than the last restore.
 };
 
 /** Names of the gateway's own keys in the store. */
@@ -277,8 +281,11 @@
    * waits until the runners have written again. */
   [[nodiscard]] bool MayOrder() const;
 
-  /** Returns whether a lease was granted in the current era of the store. */
-  [[nodiscard]] bool IsOfCurrentEra(const LeaseGrant& lease) const;
+  /** Returns the latest era of the store that this node knows. Its copy may be of an earlier one.
+   */
+  [[nodiscard]] std::int64_t CurrentEra() const {
+    return std::max(this->mirror.revision().era, this->store.era());
+  }
 
   boost::asio::io_context& io;
   GatewayState gateway_state;
@@ -296,6 +303,7 @@
   bool snapshot_needed = true;
   bool store_available = true;
   bool fetching_documents = false;
+  Deadline next_document_fetch;
   /** The last update from the followed peer failed or was outdated. */
   bool followed_peer_failed = false;
   Drain drain;
--- a/src/gateway/gateway-state.cc
+++ b/src/gateway/gateway-state.cc
@@ -33,8 +33,13 @@
   } else if (const auto* removed = std::get_if<RunnerRemoved>(&change)) {
     this->runners.Remove(removed->id, origin, now);
   } else if (auto* config = std::get_if<GatewayConfig>(&change)) {
+    const ConfigVersion known = this->routes ? this->routes->config().version : 0;
+    const bool is_unchanged =
+        config->version == known && item.revision.number == this->config_revision.number;
+    this->config_rewritten =
+        origin == ChangeOrigin::kWritten || (known <= config->version && !is_unchanged);
     this->stored_version = config->version;
-    this->config_rewritten = origin == ChangeOrigin::kWritten;
+    if (known <= config->version) this->config_revision = item.revision;
     this->AdoptConfig(std::move(*config), item);
   } else if (!item.value && item.key == this->config_item.key) {
     this->stored_version = 0;
@@ -132,7 +137,16 @@
 
 void GatewayState::OnStoreRestored(TimePoint now) {
   this->rewrite_deadline = now + this->options.runners.rewrite_time;
-  this->config_rewritten = false;
+}
+
+std::vector<VmId> GatewayState::UnconfirmedEngines() const {
+  std::vector<VmId> ids = this->runners.Unconfirmed();
+  std::erase_if(ids, [&](const VmId& id) {
+    const auto& services = this->routes->config().services;
+    const auto service = services.find(this->runners.runners().at(id).service);
+    return service == services.end() || !service->second.engine;
+  });
+  return ids;
 }
 
 void GatewayState::Refresh() {
--- a/test/restored-store-integration-test.cc
+++ b/test/restored-store-integration-test.cc
@@ -154,6 +154,7 @@
     this->RunFor(1500);
     this->RunUntil([&] { return this->deployment->OpenHeads().size() == 3; }, 9000);
     CPPUNIT_ASSERT(highest < this->HighestEpoch());
+    CPPUNIT_ASSERT(this->deployment->HasKey("limpetfall/nodes/n1"));
   }
 
   // Guards against an owner that started after the restore, knows only the restored plan, and
