End the wait for the log reader at its deadline on a full disk

Cause: found by review. A regular file polls as writable although the disk is full, so a process that ends span past its deadline until it was killed.

Change: the wait checks its deadline and ends when a write takes nothing.

Evidence: DrainEndsAtDeadlineThoughTheFileIsFull failed before and passes now.

--- a/src/base/log-sink.cc
+++ b/src/base/log-sink.cc
@@ -24,11 +24,16 @@
 }
 
 void LogSink::Drain(Deadline deadline) {
-  for (this->Flush(); !this->pending.empty(); this->Flush()) {
+  this->Flush();
+  while (!this->pending.empty() && Clock::now() < deadline) {
     const Milliseconds left = TimeLeft(deadline, Clock::now());
     pollfd writable{this->descriptor, POLLOUT, 0};
     const int ready = ::poll(&writable, 1, static_cast<int>(left.count()));
     if (ready <= 0 || (writable.revents & POLLERR) != 0) return;
+    const std::size_t before = this->pending.size();
+    this->Flush();
+    // A full disk stays writable and takes nothing.
+    if (this->pending.size() == before) return;
   }
 }
 
--- a/test/log-sink-test.cc
+++ b/test/log-sink-test.cc
@@ -2,9 +2,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fcntl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
+#include <csignal>
 #include <thread>
 
 namespace limpetfall {
@@ -16,6 +18,7 @@
   CPPUNIT_TEST(RoutineLinesAreRateLimited);
   CPPUNIT_TEST(DroppedLinesAreReported);
   CPPUNIT_TEST(DrainWaitsForSlowReaderUntilDeadline);
+  CPPUNIT_TEST(DrainEndsAtDeadlineThoughTheFileIsFull);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -64,6 +67,29 @@
     CPPUNIT_ASSERT_EQUAL(kLines * (line.size() + 1), received);
   }
 
+  // Guards against a process that does not end because its log is a file on a full disk, which is
+  // always ready for writing.
+  void DrainEndsAtDeadlineThoughTheFileIsFull() {
+    const pid_t child = fork();
+    if (child == 0) {
+      LogSink sink(open("/dev/full", O_WRONLY | O_CLOEXEC), {1e9, 1e9, 4096});
+      sink.Write("last", false, kStart);
+      sink.Drain(Clock::now() + Milliseconds(50));
+      _exit(0);
+    }
+    CPPUNIT_ASSERT(child > 0);
+    pid_t ended = 0;
+    for (int i = 0; i < 100 && ended == 0; ++i) {
+      std::this_thread::sleep_for(Milliseconds(20));
+      ended = waitpid(child, nullptr, WNOHANG);
+    }
+    if (ended == 0) {
+      kill(child, SIGKILL);
+      waitpid(child, nullptr, 0);
+    }
+    CPPUNIT_ASSERT_EQUAL(child, ended);
+  }
+
   // Guards against gaps in the log that are not reported.
   void DroppedLinesAreReported() {
     LogSink sink(this->pipe_ends[1], {0, 1, 1 << 20});
