Close the gaps of the restore that a review has found

Change: only a configuration written since the restore shortens the wait for a proof, and the owner writes a plan in each era, so that later starts need not wait; an unanswered question changes nothing; a higher revision of the same process is newer; a restored plan without a version is of the era before; a step with a plan that the store does not hold only proposes; the era of a follower travels in a header that the former program ignores.

--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -39,7 +39,8 @@
   // More than the plans that are written in one era. The store may have lost plans of this era, and
   // their epochs must not be given to other groups.
   constexpr std::int64_t kEraStep = 1 << 20;
-  return {current_era, this->sequence + (current_era - this->era) * kEraStep + 1};
+  const std::int64_t eras = std::max<std::int64_t>(0, current_era - this->era);
+  return {current_era, this->sequence + eras * kEraStep + 1};
 }
 
 bool InGroup(const Runner& runner, const PlannedGroup& group) {
@@ -247,7 +248,8 @@
     if (this->planner.unopened_groups.contains(group.group)) return true;
     if (head == nullptr || this->IsUnreachable(head_id))
       return this->DissolveUnreachable(group, head_id);
-    this->DissolveReachable(group, *head);
+    // A head that is not confirmed may be in the group although its entry does not say so.
+    if (InGroup(*head, group)) this->DissolveReachable(group, *head);
     return false;
   }
 
@@ -321,7 +323,8 @@
       group.epoch = membership->epoch;
       group.service = runner.service;
       group.domain = runner.domain;
-      if (!runner.loaded.empty()) group.model = runner.loaded.front();
+      const bool is_head = membership->rank == 0 || group.model == ModelName();
+      if (is_head && !runner.loaded.empty()) group.model = runner.loaded.front();
       const auto rank = static_cast<std::size_t>(membership->rank);
       const std::size_t size = std::max(group.members.size(), rank + 1);
       group.members.resize(size);
@@ -330,6 +333,7 @@
       group.started_ms[rank] = runner.started_ms;
     }
     std::vector<PlannedGroup> groups;
+    groups.reserve(found.size());
     for (auto& [key, group] : found) groups.push_back(std::move(group));
     return groups;
   }
@@ -777,8 +781,7 @@
   for (const auto& [id, runner] : runners) this->first_listed.try_emplace(id, now);
   const bool is_new_era = plan.version.era < plan.revision.era;
   struct Step step {
-    *this, runners, config, demand, now, concurrent_loads, plan, {},
-        !plan.is_stored || (is_new_era && !plan.groups.empty())
+    *this, runners, config, demand, now, concurrent_loads, plan, {}, false
   };
   step.next.version = plan.version.Next(plan.revision.era);
   step.next.is_stored = true;
@@ -796,7 +799,12 @@
       }
     }
   }
-  if (is_new_era) step.AdoptUnplannedGroups();
+  // Only a plan that the store holds may be ordered.
+  if (is_new_era || !plan.is_stored) {
+    if (is_new_era) step.AdoptUnplannedGroups();
+    step.output.proposal = std::move(step.next);
+    return std::move(step.output);
+  }
   std::erase_if(step.next.groups, [&](const PlannedGroup& group) {
     if (!group.dissolving || !step.Dissolve(group)) return false;
     this->unreachable_head_deadlines.erase(group.group);
--- a/src/core/runner-registry.cc
+++ b/src/core/runner-registry.cc
@@ -45,8 +45,11 @@
     restored.leaving = restored.leaving || before.leaving;
     before.leaving = restored.leaving;
   }
-  const bool is_newer = same_process ? !IsEarlier(restored.membership, before.membership)
-                                     : before.started_ms < restored.started_ms;
+  // A higher revision is later in the history that the copy shares, or was written since.
+  const bool is_rewritten = before.revision.number < restored.revision.number;
+  const bool is_newer = same_process
+                            ? is_rewritten || !IsEarlier(restored.membership, before.membership)
+                            : before.started_ms < restored.started_ms;
   if (is_newer) return this->Store(std::move(restored));
   before.is_confirmed = false;
 }
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -115,9 +115,11 @@
 // the fleet, 5,200 entries of runners and a configuration of 4 MiB, is less than half of it.
 inline constexpr std::size_t kMaxChangesBytes = 24 << 20;
 
-// Requests of a follower: the changes since a revision, "ERA.NUMBER", and whether to wait for one.
+// Requests of a follower: the changes since a revision, and whether to wait for one. The era of the
+// revision is in a header, which earlier programs neither send nor read.
 inline constexpr std::string_view kChangesTarget = "/v1/changes?after=";
 inline constexpr std::string_view kWaitSuffix = "&wait=1";
+inline constexpr char kMirrorEraHeader[] = "Mirror-Era";
 
 // Time between two fetches of documents. A peer may hold some that this node cannot read.
 inline constexpr Milliseconds kDocumentFetchInterval{500};
@@ -125,17 +127,19 @@
 // Request for the newest configuration and plan that a node knows.
 inline constexpr std::string_view kDocumentsTarget = "/v1/documents";
 
-/** Returns the revision in the request of a follower, or nothing for another target. */
-inline std::optional<StoreRevision> ParseChangesTarget(std::string_view target) {
+/** Returns the revision in the request of a follower, or nothing for another one. A request without
+ * an era is taken to be of `era`. */
+inline std::optional<StoreRevision> ParseChangesRequest(const HttpRequest& request,
+                                                        std::string_view target, std::int64_t era) {
   if (!target.starts_with(kChangesTarget)) return std::nullopt;
   target.remove_prefix(kChangesTarget.size());
-  const std::size_t dot = target.find('.');
-  if (dot == std::string_view::npos) return std::nullopt;
-  StoreRevision revision;
+  StoreRevision revision{era, 0};
+  const std::string_view stated = GetHeader(request.headers, kMirrorEraHeader);
   const bool is_valid =
-      boost::conversion::try_lexical_convert(target.substr(0, dot), revision.era) &&
-      boost::conversion::try_lexical_convert(target.substr(dot + 1), revision.number);
-  if (!is_valid || revision < StoreRevision()) return std::nullopt;
+      boost::conversion::try_lexical_convert(target, revision.number) &&
+      (stated.empty() || boost::conversion::try_lexical_convert(stated, revision.era));
+  if (!is_valid || revision.era < 0 || revision.number < 0) return std::nullopt;
+  if (revision.number == 0) return StoreRevision();
   return revision;
 }
 
@@ -200,7 +204,7 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 void GatewayNode<Store, Adapter>::OnStoreItem(const StateItem& item, ChangeOrigin origin) {
   if (item.key.starts_with(gateway_keys::kPrefix))
-    return this->gateway_state.ApplyGatewayItem(item);
+    return this->gateway_state.ApplyGatewayItem(item, origin);
   auto change = this->adapter.Decode(item);
   if (change)
     return this->gateway_state.ApplyDeploymentChange(std::move(change.value()), item, origin);
@@ -222,9 +226,10 @@
   GroupPlan& plan = this->gateway_state.plan;
   if (plan.revision.number == 0) plan.revision.era = after.era;
   // No owner has written a plan since the last restore, so others may not have written either.
-  const bool is_new_to_owner = was_empty && !plan.groups.empty() && plan.version.era < after.era;
-  if (is_new_to_owner || (!was_empty && after.era != before.era)) {
-    this->gateway_state.OnStoreRestored(now);
+  const bool is_new_to_owner = was_empty && plan.version.era < after.era;
+  const bool was_seen = !was_empty && after.era != before.era;
+  if (is_new_to_owner || was_seen) {
+    this->gateway_state.OnStoreRestored(was_seen, now);
     this->LogRestore(before, now);
   }
   this->gateway_state.ConfirmConfiguration(this->mirror.confirmed(), now);
@@ -338,9 +343,8 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<Result<StateUpdate>> GatewayNode<Store, Adapter>::FetchFromPeer(
     std::string address) {
-  const StoreRevision revision = this->mirror.revision();
-  std::string target = std::string(gateway_detail::kChangesTarget) + std::to_string(revision.era) +
-                       "." + std::to_string(revision.number);
+  std::string target =
+      std::string(gateway_detail::kChangesTarget) + std::to_string(this->mirror.revision().number);
   if (!this->mirror.IsEmpty()) target += gateway_detail::kWaitSuffix;
   return this->CallPeer(std::move(address), std::move(target));
 }
@@ -356,6 +360,7 @@
   HttpRequest request;
   request.target = std::move(target);
   request.headers["Host"] = address;
+  request.headers[gateway_detail::kMirrorEraHeader] = std::to_string(this->mirror.revision().era);
   BOOST_OUTCOME_CO_TRY(
       const auto response,
       co_await connection->Call(request, deadline, gateway_detail::kMaxChangesBytes));
@@ -393,12 +398,19 @@
   for (const StateItem& item : fetched.value().items) {
     if (!item.value) continue;
     if (item.key == gateway_keys::kPlan) {
-      if (auto plan = DecodePlan(*item.value, fetched.value().revision))
+      if (auto plan = DecodePlan(*item.value, fetched.value().revision)) {
         this->gateway_state.AdoptPlan(std::move(plan.value()));
+      } else {
+        Log(LogLevel::kError, "plan_unreadable", {{"detail", plan.error().message}});
+      }
       continue;
     }
     auto change = this->adapter.Decode(item);
-    if (!change) continue;
+    if (!change) {
+      Log(LogLevel::kWarning, "entry_unreadable",
+          {{"key", item.key}, {"detail", change.error().message}});
+      continue;
+    }
     if (auto* config = std::get_if<GatewayConfig>(&change.value()))
       this->gateway_state.AdoptConfig(std::move(*config), item);
   }
@@ -411,7 +423,8 @@
   std::string target = exchange.request().target;
   const bool wait = target.ends_with(gateway_detail::kWaitSuffix);
   if (wait) target.resize(target.size() - gateway_detail::kWaitSuffix.size());
-  const auto after = gateway_detail::ParseChangesTarget(target);
+  const auto after =
+      gateway_detail::ParseChangesRequest(exchange.request(), target, this->mirror.revision().era);
   const bool wants_documents = target == gateway_detail::kDocumentsTarget;
   HttpResponse response;
   response.headers["Content-Type"] = "application/octet-stream";
@@ -599,7 +612,7 @@
       this->planner.OnOwnershipGained();
       const GroupPlan& plan = this->gateway_state.plan;
       // The store may have lost the plans by which runners are in groups.
-      if (plan.version.era < plan.revision.era && !plan.groups.empty()) {
+      if (plan.version.era < plan.revision.era) {
         this->gateway_state.runners.DoubtMemberships();
         confirm_by = now + gateway_detail::kConfirmationTime;
       }
@@ -607,6 +620,7 @@
     was_leader = true;
     boost::asio::co_spawn(this->io, this->StoreQuarantines(), boost::asio::detached);
     this->ProbeSuspectRunners(now);
+    this->ConfirmMemberships(now);
     if (now < confirm_by && !this->gateway_state.UnconfirmedEngines().empty()) continue;
     const std::map<ModelName, double> demand = this->GroupDemand();
     PlannerOutput output =
@@ -702,10 +716,6 @@
     }
   }
   std::set<VmId> to_probe = this->unreachable_runners;
-  std::vector<VmId> unconfirmed = this->gateway_state.UnconfirmedEngines();
-  std::shuffle(unconfirmed.begin(), unconfirmed.end(), this->random);
-  unconfirmed.resize(std::min(unconfirmed.size(), gateway_detail::kMaxConfirmations));
-  to_probe.insert(unconfirmed.begin(), unconfirmed.end());
   for (const PlannedGroup& group : this->gateway_state.plan.groups) {
     if (std::find(suspects.begin(), suspects.end(), group.members.front()) == suspects.end()) {
       continue;
@@ -727,6 +737,22 @@
   }
 }
 
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+void GatewayNode<Store, Adapter>::ConfirmMemberships(TimePoint now) {
+  std::vector<VmId> unconfirmed = this->gateway_state.UnconfirmedEngines();
+  std::shuffle(unconfirmed.begin(), unconfirmed.end(), this->random);
+  unconfirmed.resize(std::min(unconfirmed.size(), gateway_detail::kMaxConfirmations));
+  for (const VmId& id : unconfirmed) {
+    if (now < this->last_probe[id] + gateway_detail::kProbeInterval) continue;
+    this->last_probe[id] = now;
+    RunnerOrder request;
+    request.runner = id;
+    request.address = this->gateway_state.runners.runners().at(id).address;
+    boost::asio::co_spawn(this->io, this->ConfirmMembership(std::move(request)),
+                          boost::asio::detached);
+  }
+}
+
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 void GatewayNode<Store, Adapter>::OnProbeResult(const VmId& runner, RunnerProbeResult result) {
   if (result == RunnerProbeResult::kRunning) {
@@ -758,6 +784,20 @@
                                     : "elsewhere"}});
 }
 
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+boost::asio::awaitable<void> GatewayNode<Store, Adapter>::ConfirmMembership(RunnerOrder order) {
+  const auto report = co_await this->adapter.FetchReport(
+      this->gateway_state.pool, order, Clock::now() + gateway_detail::kProbeTimeout);
+  if (!report || !report.value()) {
+    Log(LogLevel::kInfo, "membership_unknown",
+        {{"runner", order.runner.value},
+         {"detail", report ? "another runner answers" : report.error().message}});
+    co_return;
+  }
+  this->gateway_state.runners.Confirm(order.runner, report.value()->started_ms,
+                                      report.value()->membership);
+}
+
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 boost::asio::awaitable<Result<OrderResult>> GatewayNode<Store, Adapter>::SendWithOrderCount(
     const RunnerOrder& order) {
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -110,7 +110,7 @@
   void ApplyDeploymentChange(DeploymentChange change, const StateItem& item, ChangeOrigin origin);
 
   /** Applies a store item that the gateway nodes write themselves. */
-  void ApplyGatewayItem(const StateItem& item);
+  void ApplyGatewayItem(const StateItem& item, ChangeOrigin origin);
 
   /** Adopts a configuration that another node sent, encoded in `item`, if it is the newest. */
   void AdoptConfig(GatewayConfig config, const StateItem& item);
@@ -125,8 +125,9 @@
   /** Returns the newest configuration version that this node or another one knows. */
   [[nodiscard]] ConfigVersion NewestConfigVersion() const;
 
-  /** Records that the store was restored from a copy, after the copy has been applied. */
-  void OnStoreRestored(TimePoint now);
+  /** Records that the store was restored from a copy, after the copy has been applied. If the node
+   * has not seen the restore, it does not know what was written since. */
+  void OnStoreRestored(bool was_seen, TimePoint now);
 
   /** Returns whether the writers of the store have had no time to write again after a restore. */
   [[nodiscard]] bool IsRestoring(TimePoint now) const { return now < this->rewrite_deadline; }
@@ -183,7 +184,7 @@
 
  private:
   void ApplyLeader(const StateItem& item);
-  void ApplyPlan(const StateItem& item);
+  void ApplyPlan(const StateItem& item, ChangeOrigin origin);
   void ApplyQuarantines(const StateItem& item);
 
   StateItem config_item;  ///< Encodes `routes`.
@@ -255,6 +256,9 @@
   boost::asio::awaitable<void> ServePeer(HttpExchange& exchange);
   boost::asio::awaitable<void> SendOrder(RunnerOrder order);
   boost::asio::awaitable<void> ProbeRunner(RunnerOrder order);
+
+  /** Asks a runner for its membership. That it does not answer says nothing about it. */
+  boost::asio::awaitable<void> ConfirmMembership(RunnerOrder order);
   boost::asio::awaitable<Result<OrderResult>> SendWithOrderCount(const RunnerOrder& order);
   void OnProbeResult(const VmId& runner, RunnerProbeResult result);
   boost::asio::awaitable<void> WriteRegistration();
@@ -268,6 +272,9 @@
   void ApplyUpdate(const StateUpdate& update);
   void OnPeerStatus(const PeerStatus& status);
   void ProbeSuspectRunners(TimePoint now);
+
+  /** Asks the runners whose membership is not confirmed, after a restore of the store. */
+  void ConfirmMemberships(TimePoint now);
   void LogCapacity(const std::map<ModelName, double>& demand, TimePoint now);
 
   /** Returns the number of groups that callers need of each model. */
--- a/src/gateway/gateway-state.cc
+++ b/src/gateway/gateway-state.cc
@@ -34,10 +34,10 @@
     this->runners.Remove(removed->id, origin, now);
   } else if (auto* config = std::get_if<GatewayConfig>(&change)) {
     const ConfigVersion known = this->routes ? this->routes->config().version : 0;
-    const bool is_unchanged =
-        config->version == known && item.revision.number == this->config_revision.number;
+    // In the history that the copy shares, this version has the known revision.
+    const bool is_unchanged = item.revision.number == this->config_revision.number;
     this->config_rewritten =
-        origin == ChangeOrigin::kWritten || (known <= config->version && !is_unchanged);
+        origin == ChangeOrigin::kWritten || (config->version == known && !is_unchanged);
     this->stored_version = config->version;
     if (known <= config->version) this->config_revision = item.revision;
     this->AdoptConfig(std::move(*config), item);
@@ -58,20 +58,22 @@
 void GatewayState::ApplyLeader(const StateItem& item) {
   this->leader = item.value ? std::optional(item) : std::nullopt;
   std::istringstream value(item.value.value_or(""));
+  std::string node;
   std::uint64_t incarnation = 0;
   std::int64_t era = 0;
-  value >> this->leader_node.value >> incarnation;
+  value >> node >> incarnation;
   // Earlier programs state no era.
-  if (value >> era && era != item.revision.era) this->leader_node = NodeId();
+  const bool is_of_earlier_era = value >> era && era != item.revision.era;
+  this->leader_node = is_of_earlier_era ? NodeId() : NodeId(node);
   Log(LogLevel::kInfo, "leader", {{"node", item.value.value_or("")}});
 }
 
-void GatewayState::ApplyPlan(const StateItem& item) {
+void GatewayState::ApplyPlan(const StateItem& item, ChangeOrigin origin) {
   GroupPlan stored;
   stored.revision = item.revision;
   if (!item.value) {
     stored.revision.number = 0;
-  } else if (auto decoded = DecodePlan(*item.value, item.revision)) {
+  } else if (auto decoded = DecodePlan(*item.value, item.revision, origin)) {
     stored = std::move(decoded.value());
   } else {
     Log(LogLevel::kError, "plan_unreadable", {{"detail", decoded.error().message}});
@@ -107,11 +109,11 @@
   this->relay.OnQuarantined(this->crash_attribution.Merge({{}, {}, this->stored_quarantines}, now));
 }
 
-void GatewayState::ApplyGatewayItem(const StateItem& item) {
+void GatewayState::ApplyGatewayItem(const StateItem& item, ChangeOrigin origin) {
   if (item.key == gateway_keys::kLeader) {
     this->ApplyLeader(item);
   } else if (item.key == gateway_keys::kPlan) {
-    this->ApplyPlan(item);
+    this->ApplyPlan(item, origin);
   } else if (item.key == gateway_keys::kQuarantines) {
     this->ApplyQuarantines(item);
   } else if (item.key.starts_with(gateway_keys::kNodes) && item.value) {
@@ -123,7 +125,7 @@
 std::vector<StateItem> GatewayState::NewestDocuments() const {
   std::vector<StateItem> documents;
   if (this->routes) documents.push_back(this->config_item);
-  if (!this->plan.groups.empty()) {
+  if (this->plan.version != PlanVersion()) {
     documents.push_back(
         {std::string(gateway_keys::kPlan), EncodePlan(this->plan), this->plan.revision, 0});
   }
@@ -135,7 +137,8 @@
   return std::max(own, this->peers.NewestConfigVersion());
 }
 
-void GatewayState::OnStoreRestored(TimePoint now) {
+void GatewayState::OnStoreRestored(bool was_seen, TimePoint now) {
+  if (!was_seen) this->config_rewritten = false;
   this->rewrite_deadline = now + this->options.runners.rewrite_time;
 }
 
--- a/src/gateway/plan-codec.cc
+++ b/src/gateway/plan-codec.cc
@@ -25,13 +25,14 @@
       .dump();
 }
 
-Result<GroupPlan> DecodePlan(const std::string& text, StoreRevision revision) {
+Result<GroupPlan> DecodePlan(const std::string& text, StoreRevision revision, ChangeOrigin origin) {
   try {
     GroupPlan plan;
     plan.revision = revision;
     const auto document = ParseBoundedJson(text);
     // Earlier programs wrote no version. The epochs of their groups are at most the revision.
-    plan.version = {revision.era, revision.number};
+    const bool is_restored = origin == ChangeOrigin::kRestored;
+    plan.version = {is_restored ? revision.era - 1 : revision.era, revision.number};
     if (document.contains("sequence")) {
       plan.version = {ReadWholeNumber<std::int64_t>(document, "era", 0, revision.era),
                       ReadWholeNumber<std::int64_t>(document, "sequence", 0)};
--- a/src/gateway/plan-codec.h
+++ b/src/gateway/plan-codec.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "core/group-planner.h"
+#include "core/state-mirror.h"
 #include "limpetfall/result.h"
 
 namespace limpetfall {
@@ -12,7 +13,8 @@
 std::string EncodePlan(const GroupPlan& plan);
 
 /** Decodes the plan that the store holds at `revision`. */
-Result<GroupPlan> DecodePlan(const std::string& text, StoreRevision revision);
+Result<GroupPlan> DecodePlan(const std::string& text, StoreRevision revision,
+                             ChangeOrigin origin = ChangeOrigin::kWritten);
 
 }  // namespace limpetfall
 
--- a/test/group-planner-test.cc
+++ b/test/group-planner-test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(EpochsRiseAcrossErasThoughPlansAreLost);
   CPPUNIT_TEST(PlanThatTheStoreHasLostIsWrittenAgain);
   CPPUNIT_TEST(CompleteGroupMissingInRestoredPlanGoesOn);
+  CPPUNIT_TEST(AdoptedGroupIsOrderedOnlyOnceItsPlanIsWritten);
   CPPUNIT_TEST(MemberOfUnknownHeadIsNotGivenAway);
   CPPUNIT_TEST(HeadWithoutConfirmedMembershipKeepsMembers);
   CPPUNIT_TEST(RandomHistoriesKeepEveryRunnerInAtMostOneGroup);
@@ -469,6 +470,17 @@
     CPPUNIT_ASSERT(output.proposal->groups == std::vector{group});
   }
 
+  // Guards against orders by a plan that the owner may not be able to write.
+  void AdoptedGroupIsOrderedOnlyOnceItsPlanIsWritten() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    this->runners.erase(group.members.back());
+    this->plan.groups.clear();
+    this->plan.revision = {2, 3};
+    const PlannerOutput output = this->Step();
+    CPPUNIT_ASSERT(output.proposal.has_value());
+    CPPUNIT_ASSERT(GroupOrders(output).empty());
+  }
+
   // Guards against a member whose head the owner does not know, and which still serves (TWO).
   void MemberOfUnknownHeadIsNotGivenAway() {
     const PlannedGroup group = this->OpenGroup(kLarge);
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -5,6 +5,7 @@
 #include <limits>
 #include <random>
 
+#include "gateway/gateway-node.h"
 #include "gateway/plan-codec.h"
 #include "gateway/quarantine-codec.h"
 
@@ -30,6 +31,8 @@
   CPPUNIT_TEST(MalformedStoredQuarantinesAreErrors);
   CPPUNIT_TEST(PlanVersionRoundTripsThroughEncoding);
   CPPUNIT_TEST(PlanOfEarlierProgramIsOrderedByItsRevision);
+  CPPUNIT_TEST(RestoredPlanOfEarlierProgramIsNotTheNewest);
+  CPPUNIT_TEST(ConfigurationThatWasMissedBeforeRestoreIsNoProof);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -207,6 +210,43 @@
     CPPUNIT_ASSERT(plan.version == (PlanVersion{1, 17}));
   }
 
+  // Guards against a restored plan that replaces a newer one, while the last plan is still one of
+  // an earlier program: its epochs would be given to other groups.
+  void RestoredPlanOfEarlierProgramIsNotTheNewest() {
+    boost::asio::io_context io;
+    GatewayState state(io, GatewayOptions(), Metrics::Create());
+    const auto plan = [](const std::string& epoch) {
+      return R"({"groups":[{"group":"g","epoch":)" + epoch +
+             R"(,"service":"llm","model":"m","domain":"d","members":["i-1"],"started_ms":[1],)" +
+             R"("dissolving":false}]})";
+    };
+    const std::string key(gateway_keys::kPlan);
+    state.ApplyGatewayItem({key, plan("299"), {1, 300}}, ChangeOrigin::kWritten);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state.plan.groups.size());
+    state.ApplyGatewayItem({key, plan("249"), {2, 250}}, ChangeOrigin::kRestored);
+    CPPUNIT_ASSERT_EQUAL(Generation{299}, state.plan.groups.front().epoch);
+    CPPUNIT_ASSERT(state.plan.version.Next(2).sequence > 300);
+  }
+
+  // Guards against a proof for keys from a restored configuration that is new only to a node that
+  // was cut off. The store may have lost a later one, which took a key away.
+  void ConfigurationThatWasMissedBeforeRestoreIsNoProof() {
+    boost::asio::io_context io;
+    GatewayState state(io, GatewayOptions(), Metrics::Create());
+    const auto apply = [&](ConfigVersion version, StoreRevision revision, ChangeOrigin origin) {
+      GatewayConfig config;
+      config.version = version;
+      state.ApplyDeploymentChange(config, {"op/config", "{}", revision, 1}, origin);
+    };
+    apply(5, {1, 10}, ChangeOrigin::kWritten);
+    const BootTime before = BootTime() + std::chrono::hours(1);
+    state.ConfirmConfiguration(before, Clock::now());
+    apply(6, {2, 20}, ChangeOrigin::kRestored);
+    state.OnStoreRestored(true, Clock::now());
+    state.ConfirmConfiguration(before + Milliseconds(10'000), Clock::now());
+    CPPUNIT_ASSERT(state.confirmed == before);
+  }
+
   // Guards against a crash on malformed datagrams of any sender (random damage, fixed seeds).
   void MalformedMessagesDoNotCrash() {
     PeerStatus status = Status("n2", 7);
--- a/test/platform-wire-test.cc
+++ b/test/platform-wire-test.cc
@@ -157,11 +157,11 @@
     platform::WireAdapter adapter;
     CPPUNIT_ASSERT(!adapter.Decode({"servers/i-1", "{", 1, 1}));
     CPPUNIT_ASSERT(std::holds_alternative<Runner>(
-        adapter.Decode({"servers/i-2", kRunnerEntry, 2, 2}).value()));
+        adapter.Decode({"servers/i-2", kRunnerEntry, {1, 2}, 2}).value()));
     CPPUNIT_ASSERT(std::holds_alternative<RunnerRemoved>(
-        adapter.Decode({"servers/i-2", std::nullopt, 3, 0}).value()));
-    CPPUNIT_ASSERT(
-        std::holds_alternative<std::monostate>(adapter.Decode({"other/key", "x", 4, 4}).value()));
+        adapter.Decode({"servers/i-2", std::nullopt, {1, 3}, 0}).value()));
+    CPPUNIT_ASSERT(std::holds_alternative<std::monostate>(
+        adapter.Decode({"other/key", "x", {1, 4}, 4}).value()));
   }
 
   // Guards against requests that are repeated or resumed although the kind of their route forbids
--- a/test/restored-store-integration-test.cc
+++ b/test/restored-store-integration-test.cc
@@ -11,6 +11,9 @@
   CPPUNIT_TEST(RestoredConfigurationDoesNotReplaceNewerOne);
   CPPUNIT_TEST(KeysAreRefusedUntilTheNewestConfigurationIsWrittenAgain);
   CPPUNIT_TEST(NodeStartedAfterRestoreServesWhatItsPeersKnow);
+  CPPUNIT_TEST(NodeStartedAfterRestoreRefusesKeysUntilRewritten);
+  CPPUNIT_TEST(NodeStartedAfterRestoreWithoutPlanRefusesKeysUntilRewritten);
+  CPPUNIT_TEST(HeadWithAllConnectionsInUseServesOnAfterRestore);
   CPPUNIT_TEST(RevisionsGivenOutAgainDoNotHideChanges);
   CPPUNIT_TEST(LeavingRunnerGetsNoRequestsAfterRestore);
   CPPUNIT_TEST(RunnerStartedAfterTheCopyServesOn);
@@ -87,6 +90,52 @@
     CPPUNIT_ASSERT_EQUAL(200, this->Lookup("k2").status);
   }
 
+  // Guards against a key that was taken away, at a node that starts from the restored store before
+  // the operator has written again.
+  void NodeStartedAfterRestoreRefusesKeysUntilRewritten() {
+    this->StartProcesses(1);
+    this->CheckStartAfterRestore(*this->deployment->CopyStore());
+  }
+
+  // The same where the copy holds no plan of groups, as in a deployment without groups.
+  void NodeStartedAfterRestoreWithoutPlanRefusesKeysUntilRewritten() {
+    this->StartProcesses(1);
+    auto copy = std::make_shared<FakeDeployment::StoreCopy>(*this->deployment->CopyStore());
+    copy->items.erase("limpetfall/plan");
+    this->CheckStartAfterRestore(*copy);
+  }
+
+  // Guards against an owner that dissolves a group that serves, because its head accepts no further
+  // connection when the owner asks it for its membership.
+  void HeadWithAllConnectionsInUseServesOnAfterRestore() {
+    constexpr std::size_t kMaxConnections = 4;
+    this->deployment = std::make_unique<FakeDeployment>(*this->io);
+    for (int i = 0; i < 6; ++i) {
+      this->deployment->AddRunner("r" + std::to_string(i), "llm", i < 4 ? "d1" : "d2",
+                                  kMaxConnections);
+    }
+    this->StartProcesses(1);
+    const std::vector<std::string> heads = this->deployment->OpenHeads();
+    this->processes.front()->Kill();
+    this->RunFor(200);
+    const auto entry = nlohmann::json::parse(this->deployment->Get("servers/" + heads.front()));
+    std::vector<std::shared_ptr<HttpConnection>> held;
+    for (std::size_t i = 0; i < kMaxConnections; ++i) {
+      held.push_back(RunUntilDone(*this->io, HttpConnection::Connect(
+                                                 *this->io, entry.at("addr").get<std::string>(),
+                                                 Clock::now() + Milliseconds(1000)))
+                         .value());
+    }
+    this->Restore(*this->deployment->CopyStore());
+    this->deployment->RewriteEntries();
+    this->RestartProcess(0);
+    this->RunFor(8000);
+    const auto plan = nlohmann::json::parse(this->deployment->Get("limpetfall/plan"));
+    CPPUNIT_ASSERT_EQUAL(heads.size(), plan.at("groups").size());
+    for (const auto& group : plan.at("groups")) CPPUNIT_ASSERT(!group.at("dissolving"));
+    CPPUNIT_ASSERT(this->deployment->OpenHeads() == heads);
+  }
+
   // Guards against changes of two histories in one copy, when the store has reached the old
   // revision again before a node asks.
   void RevisionsGivenOutAgainDoNotHideChanges() {
@@ -252,6 +301,25 @@
     this->deployment->store_mode = StoreMode::kServing;
   }
 
+  /** A key is taken away, the store loses that, and the only node starts again. */
+  void CheckStartAfterRestore(const FakeDeployment::StoreCopy& copy) {
+    constexpr int kRevocationMs = 5000;  // As in the settings of the processes.
+    this->deployment->Put("op/config", ConfigJson(6, R"("k2")"));
+    this->RunFor(kRevocationMs + 300);
+    this->processes.front()->Kill();
+    this->Restore(copy);
+    this->RestartProcess(0);
+    const Deadline rewritten = Clock::now() + Milliseconds(1500);
+    while (Clock::now() < rewritten) {
+      CPPUNIT_ASSERT(this->Lookup("k1").status != 200);
+      this->RunFor(50);
+    }
+    this->deployment->RewriteEntries();
+    this->RunFor(3000);
+    CPPUNIT_ASSERT_EQUAL(401, this->Lookup("k1").status);
+    CPPUNIT_ASSERT_EQUAL(200, this->Lookup("k2").status);
+  }
+
   void RaiseRevision(int count) {
     for (int i = 0; i < count; ++i) this->deployment->Put("noise", std::to_string(i));
   }
--- a/test/runner-registry-test.cc
+++ b/test/runner-registry-test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(RestoredEntryWithoutNewsAppliesAtOnce);
   CPPUNIT_TEST(EarlierMembershipDoesNotReplaceTheKnownOne);
   CPPUNIT_TEST(LaterMembershipOfTheRestoredStoreApplies);
+  CPPUNIT_TEST(MembershipWrittenSinceTheKnownOneApplies);
   CPPUNIT_TEST(LeavingUpstreamStaysLeavingAfterRestore);
   CPPUNIT_TEST(UpstreamThatLeavesByTheRestoredStoreLeaves);
   CPPUNIT_TEST(LaterProcessApplies);
@@ -68,6 +69,21 @@
     }
   }
 
+  // Guards against a group that a node does not use, because a member that joined while the store
+  // was away wrote its entry before the node read the restored store. A member that is ready does
+  // not write again.
+  void MembershipWrittenSinceTheKnownOneApplies() {
+    Runner idle = Entry("i-1", false);
+    idle.revision = {1, 100};
+    this->registry.Apply(idle, ChangeOrigin::kWritten, At(0));
+    Runner joined = idle;
+    joined.membership = Member(9, MembershipStage::kReady);
+    joined.revision = {2, 150};
+    this->registry.Apply(joined, ChangeOrigin::kRestored, At(0));
+    this->registry.ApplyDue(At(60'000));
+    CPPUNIT_ASSERT(this->Find("i-1")->membership == joined.membership);
+  }
+
   // Guards against requests to an upstream whose notice the store has lost (DRAIN).
   void LeavingUpstreamStaysLeavingAfterRestore() {
     this->Write("i-1", true);
--- a/test/state-mirror-test.cc
+++ b/test/state-mirror-test.cc
@@ -179,6 +179,7 @@
           store = copy;
           revision = copy_revision;
           std::vector<StateItem> all;
+          all.reserve(store.size());
           for (const auto& [key, kept] : store) all.push_back(kept);
           update = UpdateOfEra(++era, std::move(all), revision, step);
           update.snapshot = true;
