Exempt requests that ran unanswered from the rate limit of the log

Cause: the "request" line of outcome failed or caller_gone is routine, so it is dropped when the lines of refusals and answers have used up the 400 a second (bursts of 800). Class: the lines that matter share a limit with those that do not.

Change: the line is a warning, which is not limited, if the request was sent to an upstream and not answered, unless it was refused as not run. All other lines are limited as before.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -1031,13 +1031,17 @@
   constexpr double kMsPerS = 1000;
   // A handler is cancelled when its caller disconnects, and destroyed when the process ends.
   const char* interrupted = this->process_ends ? "unfinished" : "caller_gone";
-  const bool is_unfinished = call.outcome == nullptr && this->process_ends;
-  Log(is_unfinished ? LogLevel::kWarning : LogLevel::kInfo, "request",
+  const std::string_view outcome = call.outcome != nullptr ? call.outcome : interrupted;
+  const bool is_refused = outcome == "failed" && !call.may_have_run;
+  const bool has_run_unanswered = call.sends > 0 && outcome != "answered" && !is_refused;
+  // Warnings are exempt from the rate limit of the log.
+  Log(outcome == "unfinished" || has_run_unanswered ? LogLevel::kWarning : LogLevel::kInfo,
+      "request",
       {{"request", call.request_id},
        {"route", call.route->name},
        {"team", call.team.value},
        {"upstream", call.upstream.value},
-       {"outcome", call.outcome != nullptr ? call.outcome : interrupted},
+       {"outcome", outcome},
        {"waits_for", call.outcome != nullptr ? "" : ToString(call.waits_for)},
        {"sends", call.sends},
        {"ms", std::lround(passed.count() * kMsPerS)},
--- a/test/request-end-integration-test.cc
+++ b/test/request-end-integration-test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(RequestWhoseCallerLeavesTheQueueIsLogged);
   CPPUNIT_TEST(RequestInHandWhenTheProcessEndsIsLogged);
   CPPUNIT_TEST(RequestCutAtTheEndOfGraceIsLogged);
+  CPPUNIT_TEST(RequestThatRanAndFailedIsLoggedAmongManyRefusals);
   CPPUNIT_TEST(StreamOfSlowCallerStaysAtItsUpstream);
   CPPUNIT_TEST_SUITE_END();
 
@@ -63,6 +64,24 @@
     this->ExpectEnd("cut", "failed", "");
   }
 
+  // Guards against requests whose only line is dropped because refusals use up the rate of routine
+  // lines (LOST).
+  void RequestThatRanAndFailedIsLoggedAmongManyRefusals() {
+    this->StartProcesses(1);
+    this->deployment->events_in_stream = 100;
+    this->deployment->event_interval = Milliseconds(50);
+    const auto left = this->SendWithoutReading("left");
+    this->RunUntil([&] { return this->deployment->CountRuns("left") == 1; }, 1000);
+    constexpr int kCallers = 20;
+    constexpr int kRefusals = 2500;  // More than the log takes in a burst and the time of the test.
+    int refused = 0;
+    for (int i = 0; i < kCallers; ++i)
+      asio::co_spawn(*this->io, this->SendToNoRoute(kRefusals, refused), asio::detached);
+    this->RunUntil([&] { return refused >= kRefusals; }, 3000);
+    left->Close();
+    CPPUNIT_ASSERT_EQUAL(std::string("caller_gone"), this->AwaitEnd("left").value("outcome", ""));
+  }
+
   // Guards against a healthy upstream that counts as lost because a caller reads slowly.
   void StreamOfSlowCallerStaysAtItsUpstream() {
     this->StartProcesses(1);
@@ -118,6 +137,19 @@
     return connection;
   }
 
+  /** Sends requests that have no route, until twice `least` were refused in all. */
+  asio::awaitable<void> SendToNoRoute(int least, int& refused) {
+    const Deadline deadline = Clock::now() + Milliseconds(10000);
+    const auto connection =
+        (co_await HttpConnection::Connect(*this->io, this->caller_address, deadline)).value();
+    const HttpRequest request = this->MakeRequest("GET", "/none/1", "refused", "k1", "");
+    while (refused < 2 * least) {
+      const auto response = co_await connection->Call(request, deadline, 1 << 16);
+      if (!response || response.value().status != 404) co_return;
+      ++refused;
+    }
+  }
+
   /** Returns the first line of an event with a field, or nothing. */
   [[nodiscard]] std::optional<json> FindLine(const std::string& event, const std::string& field,
                                              const std::string& value = "") const {
@@ -131,12 +163,18 @@
     return std::nullopt;
   }
 
-  void ExpectEnd(const std::string& id, const std::string& outcome, const std::string& waits_for) {
+  /** Returns the line of the end of a request. */
+  [[nodiscard]] json AwaitEnd(const std::string& id) {
     std::optional<json> line;
     this->RunUntil([&] { return (line = this->FindLine("request", "request", id)).has_value(); },
                    1000);
-    CPPUNIT_ASSERT_EQUAL(outcome, line->value("outcome", ""));
-    CPPUNIT_ASSERT_EQUAL(waits_for, line->value("waits_for", ""));
+    return *line;
+  }
+
+  void ExpectEnd(const std::string& id, const std::string& outcome, const std::string& waits_for) {
+    const json line = this->AwaitEnd(id);
+    CPPUNIT_ASSERT_EQUAL(outcome, line.value("outcome", ""));
+    CPPUNIT_ASSERT_EQUAL(waits_for, line.value("waits_for", ""));
   }
 };
 
