Share the parts of soaks and check joins in the fake deployment

Cause: a second soak needs draws, seeds, held ports and reading of answers that the soak of planned work kept for itself. The fake deployment did not see a runner join another group while the head of its former one served, and it answered watches that were open when its store went away.

Change: test/harness/soak.h; HoldPorts and ReadAnswer move into the fixtures. The fake deployment records overlapping joins, ends runners for good, writes the entries of runners and of the operator again separately, and answers no watch while the store is away.

No product code is changed.

--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -82,10 +82,21 @@
   if (runner.down) return;
   ++this->crashes;
   runner.down = true;
+  RecordLeaving(runner);
   runner.server->StopAccepting();
   asio::co_spawn(this->io, this->RestartLater(runner), asio::detached);
 }
 
+void FakeDeployment::EndRunner(const std::string& id) {
+  FakeRunner& runner = *this->runners.at(id);
+  if (!runner.down) {
+    runner.down = true;
+    RecordLeaving(runner);
+    runner.server->StopAccepting();
+  }
+  this->Remove("servers/" + id);
+}
+
 asio::awaitable<void> FakeDeployment::RestartLater(FakeRunner& runner) {
   co_await limpetfall::detail::PauseUntil(Clock::now() + this->crash_downtime);
   this->ended_servers.push_back(std::move(runner.server));
@@ -144,13 +155,21 @@
   for (asio::steady_timer* watcher : this->watchers) watcher->cancel();
 }
 
-void FakeDeployment::RewriteEntries() {
+void FakeDeployment::RewriteRunners() {
   for (const auto& [id, runner] : this->runners) {
     if (!runner->down) this->Publish(*runner);
   }
+}
+
+void FakeDeployment::RewriteConfig() {
   if (!this->last_config.empty()) this->Put(std::string(kConfigKey), this->last_config);
 }
 
+void FakeDeployment::RewriteEntries() {
+  this->RewriteRunners();
+  this->RewriteConfig();
+}
+
 std::int64_t FakeDeployment::GrantLease(Milliseconds lifetime) {
   this->leases[++this->last_lease] = {Clock::now() + lifetime, lifetime};
   return this->last_lease;
@@ -282,6 +301,10 @@
                                            [this, &timer](void*) { this->watchers.erase(&timer); });
     co_await timer.async_wait(kNoThrow);
   }
+  if (this->IsStoreAway()) {
+    co_await this->ServeAway(exchange);
+    co_return;
+  }
   // The history of this revision does not exist, or does not exist any more.
   if (this->revision < after || this->era != era_before) {
     co_await this->ReplyFromStore(exchange, 410, json::object());
@@ -303,14 +326,18 @@
   co_await this->ReplyFromStore(exchange, 200, std::move(body));
 }
 
-asio::awaitable<void> FakeDeployment::ServeStore(HttpExchange& exchange) {
-  const std::string target = exchange.request().target;
+asio::awaitable<void> FakeDeployment::ServeAway(HttpExchange& exchange) {
   if (this->store_mode == StoreMode::kRefusing) {
     co_await this->ReplyFromStore(exchange, 503, json::object());
-    co_return;
-  }
-  if (this->store_mode == StoreMode::kUnresponsive) {
+  } else {
     co_await limpetfall::detail::PauseUntil(Clock::now() + Milliseconds(60000));
+  }
+}
+
+asio::awaitable<void> FakeDeployment::ServeStore(HttpExchange& exchange) {
+  const std::string target = exchange.request().target;
+  if (this->IsStoreAway()) {
+    co_await this->ServeAway(exchange);
     co_return;
   }
   const std::string& body = exchange.request().body;
@@ -361,6 +388,25 @@
   }
 }
 
+void FakeDeployment::RecordLeaving(FakeRunner& runner) {
+  if (runner.last_group && !runner.last_group->left) runner.last_group->left = Clock::now();
+}
+
+void FakeDeployment::CheckJoin(const FakeRunner& runner, const json& body) {
+  if (!runner.last_group) return;
+  const JoinedGroup& last = *runner.last_group;
+  if (last.name == body.at("group") && last.epoch == body.at("epoch")) return;
+  const FakeRunner& head = *this->runners.at(last.head);
+  const bool head_is_open =
+      !head.down && head.group.is_object() && head.group.at("name") == last.name &&
+      head.group.at("epoch") == last.epoch && head.group.at("state") == "open";
+  if (!head_is_open || (last.left && *last.left + this->stall_time < Clock::now())) return;
+  this->overlapping_joins.push_back(
+      runner.id + " joins " + body.at("group").get<std::string>() + " epoch " +
+      std::to_string(body.at("epoch").get<std::int64_t>()) + " while " + last.head + " serves " +
+      last.name + " epoch " + std::to_string(last.epoch) + (last.left ? ", left before" : ""));
+}
+
 int FakeDeployment::Order(FakeRunner& runner, const json& body) {
   if (body.at("expected").get<std::int64_t>() != runner.orders) return 409;
   const std::string op = body.at("op");
@@ -374,10 +420,12 @@
   if (op == "join") {
     const auto epoch = body.at("epoch").get<std::int64_t>();
     if (epoch < runner.highest_epoch) return 412;
+    this->CheckJoin(runner, body);
     runner.highest_epoch = epoch;
     this->highest_epoch = std::max(this->highest_epoch, epoch);
     runner.model = body.at("model");
     const auto members = body.at("members").get<std::vector<std::string>>();
+    runner.last_group = {body.at("group"), epoch, members.front(), {}};
     const auto rank = std::find(members.begin(), members.end(), runner.id) - members.begin();
     runner.group = {{"name", body.at("group")},
                     {"epoch", body.at("epoch")},
@@ -390,6 +438,7 @@
   } else if (op == "close") {
     runner.group["state"] = "ready";
   } else if (op == "leave") {
+    RecordLeaving(runner);
     runner.group = json();
     ++runner.orders;
     return 200;
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -146,6 +146,12 @@
    */
   void RestoreStore(const StoreCopy& copy);
 
+  /** Writes the entries of all runners that are up again. */
+  void RewriteRunners();
+
+  /** Writes the configuration last put again. */
+  void RewriteConfig();
+
   /** Writes the entries of all runners that are up, and the configuration last put, again. */
   void RewriteEntries();
 
@@ -156,6 +162,14 @@
    * new process that is in no group. */
   void Crash(const std::string& id);
 
+  /** Ends a runner for good, as a process that has drained does, and removes its entry. */
+  void EndRunner(const std::string& id);
+
+  [[nodiscard]] bool IsDown(const std::string& id) const { return this->runners.at(id)->down; }
+
+  /** Returns how often the process of a runner has started. */
+  [[nodiscard]] int BootOf(const std::string& id) const { return this->runners.at(id)->boot; }
+
   /** Returns the runners that are the heads of open groups. */
   [[nodiscard]] std::vector<std::string> OpenHeads() const;
 
@@ -177,10 +191,22 @@
   std::string crashing_text;
   Milliseconds crash_downtime{700};
   int crashes = 0;
+  /** The time that a head runs on at most after one of its members has left. */
+  Milliseconds stall_time{2000};
+  /** Joins of another group while the head of the former one was open. */
+  std::vector<std::string> overlapping_joins;
   std::uint64_t watch_calls = 0;
   std::uint64_t transaction_calls = 0;  ///< Conditional writes that the store received.
 
  private:
+  /** The group that a runner joined last, and its head then. */
+  struct JoinedGroup {
+    std::string name;
+    std::int64_t epoch = 0;
+    std::string head;
+    std::optional<TimePoint> left;
+  };
+
   struct FakeRunner {
     std::string id;
     std::string service;
@@ -190,6 +216,7 @@
     Headers extra_headers;
     std::string state = "ready";
     nlohmann::json group;
+    std::optional<JoinedGroup> last_group;
     std::string model;  ///< Of its last group.
     std::int64_t highest_epoch = 0;
     std::vector<std::string> staged;
@@ -201,6 +228,11 @@
   };
 
   boost::asio::awaitable<void> ServeStore(HttpExchange& exchange);
+  [[nodiscard]] bool IsStoreAway() const {
+    return this->store_mode == StoreMode::kRefusing || this->store_mode == StoreMode::kUnresponsive;
+  }
+  /** Handles a call to the store while it is away. */
+  boost::asio::awaitable<void> ServeAway(HttpExchange& exchange);
   boost::asio::awaitable<void> ServeRunner(FakeRunner& runner, HttpExchange& exchange);
   boost::asio::awaitable<void> ServeWatch(HttpExchange& exchange);
   boost::asio::awaitable<void> StreamEvents(FakeRunner& runner, HttpExchange& exchange,
@@ -214,6 +246,9 @@
   [[nodiscard]] nlohmann::json Transact(const nlohmann::json& body, int& status);
   [[nodiscard]] nlohmann::json ItemJson(const std::string& key, const Item& item) const;
   [[nodiscard]] int Order(FakeRunner& runner, const nlohmann::json& body);
+  /** Records if a runner joins another group while the head of its last one serves. */
+  void CheckJoin(const FakeRunner& runner, const nlohmann::json& body);
+  static void RecordLeaving(FakeRunner& runner);
   void Publish(const FakeRunner& runner);
   void RecordChange(const std::string& key, bool removed);
   void StartServer(FakeRunner& runner);
--- a/test/harness/gateway-fixture.h
+++ b/test/harness/gateway-fixture.h
@@ -171,6 +171,24 @@
     boost::asio::co_spawn(*this->io, this->Send(std::move(request), answer), boost::asio::detached);
   }
 
+  /** Sends a request and reads its answer. Returns why the answer is incomplete, if it is. */
+  static boost::asio::awaitable<std::string> ReadAnswer(HttpConnection& connection,
+                                                        const HttpRequest& request,
+                                                        Deadline deadline, Answer& answer) {
+    if (const auto written = co_await connection.Send(request, deadline); !written)
+      co_return written.error().message;
+    auto head = co_await connection.ReadHead(deadline);
+    if (!head) co_return head.error().message;
+    answer.status = head.value().status;
+    answer.headers = std::move(head.value().headers);
+    while (!answer.complete) {
+      const auto done = co_await connection.ReadSome(answer.body, deadline);
+      if (!done) co_return done.error().message;
+      answer.complete = done.value();
+    }
+    co_return "";
+  }
+
   boost::asio::awaitable<void> Send(HttpRequest request, std::optional<Answer>& answer) {
     const Deadline deadline = Clock::now() + Milliseconds(9000);
     Answer received;
@@ -181,20 +199,7 @@
     }
     const auto connection = connected.value();
     this->last_connection = connection;
-    const auto sent = co_await connection->Send(request, deadline);
-    if (sent) {
-      auto head = co_await connection->ReadHead(deadline);
-      if (head) {
-        received.status = head.value().status;
-        received.headers = head.value().headers;
-        for (;;) {
-          const auto done = co_await connection->ReadSome(received.body, deadline);
-          if (!done) break;
-          received.complete = done.value();
-          if (received.complete) break;
-        }
-      }
-    }
+    co_await ReadAnswer(*connection, request, deadline, received);
     answer = received;
   }
 
--- a/test/harness/gateway-process-fixture.h
+++ b/test/harness/gateway-process-fixture.h
@@ -3,8 +3,11 @@
 
 #include <unistd.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
+#include <list>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,6 +29,7 @@
 
   void tearDown() override {
     this->processes.clear();
+    this->held_ports.clear();
     std::filesystem::remove_all(this->folder);
     this->io->DropPending();
     GatewayFixture::tearDown();
@@ -76,12 +80,33 @@
         Process::Start("limpetfall-gateway", {"--settings", path}, path + ".log");
   }
 
+  /** Binds the ports of a node without listening. Otherwise, another test may take them while the
+   * node is down. */
+  void HoldPorts(std::size_t index) {
+    std::ifstream file(this->folder / ("p" + std::to_string(index) + ".toml"));
+    const auto ip = boost::asio::ip::make_address("127.0.0." + std::to_string(index + 1));
+    for (std::string line; std::getline(file, line);) {
+      const bool is_port = line.find("_port = ") != std::string::npos;
+      const std::size_t before = is_port ? line.rfind(' ') : line.rfind(':');
+      const int port = before == std::string::npos ? 0 : std::atoi(line.c_str() + before + 1);
+      if (port < 1024 || line.starts_with("store_address")) continue;
+      boost::asio::ip::tcp::acceptor& held = this->held_ports.emplace_back(this->ports_io);
+      boost::system::error_code error;
+      held.open(boost::asio::ip::tcp::v4());
+      held.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true));
+      held.bind({ip, static_cast<std::uint16_t>(port)}, error);
+      if (error) std::cout << "port " << port << " is not held: " << error.message() << "\n";
+    }
+  }
+
   static std::string PortOf(const std::string& address) {
     return address.substr(address.rfind(':') + 1);
   }
 
   std::filesystem::path folder;  ///< Settings and logs of the processes.
   std::vector<std::unique_ptr<Process>> processes;
+  boost::asio::io_context ports_io;  ///< Of the held ports, which outlive the deployment.
+  std::list<boost::asio::ip::tcp::acceptor> held_ports;
 };
 
 }  // namespace limpetfall::testing
--- a/test/planned-work-soak-integration-test.cc
+++ b/test/planned-work-soak-integration-test.cc
@@ -3,13 +3,12 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <list>
-#include <random>
 #include <set>
 #include <sstream>
 
 #include "base/pause.h"
 #include "harness/gateway-process-fixture.h"
+#include "harness/soak.h"
 
 namespace limpetfall::testing {
 namespace {
@@ -92,17 +91,6 @@
   std::uint64_t second = 0;
 };
 
-using Random = std::mt19937_64;
-
-// Unlike the distributions of the library, the same on all platforms.
-std::uint64_t Draw(Random& random, std::uint64_t low, std::uint64_t high) {
-  return low + random() % (high - low + 1);
-}
-
-Milliseconds DrawTime(Random& random, std::uint64_t low, std::uint64_t high) {
-  return Milliseconds(Draw(random, low, high));
-}
-
 /** Returns the work of a seed. Each kind comes once at least, except the faults of the store. */
 std::vector<Step> DrawSteps(std::uint64_t seed) {
   Random random(seed);
@@ -130,26 +118,6 @@
   return steps;
 }
 
-// By hand, LIMPETFALL_SOAK_SEEDS="FIRST-LAST" selects the seeds that are run instead of those of
-// CI.
-std::vector<std::uint64_t> Seeds() {
-  const char* const range = std::getenv("LIMPETFALL_SOAK_SEEDS");
-  if (range == nullptr) return {3, 5};
-  std::uint64_t first = 0;
-  std::uint64_t last = 0;
-  char dash = 0;
-  std::istringstream(range) >> first >> dash >> last;
-  CPPUNIT_ASSERT_MESSAGE("LIMPETFALL_SOAK_SEEDS must be FIRST-LAST", dash == '-' && first <= last);
-  std::vector<std::uint64_t> seeds;
-  for (std::uint64_t seed = first; seed <= last; ++seed) seeds.push_back(seed);
-  return seeds;
-}
-
-/** Statuses that promise that the request has not run and never will. */
-bool PromisesNotRun(int status) {
-  return status == 503 || status == 429 || status == 408 || status == 421;
-}
-
 /** Real gateway processes under planned work of many kinds, and callers that keep connections. */
 class PlannedWorkSoakIntegrationTest : public GatewayProcessFixture {
   CPPUNIT_TEST_SUITE(PlannedWorkSoakIntegrationTest);
@@ -160,7 +128,7 @@
   // Guards against requests that are lost, cut or run twice by overlapping planned work (LOST).
   void PlannedWorkLosesNoRequest() {
     std::string failed;
-    for (const std::uint64_t seed : Seeds()) {
+    for (const std::uint64_t seed : SoakSeeds(3, 5)) {
       this->ResetFixture();
       if (!this->RunSeed(seed)) failed += " " + std::to_string(seed);
     }
@@ -194,7 +162,6 @@
     Milliseconds longest_stop{0};
     std::vector<std::string> violations;
     std::set<std::string> suspects;  ///< Requests with violations.
-    std::list<asio::ip::tcp::acceptor> held_ports;
   };
 
   // The processes and callers --------------------------------------------------------------------
@@ -233,25 +200,6 @@
     return this->run.violations.empty();
   }
 
-  /** Binds the ports of a node without listening. Otherwise, another test may take them while the
-   * node is down. */
-  void HoldPorts(std::size_t index) {
-    std::ifstream file(this->folder / ("p" + std::to_string(index) + ".toml"));
-    const auto ip = asio::ip::make_address("127.0.0." + std::to_string(index + 1));
-    for (std::string line; std::getline(file, line);) {
-      const bool is_port = line.find("_port = ") != std::string::npos;
-      const std::size_t before = is_port ? line.rfind(' ') : line.rfind(':');
-      const int port = before == std::string::npos ? 0 : std::atoi(line.c_str() + before + 1);
-      if (port < 1024 || line.starts_with("store_address")) continue;
-      asio::ip::tcp::acceptor& held = this->run.held_ports.emplace_back(this->ports_io);
-      boost::system::error_code error;
-      held.open(asio::ip::tcp::v4());
-      held.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-      held.bind({ip, static_cast<std::uint16_t>(port)}, error);
-      if (error) std::cout << "port " << port << " is not held: " << error.message() << "\n";
-    }
-  }
-
   void SpawnCallers() {
     int index = 0;
     const std::vector<std::pair<RequestKind, int>> callers = {
@@ -314,33 +262,10 @@
     request.headers["X-Deadline-Ms"] = is_stream ? "5000" : "1500";
     sent.sent = Clock::now();
     const Deadline deadline = sent.sent + Milliseconds(9000);
-    co_await this->ReadAnswer(connection, request, deadline, sent);
+    sent.error = co_await ReadAnswer(connection, request, deadline, sent.answer);
     sent.ended = Clock::now();
   }
 
-  asio::awaitable<void> ReadAnswer(HttpConnection& connection, const HttpRequest& request,
-                                   Deadline deadline, SentRequest& sent) {
-    if (const auto written = co_await connection.Send(request, deadline); !written) {
-      sent.error = written.error().message;
-      co_return;
-    }
-    auto head = co_await connection.ReadHead(deadline);
-    if (!head) {
-      sent.error = head.error().message;
-      co_return;
-    }
-    sent.answer.status = head.value().status;
-    sent.answer.headers = std::move(head.value().headers);
-    while (!sent.answer.complete) {
-      const auto done = co_await connection.ReadSome(sent.answer.body, deadline);
-      if (!done) {
-        sent.error = done.error().message;
-        co_return;
-      }
-      sent.answer.complete = done.value();
-    }
-  }
-
   /** Notices the ends of processes and starts them again. */
   asio::awaitable<void> WatchProcesses() {
     for (;;) {
@@ -767,16 +692,6 @@
     return FormatTime(time - this->run.begun);
   }
 
-  /** Returns a time in ms with three decimals. */
-  static std::string FormatTime(Clock::duration time) {
-    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(time).count();
-    std::ostringstream text;
-    text << std::fixed;
-    text.precision(3);
-    text << static_cast<double>(us) / 1000 << " ms";
-    return text.str();
-  }
-
   [[nodiscard]] std::string Describe(const SentRequest& request) const {
     const NodeState& node = this->run.nodes[request.node];
     std::ostringstream text;
@@ -815,7 +730,6 @@
     return entry.is_discarded() || this->run.suspects.contains(entry.value("request", ""));
   }
 
-  asio::io_context ports_io;  ///< Of the held ports, which outlive the deployment.
   Run run;
 };
 
