End estimates before callers can know that a delayed stop began

What callers saw: a stream sent 3.04 s after SIGTERM was accepted by an estimate, and cut 7.4 s after SIGTERM (LOST).

Cause: estimates end 3 s after the process handles SIGTERM. A process that is not scheduled when the signal comes handles it later, and so uses estimates for longer than the 3 s that callers count. Class: a bound on what another process does, counted from a local event that comes after the one it counts from.

Change: estimates end 200 ms earlier, so that a delay of the signal up to that is covered. A longer delay is not.

--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -106,6 +106,9 @@
 // A stopping process ends when callers have not used their open connections for this long.
 inline constexpr Milliseconds kQuietTime{1000};
 
+// Longest time from a SIGTERM until the process handles it, for example while it is not scheduled.
+inline constexpr Milliseconds kSignalDelay{200};
+
 // Time in which the responses to ended requests are sent.
 inline constexpr Milliseconds kFinalResponseTime{200};
 
@@ -1027,8 +1030,10 @@
   this->drain.Start(now);
   this->stop_by = now + this->gateway_state.options.stop_grace - gateway_detail::kStopMargin;
   this->caller_server->EndKeepAlive();
-  const Deadline addresses_expired = now + this->gateway_state.options.LongestAddressUse();
-  this->gateway_state.relay.BeginStop(addresses_expired, this->stop_by);
+  // Callers count from the signal, and so may know other nodes before this one expects it.
+  const Deadline estimate_until =
+      now + this->gateway_state.options.LongestAddressUse() - gateway_detail::kSignalDelay;
+  this->gateway_state.relay.BeginStop(estimate_until, this->stop_by);
   boost::asio::co_spawn(this->io, this->ReleaseLeases(), boost::asio::detached);
   boost::asio::co_spawn(this->io, this->StopLoop(std::move(on_finished)), boost::asio::detached);
 }
--- a/test/stop-loss-soak-integration-test.cc
+++ b/test/stop-loss-soak-integration-test.cc
@@ -14,6 +14,7 @@
 
 #include "base/pause.h"
 #include "harness/gateway-process-fixture.h"
+#include "harness/run.h"
 
 namespace limpetfall::testing {
 namespace {
@@ -164,10 +165,43 @@
 /** Stops of all nodes in series, and callers whose requests end late or are read late. */
 class StopLossSoakIntegrationTest : public GatewayProcessFixture {
   CPPUNIT_TEST_SUITE(StopLossSoakIntegrationTest);
+  CPPUNIT_TEST(LateStreamIsWholeOrRefusedWhenTheStopBeginsLate);
   CPPUNIT_TEST(StopsInSeriesLoseNoStream);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against streams that are accepted by an estimate more than 3 s after SIGTERM, because
+  // the process was not running when the signal came, and are cut at the end (LOST).
+  void LateStreamIsWholeOrRefusedWhenTheStopBeginsLate() {
+    this->StartProcesses(1);
+    this->deployment->event_interval = Milliseconds(5);
+    constexpr int kShortStreams = 30;
+    for (int i = 0; i < kShortStreams; ++i)
+      this->SendAndWait("GET", "/chat/1", "short-" + std::to_string(i), "k1");
+    const auto kept =
+        RunUntilDone(*this->io, HttpConnection::Connect(*this->io, this->caller_address,
+                                                        Clock::now() + Milliseconds(500)))
+            .value();
+    const Process& process = *this->processes.front();
+    const TimePoint signalled = Clock::now();
+    process.Suspend();
+    process.Signal(SIGTERM);
+    this->io->run_until(signalled + kSuspended);
+    process.Resume();
+    this->io->run_until(signalled + kAddressesExpire + kSuspended / 2);
+    this->deployment->event_interval = Milliseconds(750);
+    const HttpRequest request = this->MakeRequest("GET", "/chat/1", "late", "k1", "");
+    const auto response =
+        RunUntilDone(*this->io, kept->Call(request, Clock::now() + Milliseconds(6000), 1 << 16));
+    CPPUNIT_ASSERT_MESSAGE("the stream was cut", response.has_value());
+    if (response.value().status == 200) {
+      CPPUNIT_ASSERT_EQUAL(this->CompleteStream(), response.value().body);
+    } else {
+      CPPUNIT_ASSERT_EQUAL(503, response.value().status);
+      CPPUNIT_ASSERT_EQUAL(0, this->deployment->CountRuns("late"));
+    }
+  }
+
   // Guards against streams that are run and lost around a stop, and against requests that no log
   // line names (LOST).
   void StopsInSeriesLoseNoStream() {
