--- a/test/platform-wire-test.cc
+++ b/test/platform-wire-test.cc
@@ -155,7 +155,7 @@
   // Guards against one invalid entry that makes all runners unavailable.
   void InvalidEntryDoesNotAffectOtherEntries() {
     platform::WireAdapter adapter;
-    CPPUNIT_ASSERT(!adapter.Decode({"servers/i-1", "{", 1, 1}));
+    CPPUNIT_ASSERT(!adapter.Decode({"servers/i-1", "{", {1, 1}, 1}));
     CPPUNIT_ASSERT(std::holds_alternative<Runner>(
         adapter.Decode({"servers/i-2", kRunnerEntry, {1, 2}, 2}).value()));
     CPPUNIT_ASSERT(std::holds_alternative<RunnerRemoved>(
--- a/test/restored-store-soak-integration-test.cc
+++ b/test/restored-store-soak-integration-test.cc
@@ -554,7 +554,7 @@
     for (const std::string& head : this->deployment->OpenHeads()) {
       if (this->deployment->IsDown(head)) continue;
       const std::string group = this->deployment->GroupOf(head);
-      if (!planned.contains(group)) missing += " " + group + " of " + head;
+      if (!planned.contains(group)) missing.append(" ").append(group).append(" of ").append(head);
     }
     return missing;
   }
