--- a/test/stop-loss-soak-integration-test.cc
+++ b/test/stop-loss-soak-integration-test.cc
@@ -9,12 +9,12 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <random>
 #include <sstream>
 
 #include "base/pause.h"
 #include "harness/gateway-process-fixture.h"
 #include "harness/run.h"
+#include "harness/soak.h"
 
 namespace limpetfall::testing {
 namespace {
@@ -48,17 +48,6 @@
 constexpr Milliseconds kPeriod{100};
 constexpr Milliseconds kSuspended{75};
 
-using Random = std::mt19937_64;
-
-// Unlike the distributions of the library, the same on all platforms.
-std::uint64_t Draw(Random& random, std::uint64_t low, std::uint64_t high) {
-  return low + random() % (high - low + 1);
-}
-
-Milliseconds DrawTime(Random& random, std::uint64_t low, std::uint64_t high) {
-  return Milliseconds(Draw(random, low, high));
-}
-
 std::int64_t ToMs(Clock::duration time) {
   return std::chrono::duration_cast<Milliseconds>(time).count();
 }
@@ -147,21 +136,6 @@
   std::map<int, TimePoint> ends;     ///< By start.
 };
 
-// By hand, LIMPETFALL_SOAK_SEEDS="FIRST-LAST" selects the seeds instead of those of CI. Processes
-// get a part of a processor in the grace period of each odd seed.
-std::vector<std::uint64_t> Seeds() {
-  const char* const range = std::getenv("LIMPETFALL_SOAK_SEEDS");
-  if (range == nullptr) return {1, 2};
-  std::uint64_t first = 0;
-  std::uint64_t last = 0;
-  char dash = 0;
-  std::istringstream(range) >> first >> dash >> last;
-  CPPUNIT_ASSERT_MESSAGE("LIMPETFALL_SOAK_SEEDS must be FIRST-LAST", dash == '-' && first <= last);
-  std::vector<std::uint64_t> seeds;
-  for (std::uint64_t seed = first; seed <= last; ++seed) seeds.push_back(seed);
-  return seeds;
-}
-
 /** Stops of all nodes in series, and callers whose requests end late or are read late. */
 class StopLossSoakIntegrationTest : public GatewayProcessFixture {
   CPPUNIT_TEST_SUITE(StopLossSoakIntegrationTest);
@@ -206,7 +180,8 @@
   // line names (LOST).
   void StopsInSeriesLoseNoStream() {
     std::string failed;
-    for (const std::uint64_t seed : Seeds()) {
+    // Processes get a part of a processor in the grace period of each odd seed.
+    for (const std::uint64_t seed : SoakSeeds(1, 2)) {
       this->ResetFixture();
       if (!this->RunSeed(seed)) failed += " " + std::to_string(seed);
     }
