--- a/test/restored-store-soak-integration-test.cc
+++ b/test/restored-store-soak-integration-test.cc
@@ -96,7 +96,7 @@
  public:
   void NothingGoesBackWhenTheStoreDoes() {
     std::string failed;
-    for (const std::uint64_t seed : SoakSeeds(1, 2)) {
+    for (const std::uint64_t seed : SoakSeeds(1, 3)) {
       this->ResetFixture();
       if (!this->RunSeed(seed)) failed += " " + std::to_string(seed);
     }
