End the work of a replaced deployment in a test of restores

The test replaced the fake deployment while its lease timer still ran, a use after free in the test itself.

Change: its pending work is dropped first, with a new event loop. No check is changed.

--- a/test/restored-store-integration-test.cc
+++ b/test/restored-store-integration-test.cc
@@ -109,6 +109,10 @@
   // connection when the owner asks it for its membership.
   void HeadWithAllConnectionsInUseServesOnAfterRestore() {
     constexpr std::size_t kMaxConnections = 4;
+    // Work of the deployment that is replaced must not outlive it.
+    this->io->DropPending();
+    this->deployment.reset();
+    this->io = std::make_unique<ServerContext>(1);
     this->deployment = std::make_unique<FakeDeployment>(*this->io);
     for (int i = 0; i < 6; ++i) {
       this->deployment->AddRunner("r" + std::to_string(i), "llm", i < 4 ? "d1" : "d2",
