Give each address of a test a port that no other address has

Cause: FreeAddress asked the kernel for any free port and gave it back at once, so two calls could return the same one. A node with two equal addresses cannot start, however often it is started again, and the soak waited 15 s for it. Class: a resource that is named to two owners because none holds it.

Change: a process gives each port once, checks that no program uses it on any IP, and keeps below the ports of outgoing connections.

--- a/test/harness/gateway-fixture.h
+++ b/test/harness/gateway-fixture.h
@@ -6,7 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -16,6 +15,7 @@
 #include "gateway/gateway-node-impl.h"
 #include "gateway/server-context.h"
 #include "harness/fake-deployment.h"
+#include "harness/net.h"
 #include "platform/store-client.h"
 #include "platform/wire.h"
 
@@ -23,13 +23,6 @@
 
 using GatewayUnderTest = GatewayNode<platform::StoreClient, platform::WireAdapter>;
 
-/** Returns an address on loopback, with this IP, whose port is free. */
-inline std::string FreeAddress(const std::string& ip = "127.0.0.1") {
-  boost::asio::io_context io;
-  boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::make_address(ip), 0});
-  return ip + ":" + std::to_string(acceptor.local_endpoint().port());
-}
-
 /** Returns a configuration with a stream, an order and a lookup route, and one team that holds the
  * API keys `keys`, a comma-separated list of JSON strings. */
 inline std::string ConfigJson(int version, const std::string& keys) {
@@ -104,7 +97,8 @@
     this->stores.push_back(std::make_unique<platform::StoreClient>(*this->io, store_address));
     this->nodes.push_back(std::make_unique<GatewayUnderTest>(
         *this->io, options, *this->stores.back(), this->adapter, Metrics::Create()));
-    CPPUNIT_ASSERT(this->nodes.back()->Start().has_value());
+    const auto started = this->nodes.back()->Start();
+    CPPUNIT_ASSERT_MESSAGE(started ? "" : started.error().message, started.has_value());
     this->caller_addresses.push_back(options.caller_address);
     this->peer_addresses.push_back(peer_address);
     this->caller_address = options.caller_address;
@@ -126,12 +120,19 @@
 
   void RunFor(int ms) { this->io->run_for(Milliseconds(ms)); }
 
-  void RunUntil(const std::function<bool()>& condition, int limit_ms) {
+  /** Returns whether `condition` becomes true in time. */
+  [[nodiscard]] bool Await(const std::function<bool()>& condition, int limit_ms) {
     const Deadline limit = Clock::now() + Milliseconds(limit_ms);
     while (!condition()) {
-      CPPUNIT_ASSERT_MESSAGE("the condition did not become true in time", Clock::now() < limit);
+      if (limit <= Clock::now()) return false;
       this->RunFor(10);
     }
+    return true;
+  }
+
+  void RunUntil(const std::function<bool()>& condition, int limit_ms) {
+    CPPUNIT_ASSERT_MESSAGE("the condition did not become true in time",
+                           this->Await(condition, limit_ms));
   }
 
   [[nodiscard]] std::string CompleteStream() const {
--- a/test/harness/net.cc
+++ b/test/harness/net.cc
@@ -7,6 +7,9 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
+#include <cstdint>
+#include <random>
+#include <stdexcept>
 
 namespace limpetfall::testing {
 
@@ -40,6 +43,22 @@
 
 }  // namespace
 
+std::string FreeAddress(const std::string& ip) {
+  // Below the usual ports of outgoing connections, one of which might take it before its owner.
+  constexpr std::uint32_t kFirstPort = 16384;
+  constexpr std::uint32_t kPorts = 16384;
+  static std::uint32_t next = std::random_device()() % kPorts;
+  for (std::uint32_t tried = 0; tried < kPorts; ++tried) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    asio::io_context io;
+    tcp::socket probe(io, tcp::v4());
+    error_code used;
+    probe.bind({asio::ip::address_v4::any(), port}, used);
+    if (!used) return ip + ":" + std::to_string(port);
+  }
+  throw std::runtime_error("all ports for tests are in use");
+}
+
 bool Eventually(const std::function<bool()>& condition) {
   const auto end = std::chrono::steady_clock::now() + kWaitTimeout;
   while (!condition()) {
--- a/test/harness/net.h
+++ b/test/harness/net.h
@@ -21,6 +21,10 @@
 
 namespace limpetfall::testing {
 
+/** Returns an address with this IP of loopback whose port no program uses on any IP. A process gets
+ * no port twice before it has had all of them. */
+std::string FreeAddress(const std::string& ip = "127.0.0.1");
+
 /** An io_context with threads that run it until destruction. */
 class IoThreads {
  public:
--- a/test/node-service-integration-test.cc
+++ b/test/node-service-integration-test.cc
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "base/log.h"
+#include "harness/net.h"
 #include "harness/tcp-relay.h"
 #include "node/node-service.h"
 
@@ -312,10 +313,7 @@
   /** Starts three nodes. The first two reach the third through the relay. */
   void StartNodesWithRelay(TcpRelay& relay) {
     this->StartNodes(2);
-    boost::asio::io_context io;
-    boost::asio::ip::tcp::acceptor free(io, {boost::asio::ip::make_address(LoopbackIp(3)), 0});
-    const std::string address = LoopbackIp(3) + ":" + std::to_string(free.local_endpoint().port());
-    free.close();
+    const std::string address = testing::FreeAddress(LoopbackIp(3));
     auto node = std::make_unique<TestNode>();
     NodeServiceOptions own = this->options;
     own.self = {NodeId("node-2"), ZoneId("z"), "c2", address, 0, {}};
--- a/test/planned-work-soak-integration-test.cc
+++ b/test/planned-work-soak-integration-test.cc
@@ -186,7 +186,9 @@
       node.listening = true;
       node.started = this->run.begun - kSettleTime;
     }
-    asio::co_spawn(*this->io, this->WatchProcesses(), asio::detached);
+    asio::co_spawn(*this->io, this->WatchProcesses(), [this](const std::exception_ptr& thrown) {
+      if (thrown) this->Violate("the processes are no longer watched");
+    });
     this->SpawnCallers();
     this->RunFor(1000);
     this->SpawnWork();
@@ -194,7 +196,8 @@
     this->run.work_ends = true;
     this->CheckAllServe();
     this->run.callers_end = true;
-    this->RunUntil([this] { return this->run.callers == 0; }, 12000);
+    if (!this->Await([this] { return this->run.callers == 0; }, 12000))
+      this->Violate(std::to_string(this->run.callers) + " callers still wait");
     this->RunFor(500);
     this->Judge();
     return this->run.violations.empty();
@@ -574,11 +577,14 @@
 
   /** Waits until all nodes run and serve each kind of request again. */
   void CheckAllServe() {
-    const auto all_run = [this] {
-      return std::all_of(this->run.nodes.begin(), this->run.nodes.end(),
-                         [](const NodeState& node) { return node.listening && !node.stopped; });
+    const auto serves = [](const NodeState& node) { return node.listening && !node.stopped; };
+    const auto all_serve = [&] {
+      return std::all_of(this->run.nodes.begin(), this->run.nodes.end(), serves);
     };
-    this->RunUntil(all_run, 15000);
+    if (!this->Await(all_serve, 15000)) {
+      for (std::size_t i = 0; i < kNodes; ++i)
+        if (!serves(this->run.nodes[i])) this->Violate(this->DescribeNode(i));
+    }
     this->RunFor(static_cast<int>(kSettleTime.count()));
     for (std::size_t i = 0; i < kNodes; ++i) {
       this->caller_address = this->caller_addresses[i];
@@ -600,6 +606,16 @@
     }
   }
 
+  [[nodiscard]] std::string DescribeNode(std::size_t index) const {
+    const NodeState& node = this->run.nodes[index];
+    std::ostringstream text;
+    text << "p" << index << " does not come back: start " << node.start << " at "
+         << this->Since(node.started) << (node.running ? ", runs" : ", ended")
+         << (node.listening ? ", listens" : ", does not listen");
+    if (node.stopped) text << ", SIGTERM at " << this->Since(*node.stopped);
+    return text.str();
+  }
+
   void CountRunsOfRequests() {
     const auto& seen = this->deployment->runner_requests;
     for (; this->run.counted < seen.size(); ++this->run.counted) {
