Do not send on requests whose callers have left a busy node

What callers saw: requests ran although their callers had left (GONE).

Cause: a node learns from its event loop that a caller has left. Of a request that waits unread in the socket of an overloaded node, that news comes after the request itself, and a request that gets a slot and a kept connection at once is sent on before it. Class: a decision from news that waits in a queue behind it.

Change: right before a request is sent on, the node asks the system whether the peer has closed or shut down its sending side. RDHUP shows this also behind unread bytes.

Evidence: RequestWhoseCallerHasLeftIsNotSentOn (a suspended process) fails before and passes now.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -667,6 +667,12 @@
     call.error = allowed.error();
     co_return Outcome::kNotRun;
   }
+  // On a busy node, the event loop reports late that the caller has left.
+  if (exchange.IsPeerClosed()) {
+    this->pool.Release(connection);
+    exchange.Abort();
+    co_return Outcome::kCallerDisconnected;
+  }
   ++call.sends;
 
   const TimePoint sent = Clock::now();
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 
 #include <atomic>
@@ -162,6 +163,11 @@
     return static_cast<std::size_t>(bytes);
   }
 
+  [[nodiscard]] bool IsPeerClosed() {
+    pollfd peer{this->socket.native_handle(), POLLRDHUP, 0};
+    return !this->socket.is_open() || ::poll(&peer, 1, 0) > 0;
+  }
+
   static asio::awaitable<void> Run(std::shared_ptr<Connection> self) {
     error_code ignored;
     self->socket.set_option(tcp::no_delay(true), ignored);
@@ -428,6 +434,8 @@
     co_return co_await this->WriteBytes(end, State::kDone);
   }
 
+  [[nodiscard]] bool IsPeerClosed() const override { return this->connection.IsPeerClosed(); }
+
   void Abort() override {
     this->state = State::kWriteIncomplete;
     this->connection.Close();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -33,7 +33,11 @@
   /** Ends the chunked body. Without this call the connection closes after the handler. */
   virtual boost::asio::awaitable<Result<void>> FinishStream() = 0;
 
-  /** Closes the connection without a response or the rest of one. For the test stand-ins. */
+  /** Returns whether the peer has closed the connection or shut down its sending side, even if the
+   * event loop has not reported it yet. */
+  [[nodiscard]] virtual bool IsPeerClosed() const = 0;
+
+  /** Closes the connection without a response or the rest of one. */
   virtual void Abort() {}
 };
 
--- a/test/request-end-integration-test.cc
+++ b/test/request-end-integration-test.cc
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(RequestCutAtTheEndOfGraceIsLogged);
   CPPUNIT_TEST(RequestThatRanAndFailedIsLoggedAmongManyRefusals);
   CPPUNIT_TEST(StreamOfSlowCallerStaysAtItsUpstream);
+  CPPUNIT_TEST(RequestWhoseCallerHasLeftIsNotSentOn);
+  CPPUNIT_TEST(RequestWhoseDeadlinePassesAtABusyNodeIsNotSentOn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -112,6 +114,49 @@
     CPPUNIT_ASSERT(!this->FindLine("upstream_failure", "request", "slow"));
   }
 
+  // Guards against requests that run although their callers left before a busy node read them
+  // (GONE).
+  void RequestWhoseCallerHasLeftIsNotSentOn() {
+    this->StartProcesses(1);
+    const std::vector<std::pair<std::string, std::string>> kinds = {
+        {"GET", "/chat/1"}, {"POST", "/order/1"}, {"GET", "/lookup/1"}};
+    for (const auto& [method, target] : kinds) {
+      // Leaves an idle connection to an upstream, on which a request is sent at once.
+      CPPUNIT_ASSERT_EQUAL(200, this->SendAndWait(method, target, "before", "k1", "{}").status);
+      const std::string id = "left" + target;
+      this->processes.front()->Suspend();
+      this->SendWithoutReading(id, method, target)->Close();
+      this->processes.front()->Resume();
+      this->RunFor(300);
+      for (const RunnerRequest& seen : this->deployment->runner_requests)
+        CPPUNIT_ASSERT(GetHeader(seen.headers, "X-Request-Id") != id);
+    }
+  }
+
+  // Guards against requests that run after their deadline, because a busy node handles the end of
+  // their wait late (GONE).
+  void RequestWhoseDeadlinePassesAtABusyNodeIsNotSentOn() {
+    this->StartProcesses(1);
+    this->deployment->events_in_stream = 30;
+    this->deployment->event_interval = Milliseconds(50);
+    constexpr std::size_t kSlots = 18;
+    std::vector<std::optional<Answer>> running(kSlots);
+    for (std::size_t i = 0; i < kSlots; ++i)
+      this->StartRequest("GET", "/chat/1", "s" + std::to_string(i), "k1", "", running[i]);
+    this->RunUntil([&] { return this->deployment->runner_requests.size() == kSlots; }, 1000);
+    HttpRequest request = this->MakeRequest("GET", "/chat/1", "late", "k1", "");
+    request.headers["X-Deadline-Ms"] = "1200";
+    std::optional<Answer> answer;
+    asio::co_spawn(*this->io, this->Send(request, answer), asio::detached);
+    this->RunFor(800);
+    this->processes.front()->Suspend();
+    this->RunFor(1500);
+    this->processes.front()->Resume();
+    this->RunUntil([&] { return answer.has_value(); }, 2000);
+    CPPUNIT_ASSERT_EQUAL(503, answer->status);
+    CPPUNIT_ASSERT_EQUAL(kSlots, this->deployment->runner_requests.size());
+  }
+
  private:
   void Stop() {
     this->processes.front()->Signal(SIGTERM);
@@ -120,7 +165,9 @@
   }
 
   /** Sends a stream request and reads nothing of the response. */
-  std::shared_ptr<HttpConnection> SendWithoutReading(const std::string& id) {
+  std::shared_ptr<HttpConnection> SendWithoutReading(const std::string& id,
+                                                     const std::string& method = "GET",
+                                                     const std::string& target = "/chat/1") {
     std::shared_ptr<HttpConnection> connection;
     asio::co_spawn(
         *this->io,
@@ -128,7 +175,8 @@
           const Deadline deadline = Clock::now() + Milliseconds(20000);
           connection =
               (co_await HttpConnection::Connect(*this->io, this->caller_address, deadline)).value();
-          const HttpRequest request = this->MakeRequest("GET", "/chat/1", id, "k1", "");
+          const std::string body = method == "POST" ? "{}" : "";
+          const HttpRequest request = this->MakeRequest(method, target, id, "k1", body);
           (co_await connection->Send(request, deadline)).value();
         },
         asio::detached);
