Give a slot back when its request is refused as it gets the slot

What operators would see: a node whose estimate of running requests grows with each quarantine and each stop, so that later callers wait where they should be refused.

Cause: a waiting request that got a slot and was refused before its coroutine went on, by a quarantine or by the stop of the node, gave back the upstream's slot, but not its place among the running requests. The object that ends both was made only after the check. Class: a resource that has no owner between two steps.

Change: the slot is made where it is granted, and its owner ends both.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -225,14 +225,14 @@
   Waiter& operator=(const Waiter&) = delete;
   ~Waiter() {
     this->relay.waiters.erase(this->id);
-    if (!this->ticket) this->relay.queue.Cancel(this->id);
+    if (!this->slot) this->relay.queue.Cancel(this->id);
   }
 
   Relay& relay;
   Call& call;
   asio::steady_timer timer;
   AdmissionId id = 0;
-  std::optional<DispatchTicket> ticket;
+  std::optional<UpstreamSlot> slot;
 };
 
 Relay::Relay(asio::io_context& context, RelayOptions settings, DispatchTable& dispatch,
@@ -341,7 +341,7 @@
       continue;
     }
     this->queue.Start(*id, now);
-    waiter->second->ticket.emplace(std::move(*ticket));
+    waiter->second->slot.emplace(*this, *id, std::move(*ticket));
     waiter->second->timer.cancel();
     this->waiters.erase(waiter);
   }
@@ -512,7 +512,7 @@
   waiter.id = id.value();
   this->waiters.emplace(waiter.id, &waiter);
   this->DispatchWaiting();
-  if (!waiter.ticket) {
+  if (!waiter.slot) {
     waiter.timer.expires_at(request.start_by);
     if (call.parked_stream) {
       call.parked_stream->connection->NotifyReadable([this, id = waiter.id] {
@@ -525,10 +525,10 @@
     co_await waiter.timer.async_wait(kNoThrow);
   }
   BOOST_OUTCOME_CO_TRY(this->CheckAllowed(call));
-  if (!waiter.ticket) {
+  if (!waiter.slot) {
     co_return NotRun(ErrorCode::kResourceExhausted, "no upstream slot became free in time");
   }
-  co_return UpstreamSlot(*this, waiter.id, std::move(*waiter.ticket));
+  co_return std::move(*waiter.slot);
 }
 
 HttpRequest Relay::UpstreamRequest(const Call& call, const HttpRequest& request,
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -130,6 +130,7 @@
   }
 
   [[nodiscard]] std::size_t waiting() const { return this->queue.queued(); }
+  [[nodiscard]] std::size_t running() const { return this->queue.running(); }
 
  private:
   struct Call;
--- a/test/gateway-integration-test.cc
+++ b/test/gateway-integration-test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(NodeWithoutStoreAccessFollowsAnotherNode);
   CPPUNIT_TEST(FollowerSwitchesFromNodeThatStoreRefuses);
   CPPUNIT_TEST(StandbyNodesMakeNoWatchCalls);
+  CPPUNIT_TEST(RequestRefusedAsItGetsItsSlotGivesTheSlotBack);
   CPPUNIT_TEST(StatusOfOrderThatHasRunIsNoPromise);
   CPPUNIT_TEST(LeaderOnStandbyKnowsLoadOfAllNodes);
   CPPUNIT_TEST(GroupWithUnresponsiveHeadIsNotUsed);
@@ -395,6 +396,29 @@
 
   // Guards against a promise of "not run" for an order that has run, which its caller would repeat
   // (review/5, REFUSED): only a header of the upstream states it, whatever the status.
+  // Guards against requests that count as running for ever.
+  void RequestRefusedAsItGetsItsSlotGivesTheSlotBack() {
+    this->stop_grace = Milliseconds(700);
+    this->StartServing();
+    this->deployment->event_interval = Milliseconds(20);
+    constexpr std::size_t kSlots = 18;
+    std::list<std::optional<Answer>> running;
+    for (std::size_t i = 0; i < kSlots; ++i) {
+      this->StartRequest("GET", "/chat/1", "s" + std::to_string(i), "k1", "",
+                         running.emplace_back());
+    }
+    std::optional<Answer> answer;
+    this->StartRequest("GET", "/chat/1", "waits", "k1", "", answer);
+    const Relay& relay = this->nodes.front()->state().relay;
+    this->RunUntil([&] { return relay.waiting() == 1; }, 500);
+    // The request has got its slot, and its coroutine has not been resumed yet.
+    while (relay.waiting() == 1) this->io->run_one_for(Milliseconds(5));
+    this->nodes.front()->Stop([] {});
+    this->RunUntil([&] { return answer.has_value(); }, 1000);
+    CPPUNIT_ASSERT_EQUAL(503, answer->status);
+    this->RunUntil([&] { return relay.running() == 0; }, 2000);
+  }
+
   void StatusOfOrderThatHasRunIsNoPromise() {
     this->StartServing();
     for (const int status : {400, 408, 409, 429, 500, 503, 504}) {
