--- a/test/gateway-integration-test.cc
+++ b/test/gateway-integration-test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <list>
 
 #include "harness/gateway-fixture.h"
@@ -29,6 +30,7 @@
   CPPUNIT_TEST(FollowerSwitchesFromNodeThatStoreRefuses);
   CPPUNIT_TEST(StandbyNodesMakeNoWatchCalls);
   CPPUNIT_TEST(RequestRefusedAsItGetsItsSlotGivesTheSlotBack);
+  CPPUNIT_TEST(LongDeadlineOfOneCallerMakesOthersNoRetries);
   CPPUNIT_TEST(StatusOfOrderThatHasRunIsNoPromise);
   CPPUNIT_TEST(LeaderOnStandbyKnowsLoadOfAllNodes);
   CPPUNIT_TEST(GroupWithUnresponsiveHeadIsNotUsed);
@@ -419,6 +421,32 @@
     this->RunUntil([&] { return relay.running() == 0; }, 2000);
   }
 
+  // Guards against first requests that count as retries, because one caller would wait for longer
+  // than the route allows.
+  void LongDeadlineOfOneCallerMakesOthersNoRetries() {
+    this->StartServing();
+    HttpRequest request = this->MakeRequest("GET", "/chat/1", "patient", "k1", "");
+    request.headers["X-Deadline-Ms"] = std::to_string(std::numeric_limits<std::int64_t>::max());
+    std::optional<Answer> patient;
+    boost::asio::co_spawn(*this->io, this->Send(request, patient), boost::asio::detached);
+    this->RunUntil([&] { return patient.has_value(); }, 3000);
+    CPPUNIT_ASSERT_EQUAL(200, patient->status);
+    this->deployment->event_interval = Milliseconds(200);
+    constexpr std::size_t kSlots = 18;
+    std::list<std::optional<Answer>> running;
+    for (std::size_t i = 0; i < kSlots; ++i) {
+      this->StartRequest("GET", "/chat/1", "s" + std::to_string(i), "k1", "",
+                         running.emplace_back());
+    }
+    const Relay& relay = this->nodes.front()->state().relay;
+    this->RunUntil([&] { return relay.running() == kSlots; }, 500);
+    std::optional<Answer> answer;
+    this->StartRequest("GET", "/chat/1", "first", "k1", "", answer);
+    // A first request waits for no longer than its objective of 400 ms.
+    this->RunUntil([&] { return answer.has_value(); }, 600);
+    CPPUNIT_ASSERT_EQUAL(503, answer->status);
+  }
+
   void StatusOfOrderThatHasRunIsNoPromise() {
     this->StartServing();
     for (const int status : {400, 408, 409, 429, 500, 503, 504}) {
