--- a/test/event-buffer-test.cc
+++ b/test/event-buffer-test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
 #include <random>
 
 namespace limpetfall {
@@ -12,6 +13,7 @@
   CPPUNIT_TEST(PartialEventIsNotReturned);
   CPPUNIT_TEST(GapInEventIdsIsAnError);
   CPPUNIT_TEST(RepeatedEventIdIsAnError);
+  CPPUNIT_TEST(NoEventFollowsTheLargestId);
   CPPUNIT_TEST(EventBeforeAGapIsNotCountedAsReturned);
   CPPUNIT_TEST(EventWithoutEndIsAnErrorAtTheLimit);
   CPPUNIT_TEST(SeveralEventsInOneReadAreAllReturned);
@@ -49,6 +51,13 @@
     CPPUNIT_ASSERT(!buffer.TakeCompleteEvents());
   }
 
+  // Guards against an overflow after the id that a caller states.
+  void NoEventFollowsTheLargestId() {
+    EventBuffer buffer(std::numeric_limits<std::int64_t>::max());
+    buffer.bytes() = "id: -9223372036854775808\ndata: x\n\n";
+    CPPUNIT_ASSERT(!buffer.TakeCompleteEvents());
+  }
+
   // Guards against an event that no caller receives: a read contains a valid event and one that
   // does not follow it, and another upstream continues after the valid one.
   void EventBeforeAGapIsNotCountedAsReturned() {
