Obey pauses of more than a minute to their end

What runners saw: requests in the pause that they had asked for (BUDGET), from 60 s after a refusal with a longer Retry-After.

Cause: the pause was cut to 60 s, as if a longer one could only be a mistake. Class: a bound that guards the arithmetic stands where the other side's word counts.

Change: pauses are cut only so far that they fit a time point, at 30 days. A pause ends with the boot of the runner, as before.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -45,8 +45,8 @@
 // The listener of an ending process may close after its connections.
 constexpr Milliseconds kListenerCloseDelay{20};
 
-// An upstream that asks for a longer pause is asked again after this time.
-constexpr double kMaxPauseS = 60;
+// Longer pauses are cut, so that they fit a time point. No upstream lives for so long.
+constexpr double kMaxPauseS = 30 * 86400;
 
 // Callers honour a Retry-After of up to a third of their remaining time.
 constexpr double kRetryAfterFraction = 0.3;
--- a/test/runner-request-integration-test.cc
+++ b/test/runner-request-integration-test.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(RunnerThatSaysItLeavesGetsNothingNewUntilItRestarts);
   CPPUNIT_TEST(GroupWhoseHeadSaysItLeavesGetsNoNewStream);
   CPPUNIT_TEST(RunnerThatAsksForPauseGetsNothingMeanwhile);
+  CPPUNIT_TEST(PauseOfMoreThanAMinuteIsObeyedToItsEnd);
   CPPUNIT_TEST(ShorterPauseDoesNotShortenLongerOne);
   CPPUNIT_TEST(CallersAreRefusedAtOnceWhileAllRunnersPause);
   CPPUNIT_TEST(InvalidPauseIsIgnored);
@@ -86,6 +87,22 @@
     this->SendUntilReached("b1");
   }
 
+  // Guards against runners that get requests in the pause that they asked for (BUDGET).
+  void PauseOfMoreThanAMinuteIsObeyedToItsEnd() {
+    this->StartServing();
+    this->Refuse("b1", "3600");
+    this->Refuse("b2", "1e300");
+    this->deployment->plain_response_delay = Milliseconds(50);
+    for (const std::string runner : {"b1", "b2"}) {
+      if (this->CountSentTo(runner) == 0) this->SendUntilReached(runner);
+    }
+    const TimePoint now = Clock::now();
+    const auto paused_until = this->nodes.front()->state().dispatch.PausedUntil(
+        {ServiceName("book"), ModelName(), {}}, now);
+    CPPUNIT_ASSERT(paused_until);
+    CPPUNIT_ASSERT(now + std::chrono::minutes(59) < *paused_until);
+  }
+
   void ShorterPauseDoesNotShortenLongerOne() {
     this->StartServing();
     this->deployment->RemoveRunnerEntry("b2");
