Close idle connections to upstreams when they expire

What operators would see: descriptors that grow with each upstream that is replaced.

Cause: an idle connection was closed only when its address was used again. Class: a cache that only its own hits clean.

Change: the pool drops expired connections and empty addresses at each refresh.

Evidence: ExpiredIdleConnectionIsClosed fails when the pool keeps them, as before, and passes now. Not run: some hundreds of replaced upstreams.

--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -864,6 +864,7 @@
   for (;;) {
     co_await detail::PauseUntil(Clock::now() + gateway_detail::kRefreshInterval);
     this->gateway_state.relay.ExpireWaiting();
+    this->gateway_state.pool.CloseExpired(Clock::now());
     this->gateway_state.Refresh();
   }
 }
--- a/src/gateway/http-connection.cc
+++ b/src/gateway/http-connection.cc
@@ -255,7 +255,7 @@
 }
 
 bool HttpConnection::IsReusable(TimePoint now) {
-  if (!this->complete || !this->socket.is_open() || this->reusable_until <= now) return false;
+  if (!this->complete || !this->socket.is_open() || this->IsExpired(now)) return false;
   // A readable idle connection was closed by the peer or contains an unsolicited response.
   error_code error;
   this->socket.non_blocking(true, error);
@@ -287,4 +287,10 @@
 
 void ConnectionPool::CloseIdle(const std::string& address) { this->idle.erase(address); }
 
+void ConnectionPool::CloseExpired(TimePoint now) {
+  const auto is_expired = [now](const auto& connection) { return connection->IsExpired(now); };
+  for (auto& [address, connections] : this->idle) std::erase_if(connections, is_expired);
+  std::erase_if(this->idle, [](const auto& entry) { return entry.second.empty(); });
+}
+
 }  // namespace limpetfall
--- a/src/gateway/http-connection.h
+++ b/src/gateway/http-connection.h
@@ -119,6 +119,9 @@
 
   [[nodiscard]] bool IsOpen() const { return this->socket.is_open(); }
 
+  /** Returns whether the idle timeout of the connection has passed. */
+  [[nodiscard]] bool IsExpired(TimePoint now) const { return this->reusable_until <= now; }
+
   /** Returns whether the last response ended cleanly and another request can be sent. */
   [[nodiscard]] bool IsReusable(TimePoint now);
 
@@ -164,6 +167,9 @@
   /** Closes the idle connections to an address, for example after a reset there. */
   void CloseIdle(const std::string& address);
 
+  /** Closes the idle connections that can no longer be used. */
+  void CloseExpired(TimePoint now);
+
  private:
   boost::asio::io_context& io;
   std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> idle;
--- a/test/http-connection-test.cc
+++ b/test/http-connection-test.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/lexical_cast.hpp>
 #include <random>
+#include <tuple>
 
 #include "gateway/server-context.h"
 #include "harness/endless-server.h"
@@ -27,6 +28,7 @@
   CPPUNIT_TEST(TruncatedResponsesAreErrors);
   CPPUNIT_TEST(ExtraBytesMakeConnectionNotReusable);
   CPPUNIT_TEST(ConnectionIsNotReusedPastItsIdleTimeout);
+  CPPUNIT_TEST(ExpiredIdleConnectionIsClosed);
   CPPUNIT_TEST(UnresponsivePeerTimesOut);
   CPPUNIT_TEST(RefusedConnectionHasVerdictNotRun);
   CPPUNIT_TEST(DamagedResponsesDoNotCrash);
@@ -88,6 +90,52 @@
     CPPUNIT_ASSERT(!this->reusable);
   }
 
+  // Guards against connections to addresses of the past, which stay open for ever.
+  void ExpiredIdleConnectionIsClosed() {
+    ServerContext io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string address = boost::lexical_cast<std::string>(acceptor.local_endpoint());
+    ConnectionPool pool(io);
+    bool is_idle = false;
+    bool is_closed = false;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          const Deadline deadline = Clock::now() + Milliseconds(2000);
+          const auto connection = (co_await pool.Acquire(address, deadline)).value();
+          HttpRequest request;
+          request.method = "GET";
+          request.target = "/";
+          is_idle = (co_await connection->Call(request, deadline, 0)).has_value();
+          pool.Release(connection);
+        },
+        asio::detached);
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          constexpr std::string_view kResponse =
+              "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n";
+          tcp::socket peer = co_await acceptor.async_accept(asio::use_awaitable);
+          co_await asio::async_write(peer, asio::buffer(kResponse), asio::use_awaitable);
+          std::string received(1 << 10, 0);
+          boost::system::error_code error;
+          while (!error) {
+            std::tie(error, std::ignore) = co_await peer.async_read_some(
+                asio::buffer(received), asio::as_tuple(asio::use_awaitable));
+          }
+          is_closed = true;
+        },
+        asio::detached);
+    io.run_for(Milliseconds(200));
+    pool.CloseExpired(Clock::now());
+    io.run_for(Milliseconds(50));
+    CPPUNIT_ASSERT(is_idle && !is_closed);
+    pool.CloseExpired(Clock::now() + Milliseconds(500));
+    io.run_for(Milliseconds(50));
+    CPPUNIT_ASSERT(is_closed);
+    io.DropPending();
+  }
+
   // Guards against a request that waits for an unresponsive peer forever.
   void UnresponsivePeerTimesOut() {
     const auto answer = this->Fetch({"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"}, true);
