--- a/test/platform-wire-test.cc
+++ b/test/platform-wire-test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(DeeplyNestedEntryIsAnError);
   CPPUNIT_TEST(InvalidEntryDoesNotAffectOtherEntries);
   CPPUNIT_TEST(ConfigurationDecodesAllFields);
+  CPPUNIT_TEST(ConfigurationWithoutSlotsOrMembersIsAnError);
   CPPUNIT_TEST(EncodedOrderContainsExpectedOrderCount);
   CPPUNIT_TEST(DecodingDamagedTextDoesNotCrash);
   CPPUNIT_TEST(LastPromptPartIsNotShared);
@@ -166,6 +167,19 @@
 
   // Guards against requests that are repeated or resumed although the kind of their route forbids
   // it.
+  // Guards against a division by zero, and a group without members, in the planning of a leader.
+  void ConfigurationWithoutSlotsOrMembersIsAnError() {
+    const std::vector<std::pair<std::string, std::string>> fields = {{R"("slots":17)", "slots"},
+                                                                     {R"("size":4)", "size"}};
+    for (const auto& [valid, name] : fields) {
+      for (const char* value : {"0", "-1", "0.4", "null"}) {
+        std::string document = kConfigDocument;
+        document.replace(document.find(valid), valid.size(), "\"" + name + "\":" + value);
+        CPPUNIT_ASSERT_MESSAGE(document, !platform::DecodeConfig(document));
+      }
+    }
+  }
+
   void ConfigurationDecodesAllFields() {
     const GatewayConfig config = platform::DecodeConfig(kConfigDocument).value();
     CPPUNIT_ASSERT_EQUAL(ConfigVersion{9}, config.version);
