Do not take an upstream for removed because a restored store lacks its entry

What operators would see: two restores of the store in series, and for eight seconds a sound upstream counts as gone. Its group is dissolved while its head serves (TWO, where the head runs on for longer than the stall time that nodes are told), and its capacity is missing.

Cause: an entry that a restored store lacks is kept for 2.2 s, in which a running upstream writes it again, and then dropped as if the store had removed it. The time passed while the store was away again, so the upstream could not write. Its entry in the next copy then met the memory of removed upstreams, which holds such an entry back for 8 s. Class: a presumption that is kept as knowledge.

Change: the 2.2 s must be covered by what was read of the store, and an upstream that is dropped on this presumption is not remembered as removed.

RunnerRegistryTest has both steps; each of its two new tests fails without its part of the change.

--- a/src/core/runner-registry.cc
+++ b/src/core/runner-registry.cc
@@ -56,8 +56,16 @@
 
 void RunnerRegistry::Remove(const VmId& id, ChangeOrigin origin, TimePoint now) {
   this->held.erase(id);
-  if (origin == ChangeOrigin::kWritten) return this->Erase(id, now);
-  if (this->known.contains(id)) this->held[id] = {std::nullopt, now + this->options.rewrite_time};
+  const auto found = this->known.find(id);
+  if (found == this->known.end()) return;
+  if (origin == ChangeOrigin::kRestored) {
+    this->held[id] = {std::nullopt, now + this->options.rewrite_time};
+    return;
+  }
+  // A copy is some seconds old at most, and the store may be away before it is restored.
+  constexpr Milliseconds kMemory{60000};
+  this->removed[id] = {found->second.started_ms, now + kMemory};
+  this->Erase(id);
 }
 
 void RunnerRegistry::Confirm(const VmId& id, std::int64_t started_ms,
@@ -73,11 +81,11 @@
   for (auto& [id, runner] : this->known) runner.is_confirmed = false;
 }
 
-void RunnerRegistry::ApplyDue(TimePoint now) {
+void RunnerRegistry::ApplyDue(TimePoint now, TimePoint store_read) {
   std::erase_if(this->removed,
                 [now](const auto& entry) { return entry.second.remembered_until <= now; });
   for (auto it = this->held.begin(); it != this->held.end();) {
-    if (now < it->second.until) {
+    if ((it->second.runner ? now : store_read) < it->second.until) {
       ++it;
       continue;
     }
@@ -86,7 +94,8 @@
     if (entry.runner) {
       this->Store(*entry.runner);
     } else {
-      this->Erase(id, now);
+      // That it has ended is a presumption, which its entry in a later copy may refute.
+      this->Erase(id);
     }
   }
 }
@@ -105,13 +114,8 @@
   this->known.insert_or_assign(runner.id, std::move(runner));
 }
 
-void RunnerRegistry::Erase(const VmId& id, TimePoint now) {
-  const auto found = this->known.find(id);
-  if (found == this->known.end()) return;
-  // A copy is some seconds old at most, and the store may be away before it is restored.
-  constexpr Milliseconds kMemory{60000};
-  this->removed[id] = {found->second.started_ms, now + kMemory};
-  this->known.erase(found);
+void RunnerRegistry::Erase(const VmId& id) {
+  this->known.erase(id);
   this->by_hash.erase(UpstreamHash(id));
 }
 
--- a/src/core/runner-registry.h
+++ b/src/core/runner-registry.h
@@ -30,7 +30,7 @@
  * not confirmed. Performs no I/O.
  *
  *     registry.Apply(runner, ChangeOrigin::kRestored, now);
- *     for (;;) registry.ApplyDue(Clock::now());
+ *     for (;;) registry.ApplyDue(Clock::now(), store_read);
  */
 class RunnerRegistry {
  public:
@@ -49,8 +49,9 @@
   /** Marks all memberships as not confirmed: entries may be older than the last restore. */
   void DoubtMemberships();
 
-  /** Applies the entries that are no longer held back. */
-  void ApplyDue(TimePoint now);
+  /** Applies the entries that are no longer held back. What the store held at `store_read` has been
+   * applied before: an upstream cannot write its entry again while the store is away. */
+  void ApplyDue(TimePoint now, TimePoint store_read);
 
   [[nodiscard]] const std::map<VmId, Runner>& runners() const { return this->known; }
 
@@ -77,7 +78,7 @@
 
   void ApplyRestored(Runner restored, TimePoint now);
   void Store(Runner runner);
-  void Erase(const VmId& id, TimePoint now);
+  void Erase(const VmId& id);
 
   RunnerRegistryOptions options;
   std::map<VmId, Runner> known;
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -235,6 +235,8 @@
     this->gateway_state.OnStoreRestored(was_seen, now);
     this->LogRestore(before, now);
   }
+  const BootClock::duration proof_age = BootClock::now() - this->mirror.confirmed();
+  this->gateway_state.store_read = now - std::chrono::duration_cast<Clock::duration>(proof_age);
   this->gateway_state.ConfirmConfiguration(this->mirror.confirmed(), now);
   this->gateway_state.Refresh();
 }
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -176,6 +176,7 @@
   GroupPlan plan;                              ///< The newest one known.
   std::vector<Quarantine> stored_quarantines;  ///< Those in the store.
   std::shared_ptr<const RouteTable> routes;
+  TimePoint store_read;             ///< What the store held then has been applied.
   BootTime confirmed;               ///< Latest time at which `routes` is proven to be in force.
   std::optional<StateItem> leader;  ///< Leader key; its holder assembles groups.
   NodeId leader_node;               ///< Holder of the leader key in this era; empty if none.
--- a/src/gateway/gateway-state.cc
+++ b/src/gateway/gateway-state.cc
@@ -154,7 +154,7 @@
 
 void GatewayState::Refresh() {
   const TimePoint now = Clock::now();
-  this->runners.ApplyDue(now);
+  this->runners.ApplyDue(now, this->store_read);
   if (!this->routes) return;
   std::map<ServiceName, int> slots;
   for (const auto& [name, service] : this->routes->config().services) {
--- a/test/runner-registry-test.cc
+++ b/test/runner-registry-test.cc
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(UpstreamThatLeavesByTheRestoredStoreLeaves);
   CPPUNIT_TEST(LaterProcessApplies);
   CPPUNIT_TEST(UpstreamMissingInTheCopyIsRemovedUnlessItWritesAgain);
+  CPPUNIT_TEST(UpstreamMissingInTheCopyStaysWhileTheStoreIsAway);
+  CPPUNIT_TEST(UpstreamThatWritesBeforeAnotherRestoreAppliesAtOnce);
   CPPUNIT_TEST(RemovedUpstreamDoesNotComeBackBeforeItsEntryWouldExpire);
   CPPUNIT_TEST(UnknownUpstreamOfTheCopyAppliesAtOnce);
   CPPUNIT_TEST(SecondRestoreHoldsBackAgain);
@@ -80,7 +82,7 @@
     joined.membership = Member(9, MembershipStage::kReady);
     joined.revision = {2, 150};
     this->registry.Apply(joined, ChangeOrigin::kRestored, At(0));
-    this->registry.ApplyDue(At(60'000));
+    this->registry.ApplyDue(At(60'000), At(60'000));
     CPPUNIT_ASSERT(this->Find("i-1")->membership == joined.membership);
   }
 
@@ -89,7 +91,7 @@
     this->Write("i-1", true);
     this->Restore("i-1", false, 0);
     CPPUNIT_ASSERT(this->Find("i-1")->leaving);
-    this->registry.ApplyDue(At(5000));
+    this->registry.ApplyDue(At(5000), At(5000));
     CPPUNIT_ASSERT(this->Find("i-1")->leaving);
   }
 
@@ -117,27 +119,49 @@
     this->Write("i-2", false);
     for (const char* id : {"i-1", "i-2"})
       this->registry.Remove(VmId(id), ChangeOrigin::kRestored, At(0));
-    this->registry.ApplyDue(At(2000));
+    this->registry.ApplyDue(At(2000), At(2000));
     CPPUNIT_ASSERT(this->Find("i-1") != nullptr);
     this->Write("i-1", false);
-    this->registry.ApplyDue(At(2200));
+    this->registry.ApplyDue(At(2200), At(2200));
     CPPUNIT_ASSERT(this->Find("i-1") != nullptr);
     CPPUNIT_ASSERT(this->Find("i-2") == nullptr);
   }
 
+  // Guards against sound upstreams that are given up because the store goes away again before they
+  // can write.
+  void UpstreamMissingInTheCopyStaysWhileTheStoreIsAway() {
+    this->Write("i-1", false);
+    this->registry.Remove(VmId("i-1"), ChangeOrigin::kRestored, At(0));
+    this->registry.ApplyDue(At(5000), At(1000));
+    CPPUNIT_ASSERT(this->Find("i-1") != nullptr);
+    this->registry.ApplyDue(At(5100), At(2200));
+    CPPUNIT_ASSERT(this->Find("i-1") == nullptr);
+  }
+
+  // Guards against a head that serves and counts as removed, because it wrote its entry again just
+  // before the next restore.
+  void UpstreamThatWritesBeforeAnotherRestoreAppliesAtOnce() {
+    this->Write("i-1", false);
+    this->registry.Remove(VmId("i-1"), ChangeOrigin::kRestored, At(0));
+    this->registry.ApplyDue(At(2300), At(2300));
+    CPPUNIT_ASSERT(this->Find("i-1") == nullptr);
+    this->Restore("i-1", false, 3000);
+    CPPUNIT_ASSERT(this->Find("i-1") != nullptr);
+  }
+
   // Guards against requests to an upstream that is gone and that the copy still lists (DRAIN).
   void RemovedUpstreamDoesNotComeBackBeforeItsEntryWouldExpire() {
     this->Write("i-1", false);
     this->registry.Remove(VmId("i-1"), ChangeOrigin::kWritten, At(0));
     this->Restore("i-1", false, 1000);
-    this->registry.ApplyDue(At(8900));
+    this->registry.ApplyDue(At(8900), At(8900));
     CPPUNIT_ASSERT(this->Find("i-1") == nullptr);
-    this->registry.ApplyDue(At(9000));
+    this->registry.ApplyDue(At(9000), At(9000));
     CPPUNIT_ASSERT(this->Find("i-1") != nullptr);
     this->registry.Remove(VmId("i-1"), ChangeOrigin::kWritten, At(9000));
     this->Restore("i-1", false, 10000);
     this->registry.Remove(VmId("i-1"), ChangeOrigin::kWritten, At(12000));
-    this->registry.ApplyDue(At(30000));
+    this->registry.ApplyDue(At(30000), At(30000));
     CPPUNIT_ASSERT(this->Find("i-1") == nullptr);
   }
 
@@ -150,10 +174,10 @@
     this->Write("i-1", false);
     this->registry.Remove(VmId("i-1"), ChangeOrigin::kRestored, At(0));
     this->registry.Remove(VmId("i-1"), ChangeOrigin::kRestored, At(2000));
-    this->registry.ApplyDue(At(2300));
+    this->registry.ApplyDue(At(2300), At(2300));
     CPPUNIT_ASSERT(this->Find("i-1") != nullptr);
     this->Restore("i-1", false, 2500);
-    this->registry.ApplyDue(At(9000));
+    this->registry.ApplyDue(At(9000), At(9000));
     CPPUNIT_ASSERT(this->Find("i-1") != nullptr);
   }
 
