Tell nodes the stall time that the fake deployment uses

Cause: the fixture of real processes told nodes that a head which has lost a member stops after 1 s, while the fake deployment lets it run on, and judges joins, for 2 s. A join between the two was a violation that no node could avoid.

Change: the settings state the time of the fake deployment. The judgement is as strict as before. The soak of restored stores prints when an overlapping join took place and which runners were drained, replaced, crashed and ended.

--- a/test/harness/fake-deployment.cc
+++ b/test/harness/fake-deployment.cc
@@ -401,10 +401,11 @@
       !head.down && head.group.is_object() && head.group.at("name") == last.name &&
       head.group.at("epoch") == last.epoch && head.group.at("state") == "open";
   if (!head_is_open || (last.left && *last.left + this->stall_time < Clock::now())) return;
-  this->overlapping_joins.push_back(
-      runner.id + " joins " + body.at("group").get<std::string>() + " epoch " +
-      std::to_string(body.at("epoch").get<std::int64_t>()) + " while " + last.head + " serves " +
-      last.name + " epoch " + std::to_string(last.epoch) + (last.left ? ", left before" : ""));
+  this->overlapping_joins.emplace_back(
+      Clock::now(), runner.id + " joins " + body.at("group").get<std::string>() + " epoch " +
+                        std::to_string(body.at("epoch").get<std::int64_t>()) + " while " +
+                        last.head + " serves " + last.name + " epoch " +
+                        std::to_string(last.epoch) + (last.left ? ", left before" : ""));
 }
 
 int FakeDeployment::Order(FakeRunner& runner, const json& body) {
--- a/test/harness/fake-deployment.h
+++ b/test/harness/fake-deployment.h
@@ -194,7 +194,7 @@
   /** The time that a head runs on at most after one of its members has left. */
   Milliseconds stall_time{2000};
   /** Joins of another group while the head of the former one was open. */
-  std::vector<std::string> overlapping_joins;
+  std::vector<std::pair<TimePoint, std::string>> overlapping_joins;
   std::uint64_t watch_calls = 0;
   std::uint64_t transaction_calls = 0;  ///< Conditional writes that the store received.
 
--- a/test/harness/gateway-process-fixture.h
+++ b/test/harness/gateway-process-fixture.h
@@ -62,7 +62,8 @@
           << static_cast<double>(this->stop_grace.count()) / 1000
           << "\nstrict_keys = true\n"
              "key_revocation_ms = 5000\nretry_share = 0.2\nretry_slack = 100\n"
-             "retry_window_s = 10\ngroup_stall_ms = 1000\n";
+             "retry_window_s = 10\ngroup_stall_ms = "
+          << this->deployment->stall_time.count() << "\n";
       this->processes.push_back(Process::Start("limpetfall-gateway", {"--settings", settings_path},
                                                settings_path + ".log"));
       if (i == 0) this->caller_address = caller;
--- a/test/restored-store-soak-integration-test.cc
+++ b/test/restored-store-soak-integration-test.cc
@@ -124,7 +124,8 @@
     std::set<std::string> away;   ///< Runners that drain or restart.
     std::set<std::string> ended;  ///< Runners that never come back.
     int added_runners = 0;
-    std::map<std::string, int> work;  ///< Steps that took place, by name.
+    std::map<std::string, int> work;   ///< Steps that took place, by name.
+    std::vector<std::string> changes;  ///< Of runners, with their times.
     std::vector<std::string> violations;
   };
 
@@ -412,10 +413,14 @@
     if (away >= 2 || this->run.away.contains(chosen)) return false;
     const std::string id = chosen;
     this->run.away.insert(id);
+    const auto record = [&](const std::string& change) {
+      this->run.changes.push_back(id + change + " at " + this->Since(Clock::now()));
+    };
     Drain* drain = nullptr;
     Milliseconds time(0);
     if (kind == StepKind::kDrain) {
       ++this->run.work["runner draining"];
+      record(" draining");
       drain = &this->run.drains.emplace_back(Drain{id, std::nullopt, std::nullopt});
       this->deployment->SetRunnerState(id, "draining");
       if (this->deployment->store_mode == StoreMode::kServing) drain->published = Clock::now();
@@ -428,8 +433,10 @@
       chosen = (is_plain ? "b-new" : "r-new") + std::to_string(++this->run.added_runners);
       const std::string domain = is_plain ? "d0" : index < 4 ? "d1" : "d2";
       this->deployment->AddRunner(chosen, is_plain ? "book" : "llm", domain);
+      record(" replaced by " + chosen);
     } else if (kind == StepKind::kCrash) {
       ++this->run.work["runner crash"];
+      record(" crashed");
     }
     this->Spawn(this->EndLater(id, time, is_replaced, drain));
     return true;
@@ -441,6 +448,7 @@
     if (drain != nullptr) drain->ended = Clock::now();
     if (for_good) {
       this->run.ended.insert(id);
+      this->run.changes.push_back(id + " ended at " + this->Since(Clock::now()));
       this->deployment->EndRunner(id);
     } else {
       this->deployment->Crash(id);
@@ -582,7 +590,8 @@
         probes[{request->node, request->start}].push_back(request.get());
     }
     for (const auto& [process, answered] : probes) this->JudgeVersions(answered);
-    for (const std::string& text : this->deployment->overlapping_joins) this->Violate(text);
+    for (const auto& [time, text] : this->deployment->overlapping_joins)
+      this->Violate(text + " at " + this->Since(time));
     std::cout << "\nseed " << this->run.seed << ": 503 in calm " << refused_in_calm
               << ", keys refused as not confirmed until " << FormatTime(longest_denial)
               << " after the operator had written again";
@@ -757,6 +766,7 @@
         std::cout << ", operator wrote at " << this->Since(*outage.operator_written);
       std::cout << "\n";
     }
+    for (const std::string& text : this->run.changes) std::cout << text << "\n";
     for (const auto& [version, put] : this->run.config.versions())
       std::cout << "version " << version << " put at " << this->Since(put) << "\n";
     for (const std::string& text : this->run.violations) std::cout << "violation: " << text << "\n";
