Compare the first event id without an overflow

Found by review.

Change: the ids are compared only if there is one before.

Evidence: NoEventFollowsTheLargestId also reads such a first event. Without sanitizers it passes before too.

--- a/src/gateway/event-buffer.cc
+++ b/src/gateway/event-buffer.cc
@@ -34,8 +34,8 @@
     if (end == std::string::npos) break;
     const std::string_view event(this->buffer.data() + complete_bytes, end + 2 - complete_bytes);
     if (const auto id = EventId(event)) {
-      const bool follows = complete_id < *id && *id - 1 == complete_id;
-      if (complete_id && !follows) {
+      const bool follows = !complete_id || (*complete_id < *id && *id - 1 == *complete_id);
+      if (!follows) {
         return MayHaveRun(
             ErrorCode::kUpstreamProtocol,
             "event " + std::to_string(*id) + " follows event " + std::to_string(*complete_id));
--- a/test/event-buffer-test.cc
+++ b/test/event-buffer-test.cc
@@ -54,8 +54,12 @@
   // Guards against an overflow after the id that a caller states.
   void NoEventFollowsTheLargestId() {
     EventBuffer buffer(std::numeric_limits<std::int64_t>::max());
-    buffer.bytes() = "id: -9223372036854775808\ndata: x\n\n";
+    const std::string smallest = "id: -9223372036854775808\ndata: x\n\n";
+    buffer.bytes() = smallest;
     CPPUNIT_ASSERT(!buffer.TakeCompleteEvents());
+    EventBuffer first(std::nullopt);
+    first.bytes() = smallest;
+    CPPUNIT_ASSERT_EQUAL(smallest, first.TakeCompleteEvents().value());
   }
 
   // Guards against an event that no caller receives: a read contains a valid event and one that
