Look at the deadline once more before a request is sent on

Cause: on a busy node, a slot or a connection may come in the same turn of the event loop as the end of the wait for it, and before it. The request was then sent with its deadline in the past, and its upstream was blamed for the node's delay.

Change: such a request is refused as not run.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -665,7 +665,13 @@
     call.error = allowed.error();
     co_return Outcome::kNotRun;
   }
-  // On a busy node, the event loop reports late that the caller has left.
+  // On a busy node, the event loop reports late that the deadline has passed or the caller has
+  // left.
+  if (call.deadline <= Clock::now()) {
+    this->pool.Release(connection);
+    call.error = NotRun(ErrorCode::kDeadlineExceeded, "the deadline has passed");
+    co_return Outcome::kNotRun;
+  }
   if (exchange.IsPeerClosed()) {
     this->pool.Release(connection);
     exchange.Abort();
