--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -45,7 +45,7 @@
 // The listener of an ending process may close after its connections.
 constexpr Milliseconds kListenerCloseDelay{20};
 
-// Longer pauses are cut, so that they fit a time point. No upstream lives for so long.
+// Longer pauses are cut, so that they fit a time point.
 constexpr double kMaxPauseS = 30 * 86400;
 
 // Callers honour a Retry-After of up to a third of their remaining time.
