Tell retries of callers by the deadline that they state, as before

Cause: since, retries were told by the time that the route allows. Callers that state more than that looked like new ones when they came back, and no longer waited behind first requests.

Change: the stated deadline is compared again.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -265,7 +265,9 @@
   if (given) allowed = std::min(allowed, Milliseconds(std::max<std::int64_t>(0, *given)));
   call.deadline = call.arrived + allowed;
   call.is_caller_retry =
-      given && this->retry_detector.IsCallerRetry(call.route->name, allowed, call.route->objective);
+      given &&
+      this->retry_detector.IsCallerRetry(
+          call.route->name, Milliseconds(std::max<std::int64_t>(0, *given)), call.route->objective);
   call.proof_age =
       std::chrono::duration_cast<Milliseconds>(BootClock::now() - this->context.confirmed);
   call.model = ModelName(std::string(GetHeader(request.headers, this->options.headers.model)));
