Put the streams that occupy all slots into the fixture

Change: it is a part of the fixture and always waits. The registry names the time that its held entries are compared with.

No behaviour changes.

--- a/src/core/runner-registry.cc
+++ b/src/core/runner-registry.cc
@@ -85,7 +85,9 @@
   std::erase_if(this->removed,
                 [now](const auto& entry) { return entry.second.remembered_until <= now; });
   for (auto it = this->held.begin(); it != this->held.end();) {
-    if ((it->second.runner ? now : store_read) < it->second.until) {
+    // What an upstream without an entry has written since may not have been read yet.
+    const TimePoint passed = it->second.runner ? now : store_read;
+    if (passed < it->second.until) {
       ++it;
       continue;
     }
--- a/test/gateway-integration-test.cc
+++ b/test/gateway-integration-test.cc
@@ -534,16 +534,6 @@
     CPPUNIT_ASSERT(this->deployment->watch_calls - before_changes <= kReaders * (kChanges + 2));
     for (const auto& node : this->nodes) CPPUNIT_ASSERT(node->state().IsReady());
   }
-
- private:
-  /** Starts streams in all slots. The returned object must outlive them. */
-  std::unique_ptr<std::vector<std::optional<Answer>>> OccupySlots() {
-    constexpr std::size_t kSlots = 18;
-    auto running = std::make_unique<std::vector<std::optional<Answer>>>(kSlots);
-    for (std::size_t i = 0; i < kSlots; ++i)
-      this->StartRequest("GET", "/chat/1", "s" + std::to_string(i), "k1", "", (*running)[i]);
-    return running;
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayIntegrationTest);
--- a/test/harness/gateway-fixture.h
+++ b/test/harness/gateway-fixture.h
@@ -178,6 +178,18 @@
     boost::asio::co_spawn(*this->io, this->Send(std::move(request), answer), boost::asio::detached);
   }
 
+  /** Starts streams in all slots of the three groups, and waits until they run. The returned object
+   * must outlive them. */
+  std::unique_ptr<std::vector<std::optional<Answer>>> OccupySlots() {
+    constexpr std::size_t kSlots = 18;
+    const std::size_t expected = this->deployment->runner_requests.size() + kSlots;
+    auto running = std::make_unique<std::vector<std::optional<Answer>>>(kSlots);
+    for (std::size_t i = 0; i < kSlots; ++i)
+      this->StartRequest("GET", "/chat/1", "s" + std::to_string(i), "k1", "", (*running)[i]);
+    this->RunUntil([&] { return this->deployment->runner_requests.size() == expected; }, 1000);
+    return running;
+  }
+
   /** Sends a request and reads its answer. Returns why the answer is incomplete, if it is. */
   static boost::asio::awaitable<std::string> ReadAnswer(HttpConnection& connection,
                                                         const HttpRequest& request,
--- a/test/request-end-integration-test.cc
+++ b/test/request-end-integration-test.cc
@@ -150,16 +150,6 @@
   }
 
  private:
-  /** Starts streams in all slots. The returned object must outlive them. */
-  std::unique_ptr<std::vector<std::optional<Answer>>> OccupySlots() {
-    constexpr std::size_t kSlots = 18;
-    auto running = std::make_unique<std::vector<std::optional<Answer>>>(kSlots);
-    for (std::size_t i = 0; i < kSlots; ++i)
-      this->StartRequest("GET", "/chat/1", "s" + std::to_string(i), "k1", "", (*running)[i]);
-    this->RunUntil([&] { return this->deployment->runner_requests.size() == kSlots; }, 1000);
-    return running;
-  }
-
   void Stop() {
     this->processes.front()->Signal(SIGTERM);
     this->RunUntil([&] { return !this->processes.front()->running(); }, 2500);
