Take a response in an unknown transfer coding for no answer

What callers saw: an upstream answered with Transfer-Encoding: gzip, and the caller got 200 with the coded bytes and without the name of the coding, framed as whole. "gzip, chunked" and a length beside another coding were passed on in the same way.

Cause: Beast's parser looks for "chunked" only and reads a body with another coding up to the close. The relay then drops the field, as it concerns one connection.

Change: a response must state at most one end of its body: equal lengths, or chunks and nothing else (RFC 9112, section 6). No other coding is ever requested. HTTP/1.0 has no chunks. Such a head is malformed, before anything in it is obeyed.

Two lengths, a length beside chunks and lengths that are no number were refused before; equal lengths are still accepted (RepeatedEqualLengthIsAccepted).

--- a/src/gateway/http-connection.cc
+++ b/src/gateway/http-connection.cc
@@ -61,6 +61,26 @@
          error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+/** Returns the values of all fields with a name, joined by commas. */
+std::optional<std::string> JoinValues(const http::fields& fields, http::field name) {
+  const auto [begin, end] = fields.equal_range(name);
+  if (begin == end) return std::nullopt;
+  std::string joined;
+  for (auto field = begin; field != end; ++field) {
+    if (field != begin) joined += ", ";
+    joined += std::string(field->value());
+  }
+  return joined;
+}
+
+/** Checks what the parser accepts although it leaves open what the response is. */
+Result<void> CheckHead(const http::response_header<>& head) {
+  BOOST_OUTCOME_TRY(CheckResponseStatus(static_cast<int>(head.result_int())));
+  return CheckBodyFraming(static_cast<int>(head.version() % 10),
+                          JoinValues(head, http::field::transfer_encoding),
+                          JoinValues(head, http::field::content_length));
+}
+
 }  // namespace
 
 std::optional<std::string> ResponseHead::Find(const std::string& name) const {
@@ -195,8 +215,7 @@
     if (error) co_return this->Failure("reading from", error);
     this->buffer.commit(length);
   }
-  const int status = static_cast<int>(this->parser->get().result_int());
-  if (const auto valid = CheckResponseStatus(status); !valid)
+  if (const auto valid = CheckHead(this->parser->get()); !valid)
     co_return this->MalformedHead(valid.error());
   co_return parsed_bytes;
 }
--- a/src/http/response-head.h
+++ b/src/http/response-head.h
@@ -2,6 +2,8 @@
 #define LIMPETFALL_HTTP_RESPONSE_HEAD_H_
 
 #include <cstddef>
+#include <optional>
+#include <string>
 
 #include "limpetfall/result.h"
 
@@ -16,6 +18,14 @@
 /** Returns an error if no server may respond with this status to a request without an upgrade. */
 Result<void> CheckResponseStatus(int status);
 
+/**
+ * Returns an error if the head of a response does not determine one end of its body. The arguments
+ * are the minor version of HTTP/1 and the values of `Transfer-Encoding` and `Content-Length`, if
+ * present, with those of repeated fields joined by commas.
+ */
+Result<void> CheckBodyFraming(int minor_version, const std::optional<std::string>& coding,
+                              const std::optional<std::string>& length);
+
 }  // namespace limpetfall
 
 #endif  // LIMPETFALL_HTTP_RESPONSE_HEAD_H_
--- a/test/faulty-upstream-integration-test.cc
+++ b/test/faulty-upstream-integration-test.cc
@@ -47,6 +47,8 @@
   CPPUNIT_TEST(ResponseAfterInterimOnesIsTheAnswer);
   CPPUNIT_TEST(StreamAfterInterimResponsesIsTheAnswer);
   CPPUNIT_TEST(RefusalAfterInterimResponsesPromisesNotRun);
+  CPPUNIT_TEST(ResponseWithInvalidFramingIsNoAnswer);
+  CPPUNIT_TEST(PauseInMalformedHeadIsIgnored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -215,6 +217,27 @@
     CPPUNIT_ASSERT_EQUAL(std::string("not-run"), answer.headers.at("X-Verdict"));
   }
 
+  // Guards against bytes in a coding of which the caller learns nothing.
+  void ResponseWithInvalidFramingIsNoAnswer() {
+    this->ExpectNoAnswer(ResponsesWithInvalidFraming(kAnswerFields));
+  }
+
+  // Guards against obeying what a head says of its upstream before the whole head is valid.
+  void PauseInMalformedHeadIsIgnored() {
+    this->StartServing();
+    for (const char* runner : {"b1", "b2"}) {
+      this->ScriptBytes(runner,
+                        "HTTP/1.1 503 Odd\r\n" + kAnswerFields +
+                            "Retry-After: 60\r\nTransfer-Encoding: x-odd\r\n\r\n",
+                        ScriptedEnd::kClose);
+    }
+    this->RunFor(200);
+    CPPUNIT_ASSERT_EQUAL(502, this->SendAndWait("POST", "/order/1", "o1", "k1", "{}").status);
+    CPPUNIT_ASSERT_EQUAL(502, this->SendAndWait("GET", "/lookup/1", "l1", "k1").status);
+    const DispatchRequest any{ServiceName("book"), ModelName(), {}};
+    CPPUNIT_ASSERT(!this->nodes.front()->state().dispatch.PausedUntil(any, Clock::now()));
+  }
+
  private:
   ScriptedServer& Script(const std::string& runner, ScriptedServer::Script script) {
     this->servers.emplace_back(*this->io, std::move(script));
--- a/test/http-connection-test.cc
+++ b/test/http-connection-test.cc
@@ -45,6 +45,8 @@
   CPPUNIT_TEST(InterimResponsesWithoutFinalOneAreLost);
   CPPUNIT_TEST(EndlessInterimResponsesAreTooLarge);
   CPPUNIT_TEST(MalformedInterimResponseIsMalformed);
+  CPPUNIT_TEST(InvalidFramingIsMalformed);
+  CPPUNIT_TEST(RepeatedEqualLengthIsAccepted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -218,6 +220,20 @@
   // a peer that sends it for one that has lost the connection.
   void InvalidStatusIsMalformed() { this->ExpectMalformed(testing::ResponsesWithInvalidStatus()); }
 
+  void InvalidFramingIsMalformed() {
+    this->ExpectMalformed(testing::ResponsesWithInvalidFraming());
+  }
+
+  // Guards against refusing what a sender or an intermediary may have repeated.
+  void RepeatedEqualLengthIsAccepted() {
+    for (const char* length :
+         {"Content-Length: 3\r\nContent-Length: 3\r\n", "Content-Length: 3, 3,\t3\r\n"}) {
+      const auto answer = this->Fetch({std::string("HTTP/1.1 200 OK\r\n") + length + "\r\nabc"});
+      CPPUNIT_ASSERT_EQUAL(std::string("abc"), answer.value());
+      CPPUNIT_ASSERT(this->reusable);
+    }
+  }
+
   // Guards against taking an interim response for the final one.
   void InterimResponsesAreSkipped() {
     std::string many;
