Test that heads against the grammar are no answers at the gateway

The gateway refused them before: a blank, tab, NUL, 0x01, 0x7f, 0x80 or separator in a field's name, a name that is absent or followed by a blank, a line without a colon, a first line that begins with a blank, control bytes in a value or reason, bare LF and CR, status lines of other versions or shapes. An order ends as 502 "may have run" after one send, a lookup after two.

--- a/test/faulty-upstream-integration-test.cc
+++ b/test/faulty-upstream-integration-test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(RefusalAfterInterimResponsesPromisesNotRun);
   CPPUNIT_TEST(ResponseWithInvalidFramingIsNoAnswer);
   CPPUNIT_TEST(PauseInMalformedHeadIsIgnored);
+  CPPUNIT_TEST(ResponseWithMalformedHeadIsNoAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -238,6 +239,11 @@
     CPPUNIT_ASSERT(!this->nodes.front()->state().dispatch.PausedUntil(any, Clock::now()));
   }
 
+  void ResponseWithMalformedHeadIsNoAnswer() {
+    this->ExpectNoAnswer(ResponsesWithMalformedStatusLine(kAnswerFields));
+    this->ExpectNoAnswer(ResponsesWithMalformedField(kAnswerFields));
+  }
+
  private:
   ScriptedServer& Script(const std::string& runner, ScriptedServer::Script script) {
     this->servers.emplace_back(*this->io, std::move(script));
--- a/test/harness/malformed-responses.h
+++ b/test/harness/malformed-responses.h
@@ -31,6 +31,62 @@
   return responses;
 }
 
+/** Returns responses whose status line does not follow the grammar. */
+inline std::vector<RawResponse> ResponsesWithMalformedStatusLine(const std::string& fields = "") {
+  using std::string_literals::operator""s;
+  std::vector<RawResponse> responses;
+  for (const std::string& line :
+       {"HTTP/0.9 200 OK"s, "HTTP/1.9 200 OK"s, "HTTP/2 200 OK"s, "HTTP/2.0 200 OK"s,
+        "HTTP/1.1 20 OK"s, "HTTP/1.1 2000 OK"s, "HTTP/1.1 2x0 OK"s, "HTTP/1.1 -20 OK"s,
+        "HTTP/1.1  200 OK"s, "HTTP/1.1\t200 OK"s, "HTTP/1.1 200"s, "http/1.1 200 OK"s,
+        "HTTP/1.1 200 O\x01K"s, "HTTP/1.1 200 O\0K"s, "HTTP/1.1 200 O\x7fK"s,
+        "HTTP/1.1 200 O\rK"s}) {
+    responses.push_back({"status line " + line, MakeRawResponse(line, fields)});
+  }
+  return responses;
+}
+
+/** Returns responses with a line that is no valid field. */
+inline std::vector<RawResponse> ResponsesWithMalformedField(const std::string& fields = "") {
+  using std::string_literals::operator""s;
+  std::vector<RawResponse> responses;
+  for (const std::string& line : {"X Odd: 1"s,
+                                  "X\tOdd: 1"s,
+                                  "X\0Odd: 1"s,
+                                  "X\x01Odd: 1"s,
+                                  "X\x7fOdd: 1"s,
+                                  "X\x80Odd: 1"s,
+                                  "X(Odd): 1"s,
+                                  "X\rOdd: 1"s,
+                                  "\x01X-Odd: 1"s,
+                                  "X-Odd : 1"s,
+                                  "X-Odd\t: 1"s,
+                                  ": 1"s,
+                                  "X-Odd"s,
+                                  "X-Odd: 1\0"s,
+                                  "X-Odd: \x01"s,
+                                  "X-Odd: 1\x7f"s,
+                                  "X-Odd: 1\r2"s,
+                                  "X-Odd: 1\nX-Other: 2"s,
+                                  "\x01"
+                                  "Content-Length: 2"s,
+                                  "Content-Length : 2"s,
+                                  "Content-Length\x01: 2"s,
+                                  "Transfer-Encoding : chunked"s}) {
+    responses.push_back(
+        {"line " + line, MakeRawResponse("HTTP/1.1 200 OK", fields + line + "\r\n")});
+    responses.push_back(
+        {"first line " + line, MakeRawResponse("HTTP/1.1 200 OK", line + "\r\n" + fields)});
+  }
+  responses.push_back(
+      {"first line folded", MakeRawResponse("HTTP/1.1 200 OK\r\n X-Odd: 1", fields)});
+  responses.push_back(
+      {"bare LF at the end", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\ndone"});
+  responses.push_back(
+      {"bare LF after the status", "HTTP/1.1 200 OK\n" + fields + "Content-Length: 4\r\n\r\ndone"});
+  return responses;
+}
+
 /** Returns responses whose body has several ends, or one that only unknown rules determine. */
 inline std::vector<RawResponse> ResponsesWithInvalidFraming(const std::string& fields = "") {
   const std::string chunks = "4\r\ndone\r\n0\r\n\r\n";
--- a/test/http-connection-test.cc
+++ b/test/http-connection-test.cc
@@ -47,6 +47,8 @@
   CPPUNIT_TEST(MalformedInterimResponseIsMalformed);
   CPPUNIT_TEST(InvalidFramingIsMalformed);
   CPPUNIT_TEST(RepeatedEqualLengthIsAccepted);
+  CPPUNIT_TEST(MalformedStatusLineIsMalformed);
+  CPPUNIT_TEST(MalformedFieldIsMalformed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -224,6 +226,14 @@
     this->ExpectMalformed(testing::ResponsesWithInvalidFraming());
   }
 
+  void MalformedStatusLineIsMalformed() {
+    this->ExpectMalformed(testing::ResponsesWithMalformedStatusLine());
+  }
+
+  void MalformedFieldIsMalformed() {
+    this->ExpectMalformed(testing::ResponsesWithMalformedField());
+  }
+
   // Guards against refusing what a sender or an intermediary may have repeated.
   void RepeatedEqualLengthIsAccepted() {
     for (const char* length :
