Keep the fields of a trailer out of the head of a response

What callers saw: an order was run and answered, and the caller was told 503 "not run", when the answer came in chunks with X-Not-Run in their trailer and arrived in one packet. Other fields of a trailer acted as if they stood in the head, or did not, depending on how the bytes arrived.

Cause: Beast's parser adds the fields of a trailer to those of the head. It was told to parse as much as has arrived before the head was copied.

Change: the parser stops at the end of the head, and goes on when the head is copied (RFC 9110, section 6.5.1: trailer fields are not merged into the head).

Evidence: FieldsOfTrailerAreNotInTheHead fails without the change, and RefusalMarkInTrailerPromisesNothing on (expected 200, actual 503); both pass now, and so do the other tests of the reader.

--- a/src/gateway/http-connection.cc
+++ b/src/gateway/http-connection.cc
@@ -203,7 +203,8 @@
   this->parser.emplace();
   this->parser->header_limit(kMaxHeaderBytes);
   this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-  this->parser->eager(true);
+  // Beast adds the fields of a trailer to those of the head, so the head is taken first.
+  this->parser->eager(false);
   std::size_t parsed_bytes = 0;
   for (;;) {
     const auto parsed = this->ParseBuffer();
@@ -235,6 +236,7 @@
   for (const auto& field : this->parser->get()) {
     head.headers.emplace(std::string(field.name_string()), std::string(field.value()));
   }
+  this->parser->eager(true);
   const Milliseconds idle = KeepAliveTimeout(head).value_or(kDefaultIdleTimeout);
   const bool keep_alive = this->parser->get().keep_alive() && idle > kIdleMargin;
   this->reusable_until = keep_alive ? Clock::now() + idle - kIdleMargin : Deadline();
--- a/test/faulty-upstream-integration-test.cc
+++ b/test/faulty-upstream-integration-test.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(ResponseWithInvalidFramingIsNoAnswer);
   CPPUNIT_TEST(PauseInMalformedHeadIsIgnored);
   CPPUNIT_TEST(ResponseWithMalformedHeadIsNoAnswer);
+  CPPUNIT_TEST(RefusalMarkInTrailerPromisesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -244,6 +245,22 @@
     this->ExpectNoAnswer(ResponsesWithMalformedField(kAnswerFields));
   }
 
+  // Guards against telling a caller "not run" for an order that was answered.
+  void RefusalMarkInTrailerPromisesNothing() {
+    this->StartServing();
+    for (const char* runner : {"b1", "b2"}) {
+      this->ScriptBytes(runner,
+                        "HTTP/1.1 200 OK\r\n" + kAnswerFields +
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "4\r\ndone\r\n0\r\nX-Not-Run: 1\r\n\r\n",
+                        ScriptedEnd::kKeep);
+    }
+    this->RunFor(200);
+    const Answer answer = this->SendAndWait("POST", "/order/1", "o1", "k1", "{}");
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), answer.body);
+  }
+
  private:
   ScriptedServer& Script(const std::string& runner, ScriptedServer::Script script) {
     this->servers.emplace_back(*this->io, std::move(script));
--- a/test/http-connection-test.cc
+++ b/test/http-connection-test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(MalformedInterimResponseIsMalformed);
   CPPUNIT_TEST(InvalidFramingIsMalformed);
   CPPUNIT_TEST(RepeatedEqualLengthIsAccepted);
+  CPPUNIT_TEST(FieldsOfTrailerAreNotInTheHead);
   CPPUNIT_TEST(MalformedStatusLineIsMalformed);
   CPPUNIT_TEST(MalformedFieldIsMalformed);
   CPPUNIT_TEST_SUITE_END();
@@ -244,6 +245,19 @@
     }
   }
 
+  // Guards against obeying in a head what its sender has not put there.
+  void FieldsOfTrailerAreNotInTheHead() {
+    const std::string head = "HTTP/1.1 200 OK\r\nX-A: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string rest = "3\r\nabc\r\n0\r\nX-Not-Run: 1\r\n\r\n";
+    for (const std::vector<std::string>& chunks :
+         std::vector<std::vector<std::string>>{{head + rest}, {head, rest}}) {
+      CPPUNIT_ASSERT_EQUAL(std::string("abc"), this->Fetch(chunks).value());
+      CPPUNIT_ASSERT(this->headers.contains("X-A"));
+      CPPUNIT_ASSERT(!this->headers.contains("X-Not-Run"));
+      CPPUNIT_ASSERT(this->reusable);
+    }
+  }
+
   // Guards against taking an interim response for the final one.
   void InterimResponsesAreSkipped() {
     std::string many;
@@ -360,6 +374,7 @@
     this->reusable = connection.value()->IsReusable(Clock::now());
     if (response) {
       this->status = response.value().status;
+      this->headers = response.value().headers;
       answer = std::move(response.value().body);
     } else {
       answer = response.error();
@@ -369,7 +384,8 @@
 
   bool reset = false;
   bool reusable = false;
-  int status = 0;  ///< Of the last response.
+  int status = 0;   ///< Of the last response.
+  Headers headers;  ///< Of the last response.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpConnectionTest);
