Use a libcurl handle for one transfer only

What callers saw: one answer of an engine or service could end an entry node with all its requests, or limpetctl and programs with the callers' client. In it, the first line after the status line begins with a blank, and the client has read answers before.

Cause: libcurl 7.88 joins such a line to the last header it has kept. It keeps the pointer to that header when it frees the headers for the next transfer of the same handle, also after curl_easy_reset. Both clients used handles again.

Change: each transfer gets a handle of its own. The blocking client keeps its idle connections in a multi handle, so it still uses one connection for many requests.

Under valgrind, libcurl reads the freed header below curl_multi_socket_action and passes it to realloc. BlockingClientKeepsItsConnection passes before and after.

--- a/src/client/blocking-http.cc
+++ b/src/client/blocking-http.cc
@@ -11,6 +11,8 @@
 
 constexpr std::size_t kMaxBodyBytes = 8 << 20;
 
+constexpr long kMaxIdleConnections = 5;
+
 struct Transfer {
   CURL* handle = nullptr;
   const BlockingHttp::BodyCallback* on_body = nullptr;
@@ -60,74 +62,94 @@
   void Add(const std::string& line) { this->list = curl_slist_append(this->list, line.c_str()); }
 };
 
-class BlockingHttpImpl final : public BlockingHttp {
- public:
-  explicit BlockingHttpImpl(CURL* curl) : handle(curl) {}
-  ~BlockingHttpImpl() override { curl_easy_cleanup(this->handle); }
-  BlockingHttpImpl(const BlockingHttpImpl&) = delete;
-  BlockingHttpImpl& operator=(const BlockingHttpImpl&) = delete;
-
-  Result<HttpResponse> Send(const HttpRequest& request, const BlockingHttpOptions& options,
-                            Deadline deadline, const BodyCallback& on_body) override;
-
- private:
-  void SetRequest(const HttpRequest& request, const HeaderList& headers);
-  void SetTimeoutsAndReuse(const BlockingHttpOptions& options, Milliseconds timeout);
-  [[nodiscard]] Error ToError(CURLcode code, const std::string& address) const;
-
-  CURL* handle;
-};
-
-void BlockingHttpImpl::SetRequest(const HttpRequest& request, const HeaderList& headers) {
+void SetRequest(CURL* handle, const HttpRequest& request, const HeaderList& headers) {
   std::string url = "http://";
   url.append(request.address).append(request.target);
-  curl_easy_setopt(this->handle, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(this->handle, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt(this->handle, CURLOPT_PROXY, "");
-  curl_easy_setopt(this->handle, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt(this->handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt(this->handle, CURLOPT_HTTPHEADER, headers.list);
+  curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.list);
   if (request.method == "HEAD") {
-    curl_easy_setopt(this->handle, CURLOPT_NOBODY, 1L);
+    curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
   } else if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
-    curl_easy_setopt(this->handle, CURLOPT_POST, 1L);
-    curl_easy_setopt(this->handle, CURLOPT_POSTFIELDS, request.body.data());
-    curl_easy_setopt(this->handle, CURLOPT_POSTFIELDSIZE_LARGE,
+    curl_easy_setopt(handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.data());
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(request.body.size()));
-    curl_easy_setopt(this->handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
   } else {
-    curl_easy_setopt(this->handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, request.method.c_str());
   }
 }
 
-void BlockingHttpImpl::SetTimeoutsAndReuse(const BlockingHttpOptions& options,
-                                           Milliseconds timeout) {
-  curl_easy_setopt(this->handle, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(this->handle, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(this->handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
-  curl_easy_setopt(this->handle, CURLOPT_CONNECTTIMEOUT_MS,
+void SetTimeoutsAndReuse(CURL* handle, const BlockingHttpOptions& options, Milliseconds timeout) {
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(std::min(timeout, options.connect_timeout).count()));
   if (options.idle_timeout.count() > 0) {
     const long seconds = std::max<long>(1, options.idle_timeout.count() / 1000);
-    curl_easy_setopt(this->handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
-    curl_easy_setopt(this->handle, CURLOPT_LOW_SPEED_TIME, seconds);
+    curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
+    curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME, seconds);
   }
   if (options.new_connection) {
     // libcurl resends a request if a reused connection turns out to be closed.
-    curl_easy_setopt(this->handle, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(this->handle, CURLOPT_FORBID_REUSE, 1L);
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
   }
 }
 
-Error BlockingHttpImpl::ToError(CURLcode code, const std::string& address) const {
+Error ToError(CURL* handle, CURLcode code, const std::string& address) {
   const std::string message = address + ": " + curl_easy_strerror(code);
   long bytes_sent = 0;
-  curl_easy_getinfo(this->handle, CURLINFO_REQUEST_SIZE, &bytes_sent);
+  curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &bytes_sent);
   const Verdict verdict = bytes_sent == 0 ? Verdict::kNotRun : Verdict::kMayHaveRun;
   const bool timed_out = code == CURLE_OPERATION_TIMEDOUT && verdict != Verdict::kNotRun;
   return {timed_out ? ErrorCode::kDeadlineExceeded : ErrorCode::kUnavailable, message, verdict};
 }
 
+struct EasyCleanup {
+  void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
+};
+using EasyHandle = std::unique_ptr<CURL, EasyCleanup>;
+
+class BlockingHttpImpl final : public BlockingHttp {
+ public:
+  explicit BlockingHttpImpl(CURLM* curl) : multi(curl) {
+    curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+  }
+  ~BlockingHttpImpl() override { curl_multi_cleanup(this->multi); }
+  BlockingHttpImpl(const BlockingHttpImpl&) = delete;
+  BlockingHttpImpl& operator=(const BlockingHttpImpl&) = delete;
+
+  Result<HttpResponse> Send(const HttpRequest& request, const BlockingHttpOptions& options,
+                            Deadline deadline, const BodyCallback& on_body) override;
+
+ private:
+  /** Runs a transfer to its end. */
+  CURLcode Perform(CURL* handle);
+
+  CURLM* multi;  ///< Keeps idle connections from one transfer to the next.
+};
+
+CURLcode BlockingHttpImpl::Perform(CURL* handle) {
+  constexpr int kMaxPollMs = 1000;
+  CURLMcode error = curl_multi_add_handle(this->multi, handle);
+  for (int running = 1; running > 0 && error == CURLM_OK;) {
+    error = curl_multi_perform(this->multi, &running);
+    if (running > 0 && error == CURLM_OK)
+      error = curl_multi_poll(this->multi, nullptr, 0, kMaxPollMs, nullptr);
+  }
+  int messages_left = 0;
+  const CURLMsg* message = curl_multi_info_read(this->multi, &messages_left);
+  const CURLcode code = message == nullptr ? CURLE_FAILED_INIT : message->data.result;
+  curl_multi_remove_handle(this->multi, handle);
+  return code;
+}
+
 Result<HttpResponse> BlockingHttpImpl::Send(const HttpRequest& request,
                                             const BlockingHttpOptions& options, Deadline deadline,
                                             const BodyCallback& on_body) {
@@ -138,17 +160,20 @@
   for (const auto& [name, value] : request.headers) {
     headers.Add(std::string(name).append(": ").append(value));
   }
-  Transfer transfer{this->handle, &on_body, {}};
-  curl_easy_reset(this->handle);
-  this->SetRequest(request, headers);
-  this->SetTimeoutsAndReuse(options, timeout);
-  curl_easy_setopt(this->handle, CURLOPT_WRITEFUNCTION, OnBody);
-  curl_easy_setopt(this->handle, CURLOPT_WRITEDATA, &transfer);
-  curl_easy_setopt(this->handle, CURLOPT_HEADERFUNCTION, OnHeader);
-  curl_easy_setopt(this->handle, CURLOPT_HEADERDATA, &transfer);
-  const CURLcode code = curl_easy_perform(this->handle);
-  if (code != CURLE_OK) return this->ToError(code, request.address);
-  transfer.response.status = ResponseStatus(this->handle);
+  // libcurl 7.88 follows a pointer to a header of the last response when a handle is used again.
+  const EasyHandle easy(curl_easy_init());
+  CURL* const handle = easy.get();
+  if (handle == nullptr) return NotRun(ErrorCode::kInternal, "cannot initialize libcurl");
+  Transfer transfer{handle, &on_body, {}};
+  SetRequest(handle, request, headers);
+  SetTimeoutsAndReuse(handle, options, timeout);
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, OnHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
+  const CURLcode code = this->Perform(handle);
+  if (code != CURLE_OK) return ToError(handle, code, request.address);
+  transfer.response.status = ResponseStatus(handle);
   return std::move(transfer.response);
 }
 
@@ -157,9 +182,9 @@
 Result<std::unique_ptr<BlockingHttp>> BlockingHttp::Create() {
   static std::once_flag curl_initialized;
   std::call_once(curl_initialized, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
-  CURL* handle = curl_easy_init();
-  if (handle == nullptr) return NotRun(ErrorCode::kInternal, "cannot initialize libcurl");
-  return std::unique_ptr<BlockingHttp>(std::make_unique<BlockingHttpImpl>(handle));
+  CURLM* multi = curl_multi_init();
+  if (multi == nullptr) return NotRun(ErrorCode::kInternal, "cannot initialize libcurl");
+  return std::unique_ptr<BlockingHttp>(std::make_unique<BlockingHttpImpl>(multi));
 }
 
 }  // namespace limpetfall
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -344,7 +344,8 @@
       const std::lock_guard lock(transfer->mutex);
       if (transfer->abandoned) return;
     }
-    transfer->easy = this->AcquireEasyHandle();
+    // libcurl 7.88 follows a pointer to a header of the last response when a handle is used again.
+    transfer->easy = curl_easy_init();
     if (transfer->easy == nullptr) return this->Finish(transfer, CURLE_OUT_OF_MEMORY);
     this->active_transfers.emplace(transfer->easy, transfer);
     this->ConfigureTransfer(*transfer);
@@ -424,13 +425,6 @@
     return false;
   }
 
-  CURL* AcquireEasyHandle() {
-    if (this->free_handles.empty()) return curl_easy_init();
-    CURL* easy = this->free_handles.back();
-    this->free_handles.pop_back();
-    return easy;
-  }
-
   void Remove(const TransferPtr& transfer) {
     transfer->timer.cancel();
     if (transfer->easy == nullptr) return;
@@ -438,13 +432,8 @@
     // Removing an unfinished transfer closes its connection.
     curl_multi_remove_handle(this->multi, easy);
     this->active_transfers.erase(easy);
-    curl_easy_reset(easy);
+    curl_easy_cleanup(easy);
     curl_slist_free_all(std::exchange(transfer->header_list, nullptr));
-    if (this->free_handles.size() < kMaxFreeHandles) {
-      this->free_handles.push_back(easy);
-    } else {
-      curl_easy_cleanup(easy);
-    }
   }
 
   void Finish(const TransferPtr& transfer, CURLcode code) {
@@ -481,7 +470,6 @@
   void Close() {
     const auto transfers = std::exchange(this->active_transfers, {});
     for (const auto& [easy, transfer] : transfers) this->Remove(transfer);
-    for (CURL* easy : this->free_handles) curl_easy_cleanup(easy);
     curl_multi_cleanup(this->multi);
     this->multi = nullptr;
     this->multi_timer.cancel();
@@ -667,8 +655,6 @@
     return length;
   }
 
-  static constexpr std::size_t kMaxFreeHandles = 256;
-
   const Milliseconds connect_timeout;
   asio::io_context io;
   asio::executor_work_guard<asio::io_context::executor_type> work;
@@ -678,7 +664,6 @@
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> sockets;
   std::unordered_map<curl_socket_t, std::string> open_connections;  ///< "IP:port>IP:port".
   std::unordered_map<std::string, curl_socket_t> sockets_by_connection;
-  std::vector<CURL*> free_handles;
   /** By address. Pooled connections are bypassed until this time. */
   std::unordered_map<std::string, Deadline> unresponsive_until;
   std::thread thread;
