Check the lines of a response's head where libcurl reads them

What callers saw: an engine, service, store or node whose answer had a blank, tab or control byte in a field's name, a blank before the colon or no name was answered for with that line as a field, and with a body whose length another reader would take from the broken line ("0x01Content-Length: 2" or "Content-Length : 2" before "Content-Length: 4"). Control bytes in values, bare LF, folded lines read as fields or dropped, and "HTTP/2 200" on a plain connection went through as well.

Cause: libcurl looks for the fields that it needs and hands on every line unchecked. Both clients took what stands before the first colon for a name.

Change: ResponseHeadReader takes the lines and fails on what RFC 9112 does not allow; libcurl hands over body bytes only after the last line of the head, so none are used. Both clients use it: one reader in place of two. A folded line is joined to the value before it. Lines of a trailer are checked and dropped. To leave libcurl for the reader of the gateway would change connections, deadlines and cancelling of both clients, which this fault does not need.

The tests of both clients pass.

--- a/src/client/blocking-http.cc
+++ b/src/client/blocking-http.cc
@@ -4,8 +4,11 @@
 
 #include <algorithm>
 #include <mutex>
+#include <optional>
 #include <utility>
 
+#include "http/response-head.h"
+
 namespace limpetfall {
 namespace {
 
@@ -14,42 +17,29 @@
 constexpr long kMaxIdleConnections = 5;
 
 struct Transfer {
-  CURL* handle = nullptr;
   const BlockingHttp::BodyCallback* on_body = nullptr;
-  HttpResponse response;
+  ResponseHeadReader head_reader;
+  std::optional<Error> head_error;
+  std::string body;
 };
 
-int ResponseStatus(CURL* handle) {
-  long status = 0;
-  curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-  return static_cast<int>(status);
-}
-
 std::size_t OnBody(char* data, std::size_t, std::size_t size, void* user_data) {
   auto& transfer = *static_cast<Transfer*>(user_data);
   const std::string_view bytes(data, size);
   if (*transfer.on_body) {
-    return (*transfer.on_body)(ResponseStatus(transfer.handle), bytes) ? size : 0;
+    return (*transfer.on_body)(transfer.head_reader.head().status, bytes) ? size : 0;
   }
-  if (transfer.response.body.size() + size > kMaxBodyBytes) return 0;
-  transfer.response.body.append(bytes);
+  if (transfer.body.size() + size > kMaxBodyBytes) return 0;
+  transfer.body.append(bytes);
   return size;
 }
 
-std::string_view Trim(std::string_view text) {
-  const auto first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) return {};
-  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
-}
-
 std::size_t OnHeader(char* data, std::size_t, std::size_t size, void* user_data) {
-  auto& headers = static_cast<Transfer*>(user_data)->response.headers;
-  const std::string_view line(data, size);
-  if (line.starts_with("HTTP/")) headers.clear();
-  if (auto colon = line.find(':'); colon != std::string_view::npos) {
-    headers[std::string(Trim(line.substr(0, colon)))] = Trim(line.substr(colon + 1));
-  }
-  return size;
+  auto& transfer = *static_cast<Transfer*>(user_data);
+  const auto added = transfer.head_reader.AddLine({data, size});
+  if (added) return size;
+  transfer.head_error = added.error();
+  return 0;
 }
 
 struct HeaderList {
@@ -102,13 +92,23 @@
   }
 }
 
-Error ToError(CURL* handle, CURLcode code, const std::string& address) {
-  const std::string message = address + ": " + curl_easy_strerror(code);
+/** Returns whether libcurl ended a transfer because the response does not follow the protocol. */
+bool IsMalformed(CURLcode code) {
+  return code == CURLE_UNSUPPORTED_PROTOCOL || code == CURLE_WEIRD_SERVER_REPLY ||
+         code == CURLE_BAD_CONTENT_ENCODING || code == CURLE_BAD_FUNCTION_ARGUMENT;
+}
+
+Error ToError(const Transfer& transfer, CURL* handle, CURLcode code, const std::string& address) {
+  const std::string prefix = address + ": ";
+  if (const auto& error = transfer.head_error)
+    return {error->code, prefix + error->message, error->verdict};
+  const std::string message = prefix + curl_easy_strerror(code);
   long bytes_sent = 0;
   curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &bytes_sent);
-  const Verdict verdict = bytes_sent == 0 ? Verdict::kNotRun : Verdict::kMayHaveRun;
-  const bool timed_out = code == CURLE_OPERATION_TIMEDOUT && verdict != Verdict::kNotRun;
-  return {timed_out ? ErrorCode::kDeadlineExceeded : ErrorCode::kUnavailable, message, verdict};
+  if (bytes_sent == 0) return NotRun(ErrorCode::kUnavailable, message);
+  if (IsMalformed(code)) return MayHaveRun(ErrorCode::kUpstreamProtocol, message);
+  const bool timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  return MayHaveRun(timed_out ? ErrorCode::kDeadlineExceeded : ErrorCode::kUnavailable, message);
 }
 
 struct EasyCleanup {
@@ -164,7 +164,8 @@
   const EasyHandle easy(curl_easy_init());
   CURL* const handle = easy.get();
   if (handle == nullptr) return NotRun(ErrorCode::kInternal, "cannot initialize libcurl");
-  Transfer transfer{handle, &on_body, {}};
+  Transfer transfer;
+  transfer.on_body = &on_body;
   SetRequest(handle, request, headers);
   SetTimeoutsAndReuse(handle, options, timeout);
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, OnBody);
@@ -172,9 +173,9 @@
   curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, OnHeader);
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
   const CURLcode code = this->Perform(handle);
-  if (code != CURLE_OK) return ToError(handle, code, request.address);
-  transfer.response.status = ResponseStatus(handle);
-  return std::move(transfer.response);
+  if (code != CURLE_OK) return ToError(transfer, handle, code, request.address);
+  const auto& [status, fields] = transfer.head_reader.head();
+  return HttpResponse{status, fields, std::move(transfer.body)};
 }
 
 }  // namespace
--- a/src/gateway/http-connection.cc
+++ b/src/gateway/http-connection.cc
@@ -10,7 +10,6 @@
 #include <utility>
 
 #include "http/address.h"
-#include "http/response-head.h"
 
 namespace limpetfall {
 namespace {
@@ -83,12 +82,6 @@
 
 }  // namespace
 
-std::optional<std::string> ResponseHead::Find(const std::string& name) const {
-  const auto found = this->headers.find(name);
-  if (found == this->headers.end()) return std::nullopt;
-  return found->second;
-}
-
 HttpConnection::HttpConnection(asio::io_context& io, std::string peer)
     : socket(io), timer(io), peer_address(std::move(peer)) {}
 
--- a/src/gateway/http-connection.h
+++ b/src/gateway/http-connection.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "http/client.h"
+#include "http/response-head.h"
 #include "limpetfall/result.h"
 #include "limpetfall/time.h"
 
@@ -58,14 +59,6 @@
 
 }  // namespace detail
 
-struct ResponseHead {
-  int status = 0;
-  Headers headers;
-
-  /** Returns the value of a header, if present. */
-  [[nodiscard]] std::optional<std::string> Find(const std::string& name) const;
-};
-
 /**
  * An HTTP/1.1 connection to a server, used by one coroutine for one request at a time. Other code
  * may interrupt that coroutine by `Close`. Runs on one thread.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "http/address.h"
+#include "http/response-head.h"
 
 namespace limpetfall {
 namespace {
@@ -78,11 +79,9 @@
   bool resend_refused = false;  ///< libcurl tried to send the request a second time.
   bool too_large = false;
   bool paused = false;
-  bool header_complete = false;
   bool header_delivered = false;
   bool done = false;
-  int status = 0;
-  Headers headers;
+  ResponseHeadReader head_reader;
   std::string body;
   std::optional<Error> failure;
   std::optional<Waiter> waiter;
@@ -117,9 +116,9 @@
 /** Returns whether a complete response can be distinguished from a truncated one. */
 bool HasExplicitLength(const Transfer& transfer) {
   if (transfer.request.method == "HEAD") return true;
-  if (transfer.status == 204 || transfer.status == 304) return true;
-  return transfer.headers.contains("Content-Length") ||
-         transfer.headers.contains("Transfer-Encoding");
+  const auto& [status, headers] = transfer.head_reader.head();
+  if (status == 204 || status == 304) return true;
+  return headers.contains("Content-Length") || headers.contains("Transfer-Encoding");
 }
 
 bool HasNoControlCharacters(std::string_view text) {
@@ -129,13 +128,6 @@
   });
 }
 
-bool IsToken(std::string_view text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-    return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
-           std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-  });
-}
-
 bool IsAddress(const std::string& address) {
   const auto endpoint = ParseEndpoint(address);
   return endpoint && endpoint.value().port() != 0;
@@ -192,12 +184,6 @@
   }
 }
 
-std::string_view TrimSpaces(std::string_view text) {
-  const auto first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) return {};
-  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
-}
-
 /** Runs libcurl's multi interface on a dedicated thread. */
 class CurlLoop {
  public:
@@ -291,7 +277,8 @@
 
   static bool HasUpdate(const Transfer& transfer) {
     if (transfer.done || transfer.buffered) return transfer.done;
-    return !transfer.body.empty() || (transfer.header_complete && !transfer.header_delivered);
+    return !transfer.body.empty() ||
+           (transfer.head_reader.is_complete() && !transfer.header_delivered);
   }
 
   Verdict AbandonLocked(const TransferPtr& transfer) {
@@ -442,7 +429,7 @@
     if (transfer->connection_unusable) return this->Add(transfer);
     const std::lock_guard lock(transfer->mutex);
     if (code != CURLE_OK) {
-      transfer->failure = MakeTransferError(*transfer, code);
+      if (!transfer->failure) transfer->failure = MakeTransferError(*transfer, code);
     } else if (!HasExplicitLength(*transfer)) {
       transfer->failure = MayHaveRun(ErrorCode::kUpstreamProtocol,
                                      "upstream " + transfer->request.address +
@@ -609,33 +596,13 @@
   static std::size_t OnHeader(char* bytes, std::size_t size, std::size_t count, void* data) {
     auto* transfer = static_cast<Transfer*>(data);
     const std::lock_guard lock(transfer->mutex);
-    // Lines after the header section are trailers, which no protocol here uses.
-    if (!transfer->header_complete) AddHeaderLine(*transfer, std::string_view(bytes, size * count));
-    return size * count;
-  }
-
-  static void AddHeaderLine(Transfer& transfer, std::string_view line) {
-    if (line.starts_with("HTTP/")) {
-      transfer.headers.clear();
-      const auto space = line.find(' ');
-      transfer.status = 0;
-      if (space == std::string_view::npos) return;
-      std::from_chars(line.data() + space + 1, line.data() + line.size(), transfer.status);
-      return;
-    }
-    if (TrimSpaces(line).empty()) {
-      if (transfer.status < 200) return;  // An interim response; the final one follows.
-      transfer.header_complete = true;
-      if (!transfer.buffered) ResumeWaiter(transfer, WakeReason::kUpdated);
-      return;
+    if (const auto added = transfer->head_reader.AddLine({bytes, size * count}); !added) {
+      transfer->failure = added.error();
+      transfer->failure->message.insert(0, "upstream " + transfer->request.address + ": ");
+      return 0;
     }
-    const auto colon = line.find(':');
-    if (colon == std::string_view::npos) return;
-    const std::string_view value = TrimSpaces(line.substr(colon + 1));
-    auto [entry, added] =
-        transfer.headers.emplace(std::string(TrimSpaces(line.substr(0, colon))), value);
-    // A repeated header must not be mistaken for a single one with either value.
-    if (!added) entry->second.append(", ").append(value);
+    if (HasUpdate(*transfer)) ResumeWaiter(*transfer, WakeReason::kUpdated);
+    return size * count;
   }
 
   static std::size_t OnBody(char* bytes, std::size_t size, std::size_t count, void* data) {
@@ -719,11 +686,11 @@
 
 class CurlStream final : public HttpStream {
  public:
-  CurlStream(OwnedTransfer owned, int status, Headers headers)
-      : transfer(std::move(owned)), response_status(status), response_headers(std::move(headers)) {}
+  CurlStream(OwnedTransfer owned, ResponseHead response_head)
+      : transfer(std::move(owned)), head(std::move(response_head)) {}
 
-  [[nodiscard]] int status() const override { return this->response_status; }
-  [[nodiscard]] const Headers& headers() const override { return this->response_headers; }
+  [[nodiscard]] int status() const override { return this->head.status; }
+  [[nodiscard]] const Headers& headers() const override { return this->head.headers; }
 
   asio::awaitable<Result<std::optional<std::string>>> Read(Deadline deadline) override {
     while (!this->ended && !this->failure) {
@@ -751,8 +718,7 @@
   }
 
   OwnedTransfer transfer;
-  int response_status;
-  Headers response_headers;
+  ResponseHead head;
   bool ended = false;
   std::optional<Error> failure;  ///< Returned by every further read.
 };
@@ -769,7 +735,8 @@
     Transfer& state = *transfer;
     const std::lock_guard lock(state.mutex);
     if (state.failure) co_return *state.failure;
-    co_return HttpResponse{state.status, std::move(state.headers), std::move(state.body)};
+    const auto& [status, headers] = state.head_reader.head();
+    co_return HttpResponse{status, headers, std::move(state.body)};
   }
 
   asio::awaitable<Result<std::unique_ptr<HttpStream>>> Open(HttpRequest request,
@@ -777,17 +744,15 @@
     BOOST_OUTCOME_CO_TRY(CheckRequest(request, deadline));
     OwnedTransfer transfer = this->StartTransfer(std::move(request), false);
     BOOST_OUTCOME_CO_TRY(co_await transfer.Wait(deadline));
-    int status = 0;
-    Headers headers;
+    ResponseHead head;
     {
       Transfer& state = *transfer;
       const std::lock_guard lock(state.mutex);
-      if (!state.header_complete && state.failure) co_return *state.failure;
+      if (!state.head_reader.is_complete() && state.failure) co_return *state.failure;
       state.header_delivered = true;
-      status = state.status;
-      headers = state.headers;
+      head = state.head_reader.head();
     }
-    co_return std::make_unique<CurlStream>(std::move(transfer), status, std::move(headers));
+    co_return std::make_unique<CurlStream>(std::move(transfer), std::move(head));
   }
 
  private:
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -24,6 +24,9 @@
 /** Returns a view of the value of a header, or an empty view if it is absent. */
 std::string_view GetHeader(const Headers& headers, const std::string& name);
 
+/** Returns whether a text may be the name of a header. */
+bool IsToken(std::string_view text);
+
 struct HttpRequest {
   std::string method = "GET";
   std::string address;  ///< "IP:port".
--- a/src/http/response-head.cc
+++ b/src/http/response-head.cc
@@ -1,6 +1,7 @@
 #include "http/response-head.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
 #include <cstdint>
@@ -32,8 +33,30 @@
   }
 }
 
+bool IsBlank(char c) { return c == ' ' || c == '\t'; }
+
+/** Returns whether a text has no control characters, except tabs. */
+bool IsFieldText(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    const auto byte = static_cast<unsigned char>(c);
+    return IsBlank(c) || (byte > 0x20 && byte != 0x7f);
+  });
+}
+
+std::string_view TrimBlanks(std::string_view text) {
+  while (!text.empty() && IsBlank(text.front())) text.remove_prefix(1);
+  while (!text.empty() && IsBlank(text.back())) text.remove_suffix(1);
+  return text;
+}
+
 }  // namespace
 
+std::optional<std::string> ResponseHead::Find(const std::string& name) const {
+  const auto found = this->headers.find(name);
+  if (found == this->headers.end()) return std::nullopt;
+  return found->second;
+}
+
 Result<void> CheckResponseStatus(int status) {
   constexpr int kFirstStatus = 100;
   constexpr int kSwitchingProtocols = 101;
@@ -58,4 +81,59 @@
   return success();
 }
 
+Result<void> ResponseHeadReader::AddLine(std::string_view line) {
+  constexpr std::string_view kLineEnd = "\r\n";
+  if (!line.ends_with(kLineEnd)) return Malformed("a line of the head does not end with CR LF");
+  line.remove_suffix(kLineEnd.size());
+  if (!IsFieldText(line)) return Malformed("the head has a control character");
+  if (this->section == Section::kStatusLine) return this->AddStatusLine(line);
+  if (line.empty()) return this->EndSection();
+  return IsBlank(line.front()) ? this->AddFold(line) : this->AddField(line);
+}
+
+Result<void> ResponseHeadReader::AddStatusLine(std::string_view line) {
+  constexpr std::size_t kVersionSize = std::string_view("HTTP/1.1 ").size();
+  constexpr std::size_t kStatusSize = 3;
+  if (!line.starts_with("HTTP/1.1 ") && !line.starts_with("HTTP/1.0 "))
+    return Malformed("the version is not HTTP/1.1 or HTTP/1.0");
+  const std::string_view status = line.substr(kVersionSize, kStatusSize);
+  line.remove_prefix(kVersionSize + status.size());
+  const bool valid = status.size() == kStatusSize && line.starts_with(' ') &&
+                     std::all_of(status.begin(), status.end(), boost::is_digit());
+  if (!valid) return Malformed("the status line has no status");
+  this->response = {};
+  std::from_chars(status.data(), status.data() + status.size(), this->response.status);
+  this->last_name.clear();
+  this->section = Section::kFields;
+  return success();
+}
+
+Result<void> ResponseHeadReader::AddField(std::string_view line) {
+  const std::size_t colon = line.find(':');
+  const std::string name(line.substr(0, colon));
+  if (colon == std::string_view::npos || !IsToken(name))
+    return Malformed("the line \"" + std::string(line.substr(0, kMaxQuotedBytes)) +
+                     "\" is no field");
+  this->last_name = name;
+  if (this->section == Section::kTrailer) return success();
+  const std::string_view value = TrimBlanks(line.substr(colon + 1));
+  const auto [entry, added] = this->response.headers.emplace(name, value);
+  // A repeated header must not be mistaken for a single one with either value.
+  if (!added) entry->second.append(", ").append(value);
+  return success();
+}
+
+Result<void> ResponseHeadReader::AddFold(std::string_view line) {
+  if (this->last_name.empty()) return Malformed("the first line of the head begins with a blank");
+  if (this->section == Section::kTrailer) return success();
+  this->response.headers.at(this->last_name).append(" ").append(TrimBlanks(line));
+  return success();
+}
+
+Result<void> ResponseHeadReader::EndSection() {
+  this->last_name.clear();
+  this->section = IsInterim(this->response.status) ? Section::kStatusLine : Section::kTrailer;
+  return success();
+}
+
 }  // namespace limpetfall
--- a/test/malformed-response-test.cc
+++ b/test/malformed-response-test.cc
@@ -13,6 +13,7 @@
 constexpr Milliseconds kTestTimeout{5000};
 
 const std::string kResponse = MakeRawResponse("HTTP/1.1 200 OK", "X-A: 1\r\nX-B: 2\r\n");
+const std::string kInterim = "HTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\n";
 
 /** A peer that responds to each request with the next of `responses`, then closes. */
 ScriptedPeer MakePeer(std::vector<std::string> responses) {
@@ -37,6 +38,10 @@
 class MalformedResponseTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MalformedResponseTest);
   CPPUNIT_TEST(ClientsSurviveFoldWithoutFieldAfterManyResponses);
+  CPPUNIT_TEST(MalformedFieldIsMalformed);
+  CPPUNIT_TEST(MalformedTrailerIsMalformed);
+  CPPUNIT_TEST(FoldedValueIsJoined);
+  CPPUNIT_TEST(MalformedStatusLineIsMalformed);
   CPPUNIT_TEST(BlockingClientKeepsItsConnection);
   CPPUNIT_TEST_SUITE_END();
 
@@ -60,6 +65,32 @@
     }
   }
 
+  // The next ones guard against taking what is not the answer of the peer for one.
+  void MalformedFieldIsMalformed() { this->ExpectAllMalformed(ResponsesWithMalformedField()); }
+
+  void MalformedStatusLineIsMalformed() {
+    this->ExpectAllMalformed(ResponsesWithMalformedStatusLine());
+  }
+
+  void MalformedTrailerIsMalformed() {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n";
+    CPPUNIT_ASSERT_EQUAL(std::string("done"),
+                         this->FetchBoth(head + "X-Sum: 1\r\n\r\n").front().value().body);
+    this->ExpectAllMalformed(
+        {{"blank", head + "X Sum: 1\r\n\r\n"}, {"control byte", head + "X-Sum: \x01\r\n\r\n"}});
+  }
+
+  // Guards against a value that lacks its end, and against a fold that is read as a field.
+  void FoldedValueIsJoined() {
+    for (const auto& response : this->FetchBoth(
+             MakeRawResponse("HTTP/1.1 200 OK", "X-A: 1\r\n \t X-B: 2\r\n\t3 \r\nX-C: 4\r\n"))) {
+      CPPUNIT_ASSERT_EQUAL(std::string("1 X-B: 2 3"), response.value().headers.at("X-A"));
+      CPPUNIT_ASSERT_EQUAL(std::string("4"), response.value().headers.at("X-C"));
+      CPPUNIT_ASSERT(!response.value().headers.contains("X-B"));
+    }
+  }
+
   // Guards against a connection for each request, of which a server accepts a limited number.
   void BlockingClientKeepsItsConnection() {
     int connections = 0;
@@ -84,6 +115,29 @@
     return this->blocking_client->Send(MakeRequest(address), {}, Clock::now() + kTestTimeout, {});
   }
 
+  /** Returns what the clients read when a peer sends `bytes` to each of them. */
+  std::vector<Result<HttpResponse>> FetchBoth(const std::string& bytes) {
+    const ScriptedPeer peer = MakePeer({bytes});
+    return {this->Fetch(peer.address()), this->SendBlocking(peer.address())};
+  }
+
+  void ExpectAllMalformed(const std::vector<RawResponse>& responses) {
+    for (const auto& [name, bytes] : responses) {
+      const auto results = this->FetchBoth(bytes);
+      ExpectMalformed("client: " + name, results.front());
+      ExpectMalformed("blocking client: " + name, results.back());
+    }
+  }
+
+  static void ExpectMalformed(const std::string& name, const Result<HttpResponse>& result) {
+    CPPUNIT_ASSERT_MESSAGE(name, !result);
+    const Error& error = result.error();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(name + ": " + error.message,
+                                 std::string(ToString(ErrorCode::kUpstreamProtocol)),
+                                 std::string(ToString(error.code)));
+    CPPUNIT_ASSERT_MESSAGE(name, error.verdict == Verdict::kMayHaveRun);
+  }
+
   IoThreads threads;
   std::shared_ptr<HttpClient> client = HttpClient::Create({}).value();
   std::unique_ptr<BlockingHttp> blocking_client = BlockingHttp::Create().value();
