Take a head that is cut short for no response where libcurl reads it

What callers saw: a node that ended within the head of its answer was taken by the callers' client for 200 with an empty body, and an engine or service likewise if its status has no body.

Cause: libcurl reports success if a connection closes between two lines of a head without a length.

Change: a transfer that ends before its final head does is an error, "may have run".

Evidence: HeadCutShortIsNoResponse fails on ("HTTP/1.1 200 OK", one field, then the close) and passes now.

--- a/src/client/blocking-http.cc
+++ b/src/client/blocking-http.cc
@@ -174,6 +174,11 @@
   curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
   const CURLcode code = this->Perform(handle);
   if (code != CURLE_OK) return ToError(transfer, handle, code, request.address);
+  if (!transfer.head_reader.is_complete()) {
+    return MayHaveRun(
+        ErrorCode::kUpstreamLost,
+        request.address + ": the connection was closed within the head of the response");
+  }
   const auto& [status, fields] = transfer.head_reader.head();
   return HttpResponse{status, fields, std::move(transfer.body)};
 }
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -430,6 +430,11 @@
     const std::lock_guard lock(transfer->mutex);
     if (code != CURLE_OK) {
       if (!transfer->failure) transfer->failure = MakeTransferError(*transfer, code);
+    } else if (!transfer->head_reader.is_complete()) {
+      transfer->failure =
+          MayHaveRun(ErrorCode::kUpstreamLost,
+                     "upstream " + transfer->request.address +
+                         ": the connection was closed within the head of the response");
     } else if (!HasExplicitLength(*transfer)) {
       transfer->failure = MayHaveRun(ErrorCode::kUpstreamProtocol,
                                      "upstream " + transfer->request.address +
--- a/test/malformed-response-test.cc
+++ b/test/malformed-response-test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(MalformedFieldIsMalformed);
   CPPUNIT_TEST(MalformedTrailerIsMalformed);
   CPPUNIT_TEST(FoldedValueIsJoined);
+  CPPUNIT_TEST(HeadCutShortIsNoResponse);
   CPPUNIT_TEST(MalformedStatusLineIsMalformed);
   CPPUNIT_TEST(BlockingClientKeepsItsConnection);
   CPPUNIT_TEST_SUITE_END();
@@ -81,6 +82,19 @@
         {{"blank", head + "X Sum: 1\r\n\r\n"}, {"control byte", head + "X-Sum: \x01\r\n\r\n"}});
   }
 
+  // Guards against a complete response whose last fields are missing.
+  void HeadCutShortIsNoResponse() {
+    for (const std::string& bytes :
+         {std::string("HTTP/1.1 200 OK\r\nX-A: 1\r\n"), std::string("HTTP/1.1 200 OK\r\nX-A: 1"),
+          std::string("HTTP/1.1 204 No Content\r\nX-A: 1\r\n"), kInterim,
+          kInterim + "HTTP/1.1 204 No Content\r\n"}) {
+      for (const auto& response : this->FetchBoth(bytes)) {
+        CPPUNIT_ASSERT_MESSAGE(bytes, !response);
+        CPPUNIT_ASSERT_MESSAGE(bytes, response.error().verdict == Verdict::kMayHaveRun);
+      }
+    }
+  }
+
   // Guards against a value that lacks its end, and against a fold that is read as a field.
   void FoldedValueIsJoined() {
     for (const auto& response : this->FetchBoth(
