Take an undefined status for no response where libcurl reads it

What callers saw: an engine, service or node that answered 600 or 999 was answered for with that status. After 101, the callers' client took the bytes that followed for the body.

Cause: libcurl hands on any status from 100, and reads on after 101 as if the protocol had changed.

Change: ResponseHeadReader checks the status with the function that the gateway uses. The connection is closed, as for every failed transfer.

Interim responses were skipped before (InterimResponsesAreSkipped); 000 and 099 were errors, with the code unavailable in the callers' client.

--- a/src/http/response-head.cc
+++ b/src/http/response-head.cc
@@ -105,7 +105,7 @@
   std::from_chars(status.data(), status.data() + status.size(), this->response.status);
   this->last_name.clear();
   this->section = Section::kFields;
-  return success();
+  return CheckResponseStatus(this->response.status);
 }
 
 Result<void> ResponseHeadReader::AddField(std::string_view line) {
--- a/test/malformed-response-test.cc
+++ b/test/malformed-response-test.cc
@@ -43,6 +43,9 @@
   CPPUNIT_TEST(FoldedValueIsJoined);
   CPPUNIT_TEST(HeadCutShortIsNoResponse);
   CPPUNIT_TEST(MalformedStatusLineIsMalformed);
+  CPPUNIT_TEST(InvalidStatusIsMalformed);
+  CPPUNIT_TEST(InterimResponsesAreSkipped);
+  CPPUNIT_TEST(ConnectionOfMalformedResponseIsNotUsedAgain);
   CPPUNIT_TEST(BlockingClientKeepsItsConnection);
   CPPUNIT_TEST_SUITE_END();
 
@@ -73,6 +76,8 @@
     this->ExpectAllMalformed(ResponsesWithMalformedStatusLine());
   }
 
+  void InvalidStatusIsMalformed() { this->ExpectAllMalformed(ResponsesWithInvalidStatus()); }
+
   void MalformedTrailerIsMalformed() {
     const std::string head =
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n";
@@ -105,6 +110,33 @@
     }
   }
 
+  // Guards against taking an interim response, or its fields, for the final one.
+  void InterimResponsesAreSkipped() {
+    std::string many;
+    for (int i = 0; i < 500; ++i) many += kInterim;
+    for (const std::string& interim :
+         {kInterim, "HTTP/1.1 100 Continue\r\n\r\n" + kInterim, many}) {
+      for (const auto& response : this->FetchBoth(interim + kResponse)) {
+        CPPUNIT_ASSERT_EQUAL(200, response.value().status);
+        CPPUNIT_ASSERT_EQUAL(std::string("done"), response.value().body);
+        CPPUNIT_ASSERT(!response.value().headers.contains("X-Hint"));
+      }
+    }
+  }
+
+  // Guards against reading the rest of a malformed response as the next one.
+  void ConnectionOfMalformedResponseIsNotUsedAgain() {
+    for (const bool blocking : {false, true}) {
+      const ScriptedPeer peer =
+          MakePeer({"HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n", kResponse});
+      for (int i = 0; i < 3; ++i) {
+        ExpectMalformed("each connection starts with it", blocking
+                                                              ? this->SendBlocking(peer.address())
+                                                              : this->Fetch(peer.address()));
+      }
+    }
+  }
+
   // Guards against a connection for each request, of which a server accepts a limited number.
   void BlockingClientKeepsItsConnection() {
     int connections = 0;
