Take a response with several ends for no response where libcurl reads it

What callers saw: an engine, service or node that stated two different lengths, a length beside chunks, or a length such as "4, 5" was answered for with a body that one of them ended; in one client, the length read "2, 4". A gzip transfer coding was undone although none had been requested.

Cause: libcurl takes one of the fields that state the end and ignores the others.

Change: ResponseHeadReader checks them at the end of the head with the function that the gateway uses, before any byte of the body is handed over.

Evidence: InvalidFramingIsMalformed fails on ("Content-Length: 4, 5" accepted) and passes now.

--- a/src/http/response-head.cc
+++ b/src/http/response-head.cc
@@ -94,7 +94,8 @@
 Result<void> ResponseHeadReader::AddStatusLine(std::string_view line) {
   constexpr std::size_t kVersionSize = std::string_view("HTTP/1.1 ").size();
   constexpr std::size_t kStatusSize = 3;
-  if (!line.starts_with("HTTP/1.1 ") && !line.starts_with("HTTP/1.0 "))
+  const bool is_1_1 = line.starts_with("HTTP/1.1 ");
+  if (!is_1_1 && !line.starts_with("HTTP/1.0 "))
     return Malformed("the version is not HTTP/1.1 or HTTP/1.0");
   const std::string_view status = line.substr(kVersionSize, kStatusSize);
   line.remove_prefix(kVersionSize + status.size());
@@ -102,6 +103,7 @@
                      std::all_of(status.begin(), status.end(), boost::is_digit());
   if (!valid) return Malformed("the status line has no status");
   this->response = {};
+  this->minor_version = is_1_1 ? 1 : 0;
   std::from_chars(status.data(), status.data() + status.size(), this->response.status);
   this->last_name.clear();
   this->section = Section::kFields;
@@ -133,7 +135,8 @@
 Result<void> ResponseHeadReader::EndSection() {
   this->last_name.clear();
   this->section = IsInterim(this->response.status) ? Section::kStatusLine : Section::kTrailer;
-  return success();
+  return CheckBodyFraming(this->minor_version, this->response.Find("Transfer-Encoding"),
+                          this->response.Find("Content-Length"));
 }
 
 }  // namespace limpetfall
--- a/src/http/response-head.h
+++ b/src/http/response-head.h
@@ -61,6 +61,7 @@
 
   Section section = Section::kStatusLine;
   ResponseHead response;
+  int minor_version = 1;
   std::string last_name;  ///< Name of the last field, to whose value a folded line belongs.
 };
 
--- a/test/malformed-response-test.cc
+++ b/test/malformed-response-test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(MalformedStatusLineIsMalformed);
   CPPUNIT_TEST(InvalidStatusIsMalformed);
   CPPUNIT_TEST(InterimResponsesAreSkipped);
+  CPPUNIT_TEST(InvalidFramingIsMalformed);
   CPPUNIT_TEST(ConnectionOfMalformedResponseIsNotUsedAgain);
   CPPUNIT_TEST(BlockingClientKeepsItsConnection);
   CPPUNIT_TEST_SUITE_END();
@@ -78,6 +79,8 @@
 
   void InvalidStatusIsMalformed() { this->ExpectAllMalformed(ResponsesWithInvalidStatus()); }
 
+  void InvalidFramingIsMalformed() { this->ExpectAllMalformed(ResponsesWithInvalidFraming()); }
+
   void MalformedTrailerIsMalformed() {
     const std::string head =
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n";
