Bound the heads and trailers that libcurl reads

What callers saw: nothing yet. A peer that sends fields, interim responses or a trailer without end was read until it stopped or the deadline passed, and its fields were kept.

Cause: libcurl 7.88 bounds a line, not the head. Only the gateway's reader had a bound.

Change: the limits of the gateway hold in ResponseHeadReader too: 32 KiB for a head or a trailer, 256 KiB for all interim responses to a request.

Evidence: EndlessHeadsAreTooLarge, with 4 MiB each, fails on (read to the end, then upstream_lost) and passes now.

--- a/src/gateway/http-connection.cc
+++ b/src/gateway/http-connection.cc
@@ -23,9 +23,6 @@
 
 constexpr std::size_t kReadBytes = 8 << 10;
 
-// Common servers limit the head of a message to 8 or 16 KiB.
-constexpr std::uint32_t kMaxHeaderBytes = 32 << 10;
-
 // Maximum size of a chunk header or trailer. The parser does not limit them itself.
 constexpr std::size_t kMaxFramingBytes = 8 << 10;
 
@@ -194,7 +191,7 @@
 
 asio::awaitable<Result<std::size_t>> HttpConnection::ParseHead() {
   this->parser.emplace();
-  this->parser->header_limit(kMaxHeaderBytes);
+  this->parser->header_limit(kMaxHeadBytes);
   this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   // Beast adds the fields of a trailer to those of the head, so the head is taken first.
   this->parser->eager(false);
--- a/src/http/response-head.cc
+++ b/src/http/response-head.cc
@@ -1,7 +1,6 @@
 #include "http/response-head.h"
 
 #include <algorithm>
-#include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
 #include <cstdint>
@@ -33,6 +32,8 @@
   }
 }
 
+bool IsDigit(char c) { return '0' <= c && c <= '9'; }
+
 bool IsBlank(char c) { return c == ' ' || c == '\t'; }
 
 /** Returns whether a text has no control characters, except tabs. */
@@ -83,6 +84,7 @@
 
 Result<void> ResponseHeadReader::AddLine(std::string_view line) {
   constexpr std::string_view kLineEnd = "\r\n";
+  BOOST_OUTCOME_TRY(this->CheckSize(line.size()));
   if (!line.ends_with(kLineEnd)) return Malformed("a line of the head does not end with CR LF");
   line.remove_suffix(kLineEnd.size());
   if (!IsFieldText(line)) return Malformed("the head has a control character");
@@ -91,6 +93,14 @@
   return IsBlank(line.front()) ? this->AddFold(line) : this->AddField(line);
 }
 
+Result<void> ResponseHeadReader::CheckSize(std::size_t line_size) {
+  this->section_bytes += line_size;
+  if (this->section_bytes <= kMaxHeadBytes && this->interim_bytes <= kMaxInterimBytes)
+    return success();
+  return MayHaveRun(ErrorCode::kResponseTooLarge,
+                    "the head or trailer of the response is too large");
+}
+
 Result<void> ResponseHeadReader::AddStatusLine(std::string_view line) {
   constexpr std::size_t kVersionSize = std::string_view("HTTP/1.1 ").size();
   constexpr std::size_t kStatusSize = 3;
@@ -100,7 +110,7 @@
   const std::string_view status = line.substr(kVersionSize, kStatusSize);
   line.remove_prefix(kVersionSize + status.size());
   const bool valid = status.size() == kStatusSize && line.starts_with(' ') &&
-                     std::all_of(status.begin(), status.end(), boost::is_digit());
+                     std::all_of(status.begin(), status.end(), IsDigit);
   if (!valid) return Malformed("the status line has no status");
   this->response = {};
   this->minor_version = is_1_1 ? 1 : 0;
@@ -134,6 +144,8 @@
 
 Result<void> ResponseHeadReader::EndSection() {
   this->last_name.clear();
+  if (IsInterim(this->response.status)) this->interim_bytes += this->section_bytes;
+  this->section_bytes = 0;
   this->section = IsInterim(this->response.status) ? Section::kStatusLine : Section::kTrailer;
   return CheckBodyFraming(this->minor_version, this->response.Find("Transfer-Encoding"),
                           this->response.Find("Content-Length"));
--- a/src/http/response-head.h
+++ b/src/http/response-head.h
@@ -11,6 +11,9 @@
 
 namespace limpetfall {
 
+/** Maximum size of the head of a response. Common servers limit it to 8 or 16 KiB. */
+constexpr std::size_t kMaxHeadBytes = 32 << 10;
+
 /** Maximum size of the interim responses to one request, which may be many. */
 constexpr std::size_t kMaxInterimBytes = 256 << 10;
 
@@ -54,6 +57,8 @@
  private:
   enum class Section { kStatusLine, kFields, kTrailer };
 
+  /** Returns an error if the lines up to one of this size are more than a response may have. */
+  Result<void> CheckSize(std::size_t line_size);
   Result<void> AddStatusLine(std::string_view line);
   Result<void> AddField(std::string_view line);
   Result<void> AddFold(std::string_view line);
@@ -62,7 +67,9 @@
   Section section = Section::kStatusLine;
   ResponseHead response;
   int minor_version = 1;
-  std::string last_name;  ///< Name of the last field, to whose value a folded line belongs.
+  std::size_t section_bytes = 0;  ///< Size of the current head or trailer so far.
+  std::size_t interim_bytes = 0;  ///< Size of all interim heads so far.
+  std::string last_name;          ///< Name of the last field, to whose value a folded line belongs.
 };
 
 }  // namespace limpetfall
--- a/test/malformed-response-test.cc
+++ b/test/malformed-response-test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(MalformedStatusLineIsMalformed);
   CPPUNIT_TEST(InvalidStatusIsMalformed);
   CPPUNIT_TEST(InterimResponsesAreSkipped);
+  CPPUNIT_TEST(EndlessHeadsAreTooLarge);
   CPPUNIT_TEST(InvalidFramingIsMalformed);
   CPPUNIT_TEST(ConnectionOfMalformedResponseIsNotUsedAgain);
   CPPUNIT_TEST(BlockingClientKeepsItsConnection);
@@ -127,6 +128,26 @@
     }
   }
 
+  // Guards against memory and time that a peer takes with heads that never end.
+  void EndlessHeadsAreTooLarge() {
+    constexpr std::size_t kEndless = 4 << 20;
+    std::string fields = "HTTP/1.1 200 OK\r\n";
+    while (fields.size() < kEndless)
+      fields += "X-Filler-" + std::to_string(fields.size()) + ": 1\r\n";
+    std::string interim;
+    while (interim.size() < kEndless) interim += kInterim;
+    std::string trailer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n";
+    while (trailer.size() < kEndless) trailer += "X-Filler: 1\r\n";
+    for (const std::string& endless : {fields, interim, trailer}) {
+      for (const auto& response : this->FetchBoth(endless)) {
+        CPPUNIT_ASSERT(!response);
+        CPPUNIT_ASSERT_EQUAL(std::string(ToString(ErrorCode::kResponseTooLarge)),
+                             std::string(ToString(response.error().code)));
+        CPPUNIT_ASSERT(response.error().verdict == Verdict::kMayHaveRun);
+      }
+    }
+  }
+
   // Guards against reading the rest of a malformed response as the next one.
   void ConnectionOfMalformedResponseIsNotUsedAgain() {
     for (const bool blocking : {false, true}) {
