--- a/src/http/response-head.cc
+++ b/src/http/response-head.cc
@@ -123,9 +123,10 @@
 Result<void> ResponseHeadReader::AddField(std::string_view line) {
   const std::size_t colon = line.find(':');
   const std::string name(line.substr(0, colon));
-  if (colon == std::string_view::npos || !IsToken(name))
+  if (colon == std::string_view::npos || !IsToken(name)) {
     return Malformed("the line \"" + std::string(line.substr(0, kMaxQuotedBytes)) +
                      "\" is no field");
+  }
   this->last_name = name;
   if (this->section == Section::kTrailer) return success();
   const std::string_view value = TrimBlanks(line.substr(colon + 1));
--- a/test/faulty-upstream-integration-test.cc
+++ b/test/faulty-upstream-integration-test.cc
@@ -196,11 +196,10 @@
 
   void StreamAfterInterimResponsesIsTheAnswer() {
     this->StartServing();
-    for (const std::string& head : this->deployment->OpenHeads()) {
-      this->ScriptBytes(head,
-                        kInterimHeads + kStreamHead + "Connection: close\r\n\r\n" + kFirstEvent,
-                        ScriptedEnd::kClose);
-    }
+    std::string bytes = kInterimHeads;
+    bytes.append(kStreamHead).append("Connection: close\r\n\r\n").append(kFirstEvent);
+    for (const std::string& head : this->deployment->OpenHeads())
+      this->ScriptBytes(head, bytes, ScriptedEnd::kClose);
     this->RunFor(200);
     const Answer answer = this->SendAndWait("GET", "/chat/1", "s1", "k1");
     CPPUNIT_ASSERT_EQUAL(200, answer.status);
--- a/test/harness/malformed-responses.h
+++ b/test/harness/malformed-responses.h
@@ -76,7 +76,8 @@
     responses.push_back(
         {"line " + line, MakeRawResponse("HTTP/1.1 200 OK", fields + line + "\r\n")});
     responses.push_back(
-        {"first line " + line, MakeRawResponse("HTTP/1.1 200 OK", line + "\r\n" + fields)});
+        {"first line " + line,
+         MakeRawResponse("HTTP/1.1 200 OK", std::string(line).append("\r\n").append(fields))});
   }
   responses.push_back(
       {"first line folded", MakeRawResponse("HTTP/1.1 200 OK\r\n X-Odd: 1", fields)});
