Test that unusual valid heads are accepted at all readers

Guards the new checks against refusing a sound upstream: an empty reason, HTTP/1.0, obs-text, tabs, empty and folded values, all characters of a token, "Chunked" in any case. The raw responses are no longer all malformed, so their header is called raw-responses.h.

--- a/test/faulty-upstream-integration-test.cc
+++ b/test/faulty-upstream-integration-test.cc
@@ -2,7 +2,7 @@
 #include <list>
 
 #include "harness/gateway-fixture.h"
-#include "harness/malformed-responses.h"
+#include "harness/raw-responses.h"
 #include "harness/scripted-server.h"
 
 namespace limpetfall::testing {
--- a/test/harness/malformed-responses.h
+++ b/test/harness/raw-responses.h
@@ -1,8 +1,7 @@
-#ifndef LIMPETFALL_TEST_HARNESS_MALFORMED_RESPONSES_H_
-#define LIMPETFALL_TEST_HARNESS_MALFORMED_RESPONSES_H_
+#ifndef LIMPETFALL_TEST_HARNESS_RAW_RESPONSES_H_
+#define LIMPETFALL_TEST_HARNESS_RAW_RESPONSES_H_
 
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace limpetfall::testing {
@@ -127,6 +126,27 @@
   return responses;
 }
 
+/** Returns responses that look odd but follow the grammar. */
+inline std::vector<RawResponse> UnusualValidResponses() {
+  const std::string chunks = "4\r\ndone\r\n0\r\n\r\n";
+  std::vector<RawResponse> responses;
+  for (const char* line : {"HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 200 \xe9\t!",
+                           "HTTP/1.1 299 Odd", "HTTP/1.1 599 Odd"}) {
+    responses.push_back({std::string("status line ") + line, MakeRawResponse(line, "")});
+  }
+  for (const char* field :
+       {"X-Odd:", "X-Odd:1", "X-Odd: \t1\t ", "X-Odd: \xe9\xff", "X-Odd: a\tb", "1: 1",
+        "!#$%&'*+-.^_`|~: 1", "X-Odd: 1\r\n 2", "X-Odd:\r\n\t2", "content-LENGTH: 4"}) {
+    responses.push_back(
+        {field, MakeRawResponse("HTTP/1.1 200 OK", std::string(field).append("\r\n"))});
+  }
+  for (const char* coding : {"Chunked", "\tchunked ", "CHUNKED"}) {
+    const std::string field = std::string("Transfer-Encoding:").append(coding).append("\r\n");
+    responses.push_back({field, MakeRawResponse("HTTP/1.1 200 OK", "", field, chunks)});
+  }
+  return responses;
+}
+
 }  // namespace limpetfall::testing
 
-#endif  // LIMPETFALL_TEST_HARNESS_MALFORMED_RESPONSES_H_
+#endif  // LIMPETFALL_TEST_HARNESS_RAW_RESPONSES_H_
--- a/test/http-connection-test.cc
+++ b/test/http-connection-test.cc
@@ -13,7 +13,7 @@
 
 #include "gateway/server-context.h"
 #include "harness/endless-server.h"
-#include "harness/malformed-responses.h"
+#include "harness/raw-responses.h"
 
 namespace limpetfall {
 namespace {
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(FieldsOfTrailerAreNotInTheHead);
   CPPUNIT_TEST(MalformedStatusLineIsMalformed);
   CPPUNIT_TEST(MalformedFieldIsMalformed);
+  CPPUNIT_TEST(UnusualValidResponsesAreAccepted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -235,6 +236,15 @@
     this->ExpectMalformed(testing::ResponsesWithMalformedField());
   }
 
+  // Guards against refusing a sound upstream.
+  void UnusualValidResponsesAreAccepted() {
+    for (const auto& [name, bytes] : testing::UnusualValidResponses()) {
+      const auto answer = this->Fetch({bytes});
+      CPPUNIT_ASSERT_MESSAGE(name + (answer ? "" : ": " + answer.error().message), answer);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string("done"), answer.value());
+    }
+  }
+
   // Guards against refusing what a sender or an intermediary may have repeated.
   void RepeatedEqualLengthIsAccepted() {
     for (const char* length :
--- a/test/malformed-response-test.cc
+++ b/test/malformed-response-test.cc
@@ -3,8 +3,8 @@
 #include <vector>
 
 #include "client/blocking-http.h"
-#include "harness/malformed-responses.h"
 #include "harness/net.h"
+#include "harness/raw-responses.h"
 #include "http/client.h"
 
 namespace limpetfall::testing {
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(InterimResponsesAreSkipped);
   CPPUNIT_TEST(EndlessHeadsAreTooLarge);
   CPPUNIT_TEST(InvalidFramingIsMalformed);
+  CPPUNIT_TEST(UnusualValidResponsesAreAccepted);
   CPPUNIT_TEST(ConnectionOfMalformedResponseIsNotUsedAgain);
   CPPUNIT_TEST(BlockingClientKeepsItsConnection);
   CPPUNIT_TEST_SUITE_END();
@@ -148,6 +149,16 @@
     }
   }
 
+  // Guards against refusing a sound upstream.
+  void UnusualValidResponsesAreAccepted() {
+    for (const auto& [name, bytes] : UnusualValidResponses()) {
+      for (const auto& response : this->FetchBoth(bytes)) {
+        CPPUNIT_ASSERT_MESSAGE(name + (response ? "" : ": " + response.error().message), response);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string("done"), response.value().body);
+      }
+    }
+  }
+
   // Guards against reading the rest of a malformed response as the next one.
   void ConnectionOfMalformedResponseIsNotUsedAgain() {
     for (const bool blocking : {false, true}) {
