Join folded values without a blank at their ends

Cause: AddFold put a blank between the value and the fold also if one of them is empty, so "X-D:" with "5" on the next line was read as " 5", and a length folded like that was refused.

Change: the blank stands only between two parts that are not empty.

FoldedValueIsJoined covers both kinds.

--- a/src/http/response-head.cc
+++ b/src/http/response-head.cc
@@ -139,7 +139,10 @@
 Result<void> ResponseHeadReader::AddFold(std::string_view line) {
   if (this->last_name.empty()) return Malformed("the first line of the head begins with a blank");
   if (this->section == Section::kTrailer) return success();
-  this->response.headers.at(this->last_name).append(" ").append(TrimBlanks(line));
+  std::string& value = this->response.headers.at(this->last_name);
+  const std::string_view rest = TrimBlanks(line);
+  if (!value.empty() && !rest.empty()) value += ' ';
+  value += rest;
   return success();
 }
 
--- a/test/malformed-response-test.cc
+++ b/test/malformed-response-test.cc
@@ -107,10 +107,13 @@
 
   // Guards against a value that lacks its end, and against a fold that is read as a field.
   void FoldedValueIsJoined() {
-    for (const auto& response : this->FetchBoth(
-             MakeRawResponse("HTTP/1.1 200 OK", "X-A: 1\r\n \t X-B: 2\r\n\t3 \r\nX-C: 4\r\n"))) {
+    for (const auto& response :
+         this->FetchBoth(MakeRawResponse("HTTP/1.1 200 OK",
+                                         "X-A: 1\r\n \t X-B: 2\r\n\t3 \r\nX-C: 4\r\n \r\n"
+                                         "X-D:\r\n 5\r\n"))) {
       CPPUNIT_ASSERT_EQUAL(std::string("1 X-B: 2 3"), response.value().headers.at("X-A"));
       CPPUNIT_ASSERT_EQUAL(std::string("4"), response.value().headers.at("X-C"));
+      CPPUNIT_ASSERT_EQUAL(std::string("5"), response.value().headers.at("X-D"));
       CPPUNIT_ASSERT(!response.value().headers.contains("X-B"));
     }
   }
