--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <tuple>
 #include <utility>
 
 namespace limpetfall {
@@ -165,7 +166,8 @@
   if (!backlogged) start_tag = std::max(start_tag, lane.virtual_time);
 
   const AdmissionId id = ++this->last_id;
-  auto& ids = team.flows[{request.lane, request.priority}];
+  const bool late = request.on_time_by <= now;
+  auto& ids = team.flows[{request.lane, request.priority, late}];
   ++team.queued;
   ++lane.queued[static_cast<std::size_t>(request.priority)];
   if (request.is_retry) {
@@ -174,10 +176,26 @@
     ids.push_back(id);
   }
   this->by_deadline.emplace(EarliestDeadline(request), id);
-  this->waiting.emplace(id, Waiting{request, now});
+  if (!late && request.on_time_by != Deadline::max())
+    this->by_on_time.emplace(request.on_time_by, id);
+  this->waiting.emplace(id, Waiting{request, now, late});
   return id;
 }
 
+void AdmissionQueue::MoveLate(TimePoint now) {
+  while (!this->by_on_time.empty() && this->by_on_time.begin()->first <= now) {
+    const AdmissionId id = this->by_on_time.begin()->second;
+    this->by_on_time.erase(this->by_on_time.begin());
+    Waiting& entry = this->waiting.at(id);
+    entry.late = true;
+    Team& team = this->TeamOf(entry.request.team);
+    const auto flow = team.flows.find({entry.request.lane, entry.request.priority, false});
+    std::erase(flow->second, id);
+    if (flow->second.empty()) team.flows.erase(flow);
+    team.flows[{entry.request.lane, entry.request.priority, true}].push_back(id);
+  }
+}
+
 int AdmissionQueue::AgedPriority(const Waiting& entry, TimePoint now) const {
   const auto steps = (now - entry.since) / this->options.aging_step;
   return std::max<int>(0, static_cast<int>(entry.request.priority) - static_cast<int>(steps));
@@ -195,14 +213,14 @@
 std::optional<AdmissionId> AdmissionQueue::Next(const std::set<std::string>& blocked_lanes,
                                                 TimePoint now) const {
   std::optional<AdmissionId> best;
-  std::pair<int, double> best_rank;
+  std::tuple<int, bool, double> best_rank;
   for (const auto& [name, team] : this->teams) {
     for (const auto& [flow, ids] : team.flows) {
       if (blocked_lanes.contains(flow.lane)) continue;
       const Lane& lane = this->lanes.at(flow.lane);
       const int aged = this->AgedPriority(this->waiting.at(ids.front()), now);
-      const std::pair<int, double> rank{std::max(BestWaitingPriority(lane), aged),
-                                        lane.start_tags.at(name) - lane.virtual_time};
+      const std::tuple<int, bool, double> rank{std::max(BestWaitingPriority(lane), aged), flow.late,
+                                               lane.start_tags.at(name) - lane.virtual_time};
       if (best && best_rank <= rank) continue;
       best = ids.front();
       best_rank = rank;
@@ -225,14 +243,15 @@
 }
 
 void AdmissionQueue::Remove(AdmissionId id) {
-  const AdmissionRequest& request = this->waiting.at(id).request;
+  const auto& [request, since, late] = this->waiting.at(id);
   Team& team = this->TeamOf(request.team);
-  auto flow = team.flows.find({request.lane, request.priority});
+  auto flow = team.flows.find({request.lane, request.priority, late});
   std::erase(flow->second, id);
   if (flow->second.empty()) team.flows.erase(flow);
   --team.queued;
   --this->lanes.at(request.lane).queued[static_cast<std::size_t>(request.priority)];
   this->by_deadline.erase({EarliestDeadline(request), id});
+  this->by_on_time.erase({request.on_time_by, id});
   this->waiting.erase(id);
 }
 
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -31,6 +31,8 @@
   Deadline deadline;
   bool is_retry = false;  ///< A retry or resumed stream, already counted in the team's rate.
   Deadline start_by = Deadline::max();  ///< Refused if it cannot start before this time.
+  /** A request that has not started by then is late, and starts after those that are not. */
+  Deadline on_time_by = Deadline::max();
   /** A stream whose beginning has been delivered. The usual service time is not considered in the
    * deadline check, because the remaining length is unknown and a late end is better than none. */
   bool response_started = false;
@@ -42,8 +44,10 @@
 
 /**
  * Bounded queue in front of the upstreams. Requests of higher priority start first, and the
- * priority of a waiting request rises with time. Among requests of equal priority, teams share the
- * capacity of each lane by weight (start-time fair queueing over the cost of the requests).
+ * priority of a waiting request rises with time. Among requests of equal priority, those that can
+ * still meet their objective start before late ones; late ones fill the capacity that is left.
+ * Among these, teams share the capacity of each lane by weight (start-time fair queueing over the
+ * cost of the requests).
  *
  * The owner calls `Next` and tries to start the returned request. It then calls `Start` on success,
  * or else `Next` with the lane of the request added to the blocked lanes:
@@ -71,6 +75,9 @@
    */
   [[nodiscard]] Result<AdmissionId> Enqueue(const AdmissionRequest& request, TimePoint now);
 
+  /** Moves the requests that have become late behind the others. Called before `Next`. */
+  void MoveLate(TimePoint now);
+
   /** Returns the request to start next among those of lanes that are not blocked. */
   [[nodiscard]] std::optional<AdmissionId> Next(const std::set<std::string>& blocked_lanes,
                                                 TimePoint now) const;
@@ -102,6 +109,7 @@
   struct Flow {
     std::string lane;
     Priority priority = Priority::kNormal;
+    bool late = false;
 
     // clang-tidy 14 mistakes the 0 in the generated comparison for a null pointer.
     friend auto operator<=>(const Flow&, const Flow&) = default;  // NOLINT(modernize-use-nullptr)
@@ -142,6 +150,7 @@
   struct Waiting {
     AdmissionRequest request;
     TimePoint since;
+    bool late = false;
   };
 
   struct Running {
@@ -165,6 +174,8 @@
   std::unordered_map<AdmissionId, Waiting> waiting;
   std::unordered_map<AdmissionId, Running> running_requests;
   std::set<std::pair<Deadline, AdmissionId>> by_deadline;  ///< By `EarliestDeadline`.
+  /** Requests that are not late, by `on_time_by`. */
+  std::set<std::pair<Deadline, AdmissionId>> by_on_time;
 };
 
 /** Limits extra attempts to a fraction of the requests. */
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -330,6 +330,7 @@
 void Relay::DispatchWaiting() {
   std::set<std::string> blocked;
   const TimePoint now = Clock::now();
+  this->queue.MoveLate(now);
   while (const auto id = this->queue.Next(blocked, now)) {
     const auto waiter = this->waiters.find(*id);
     const Call& call = waiter->second->call;
@@ -479,19 +480,19 @@
   AdmissionRequest request;
   request.team = call.team;
   request.lane = call.Lane();
-  // Retrying callers miss their objective in any case, so callers that can still meet it go first.
-  request.priority = QueuePriority(call.priority + (call.is_caller_retry ? 1 : 0));
+  request.priority = QueuePriority(call.priority);
   request.deadline = call.deadline;
   request.is_retry = call.sends > 0;
   call.waits_for = WaitsFor::kSlot;
   request.response_started = call.stream_started;
   const Milliseconds silence_limit =
       CallerAbandonTimeout(call.route->objective, call.route->event_gap_objective);
-  request.start_by = request.is_retry
-                         ? call.deadline
-                         : this->start_policy.ComputeStartDeadline(
-                               request.lane, {call.arrived, call.deadline, call.route->objective,
-                                              silence_limit, call.is_caller_retry});
+  const StartDeadlines limits = this->start_policy.ComputeStartDeadlines(
+      request.lane,
+      {call.arrived, call.deadline, call.route->objective, silence_limit, call.is_caller_retry});
+  request.start_by = request.is_retry ? call.deadline : limits.start_by;
+  // Another attempt of an interrupted request goes first.
+  if (!request.is_retry) request.on_time_by = limits.on_time_by;
   // A caller abandons a silent stream. Waiting longer than that would only delay the return to the
   // parked stream.
   if (call.parked_stream) {
@@ -528,6 +529,8 @@
   if (!waiter.slot) {
     co_return NotRun(ErrorCode::kResourceExhausted, "no upstream slot became free in time");
   }
+  if (request.on_time_by < Clock::now())
+    this->metrics->Add("late_starts_total", {{"route", call.route->name}});
   co_return std::move(*waiter.slot);
 }
 
@@ -942,6 +945,8 @@
 
 asio::awaitable<void> Relay::RunAttempts(Call& call, HttpExchange& exchange) {
   this->budget.OnRequest(call.service, call.arrived);
+  if (call.is_caller_retry)
+    this->metrics->Add("caller_retries_total", {{"route", call.route->name}});
   // A caller that returns after a refusal has been counted before.
   if (!call.model.value.empty() && !call.is_caller_retry)
     this->demand.OnArrival(call.model, call.arrived);
@@ -1060,6 +1065,7 @@
        {"sends", call.sends},
        {"ms", std::lround(passed.count() * kMsPerS)},
        {"waited_ms", call.queue_time.count()},
+       {"caller_retry", call.is_caller_retry},
        {"config", call.routes->config().version},
        {"proof_age_ms", call.proof_age.count()}});
   this->metrics->Observe("request_seconds",
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -110,6 +110,10 @@
   CPPUNIT_TEST(RequestThatWouldMissItsDeadlineIsRefusedOnArrival);
   CPPUNIT_TEST(RequestsAreAdmittedAfterSlowPeriod);
   CPPUNIT_TEST(LongServiceTimeIsNotCountedAsWait);
+  CPPUNIT_TEST(LateRequestStartsAfterThoseThatCanBeOnTime);
+  CPPUNIT_TEST(UrgencyGoesBeforeBeingOnTime);
+  CPPUNIT_TEST(CancelledLateRequestIsRemoved);
+  CPPUNIT_TEST(BacklogAfterOutageDelaysNoNewRequests);
   CPPUNIT_TEST(StartedStreamIsAdmittedWithShortDeadline);
   CPPUNIT_TEST(RequestIsRefusedWhenQueueIsFull);
   CPPUNIT_TEST(CancelledRequestIsRemoved);
@@ -247,6 +251,83 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.Expire(now + seconds(10)).size());
   }
 
+  // Guards against giving a slot to a request that is late in any case, while another one that
+  // waits for it becomes late.
+  void LateRequestStartsAfterThoseThatCanBeOnTime() {
+    AdmissionQueue queue({});
+    const TimePoint now(seconds(100));
+    AdmissionRequest first = Request("a", Priority::kNormal, seconds(106));
+    first.on_time_by = now + milliseconds(100);
+    const AdmissionId late = queue.Enqueue(first, now).value();
+    first.on_time_by = now + milliseconds(300);
+    const AdmissionId on_time = queue.Enqueue(first, now + milliseconds(50)).value();
+    CPPUNIT_ASSERT(queue.Next({}, now + milliseconds(50)) == late);
+    queue.MoveLate(now + milliseconds(150));
+    CPPUNIT_ASSERT(queue.Next({}, now + milliseconds(150)) == on_time);
+    queue.Start(on_time, now + milliseconds(150));
+    CPPUNIT_ASSERT(queue.Next({}, now + milliseconds(150)) == late);
+  }
+
+  // Guards against serving less urgent requests more often than urgent ones under overload.
+  void UrgencyGoesBeforeBeingOnTime() {
+    AdmissionQueue queue({});
+    const TimePoint now(seconds(100));
+    AdmissionRequest urgent = Request("a", Priority::kHigh, seconds(106));
+    urgent.on_time_by = now;
+    const AdmissionId late = queue.Enqueue(urgent, now).value();
+    AdmissionRequest normal = Request("a", Priority::kNormal, seconds(106));
+    normal.on_time_by = now + milliseconds(300);
+    CPPUNIT_ASSERT(queue.Enqueue(normal, now));
+    queue.MoveLate(now);
+    CPPUNIT_ASSERT(queue.Next({}, now) == late);
+  }
+
+  // Guards against a queue that fills up with requests that have been cancelled after they became
+  // late.
+  void CancelledLateRequestIsRemoved() {
+    AdmissionQueue queue({});
+    const TimePoint now(seconds(100));
+    AdmissionRequest request = Request("a", Priority::kNormal, seconds(106));
+    request.on_time_by = now + milliseconds(100);
+    const AdmissionId id = queue.Enqueue(request, now).value();
+    queue.MoveLate(now + milliseconds(200));
+    CPPUNIT_ASSERT(queue.Cancel(id));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.queued());
+    CPPUNIT_ASSERT(!queue.Next({}, now + milliseconds(200)));
+  }
+
+  // Guards against answers that are all late for seconds after an outage: 40 requests have queued
+  // up for 4 slots of 100 ms, and new ones arrive at the rate that the slots can serve.
+  void BacklogAfterOutageDelaysNoNewRequests() {
+    AdmissionQueue queue({});
+    const TimePoint start(seconds(100));
+    AdmissionRequest request = Request("a", Priority::kNormal, seconds(106));
+    request.on_time_by = start - milliseconds(1);
+    for (int i = 0; i < 40; ++i) CPPUNIT_ASSERT(queue.Enqueue(request, start));
+    std::map<AdmissionId, Deadline> fresh;
+    std::map<AdmissionId, TimePoint> running;
+    int on_time = 0;
+    for (TimePoint now = start; now < start + seconds(2); now += milliseconds(5)) {
+      std::erase_if(running, [&](const auto& entry) {
+        if (now < entry.second) return false;
+        queue.Finish(entry.first, true, now);
+        return true;
+      });
+      if ((now - start) % milliseconds(25) == milliseconds(0)) {
+        request.on_time_by = now + milliseconds(100);
+        fresh[queue.Enqueue(request, now).value()] = request.on_time_by;
+      }
+      queue.MoveLate(now);
+      for (auto id = queue.Next({}, now); id && running.size() < 4; id = queue.Next({}, now)) {
+        queue.Start(*id, now);
+        running[*id] = now + milliseconds(100);
+        if (const auto entry = fresh.find(*id); entry != fresh.end() && now <= entry->second)
+          ++on_time;
+      }
+    }
+    CPPUNIT_ASSERT(on_time >= static_cast<int>(fresh.size()) - 4);
+  }
+
   // Guards against aborting a stream after the loss of its group because the remaining time is too
   // short for a complete request.
   void StartedStreamIsAdmittedWithShortDeadline() {
