--- a/src/core/dispatch.cc
+++ b/src/core/dispatch.cc
@@ -44,7 +44,7 @@
 
 /** Returns whether the upstream has said nothing against new requests. */
 bool IsWanted(const DispatchTarget& target, TimePoint now) {
-  return !target.said_leaving && target.paused_until <= now;
+  return !target.said_leaving && !target.evacuated && target.paused_until <= now;
 }
 
 /** Returns whether the upstream serves such requests and none of its faults excludes it. */
@@ -92,6 +92,8 @@
 }
 
 void DispatchTicket::OnSent(TimePoint now) {
+  // A request is counted once, also if it is sent again after an idle connection was closed.
+  if (this->sent == TimePoint()) this->target->cold_limit.OnSent(now);
   this->sent = now;
   if (this->target->rate_limit) this->target->rate_limit->OnSent(now);
 }
@@ -103,12 +105,46 @@
 void DispatchTicket::Release() {
   if (!this->target) return;
   --this->target->in_flight;
+  if (this->sent == TimePoint()) this->target->cold_limit.Release();
   this->RemoveListener();
   this->target->trial_in_flight = false;
   this->target.reset();
 }
 
-void DispatchTable::RefreshTarget(const Runner& runner, const PlannedGroup* group, int slots) {
+Deadline DispatchTable::ColdUntil(const Runner& runner, const DispatchTarget& target) const {
+  if (!target.cold) return Deadline();
+  // Without a statement of the upstream, it counts from the time at which this node noticed it.
+  Deadline until = runner.cold_until.value_or(target.first_seen + target.cold->duration);
+  if (const auto ended = this->evacuations_ended.find(target.zone);
+      ended != this->evacuations_ended.end()) {
+    until = std::max(until, ended->second + target.cold->duration);
+  }
+  return until;
+}
+
+bool DispatchTable::MaySendToCold(const DispatchTarget& target, TimePoint now) const {
+  if (!target.cold || target.cold_until <= now) return true;
+  const int allowed = ColdRequestsPerSecond(target.cold->rate_per_s, this->options.cold,
+                                            this->sender_count.value_or(this->options.cold_senders),
+                                            target.boot ^ this->options.seed);
+  return target.cold_limit.CanSend(allowed, now);
+}
+
+void DispatchTable::SetEvacuations(std::set<ZoneId> zones, std::map<ZoneId, TimePoint> ended) {
+  this->evacuated_zones = std::move(zones);
+  this->evacuations_ended = std::move(ended);
+  for (auto& [id, target] : this->targets)
+    target->evacuated = this->evacuated_zones.contains(target->zone);
+}
+
+std::size_t DispatchTable::CountCold(TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->targets.begin(), this->targets.end(),
+      [now](const auto& entry) { return entry.second->cold && now < entry.second->cold_until; }));
+}
+
+void DispatchTable::RefreshTarget(const Runner& runner, const PlannedGroup* group, int slots,
+                                  TimePoint now) {
   auto& target = this->targets[runner.id];
   // A restarted runner inherits neither load nor suspension from its previous run.
   const bool created =
@@ -116,6 +152,7 @@
   if (created) {
     target = std::make_shared<DispatchTarget>();
     target->health = UpstreamHealth(this->options.health);
+    target->first_seen = now;
     target->boot = BootHash(runner);
     target->said_leaving = this->leaving_boots.contains(target->boot);
     const auto limit = this->rate_limits.find(target->boot);
@@ -129,6 +166,10 @@
   target->slots = slots;
   target->model = group != nullptr ? group->model : ModelName();
   target->eligible = true;
+  target->evacuated = this->evacuated_zones.contains(runner.zone);
+  const auto cold = this->cold_profiles.find(runner.service);
+  target->cold = cold == this->cold_profiles.end() ? std::nullopt : std::optional(cold->second);
+  target->cold_until = this->ColdUntil(runner, *target);
   // All nodes discover a new upstream at the same time, when all its slots are free.
   if (created) this->SetInFlightLimit(*target, slots);
 }
@@ -166,11 +207,11 @@
         });
     const auto slots = engine_slots.find(head->service);
     if (all_joined && slots != engine_slots.end())
-      this->RefreshTarget(*head, &group, slots->second);
+      this->RefreshTarget(*head, &group, slots->second, now);
   }
   for (const auto& [id, runner] : this->recent_runners) {
     if (runner.leaving || engine_slots.contains(runner.service)) continue;
-    this->RefreshTarget(runner, nullptr, runner.slots);
+    this->RefreshTarget(runner, nullptr, runner.slots, now);
   }
   std::erase_if(this->targets, [&](const auto& entry) {
     return !entry.second->eligible && !this->recent_runners.contains(entry.first);
@@ -220,6 +261,7 @@
     if (in_flight >= request.max_load * target->slots) continue;
     if (!request.response_started && target->in_flight >= target->in_flight_limit) continue;
     if (target->rate_limit && !target->rate_limit->CanSend()) continue;
+    if (!this->MaySendToCold(*target, now)) continue;
     double slots = target->slots;
     if (service_time != this->service_times.end())
       slots = EffectiveSlots(*target, service_time->second);
@@ -236,6 +278,7 @@
   // After a suspension one request is sent as a trial. Others follow once it has made progress.
   if (chosen->health.IsOnTrial()) chosen->trial_in_flight = true;
   if (chosen->rate_limit) chosen->rate_limit->Take();
+  chosen->cold_limit.Reserve();
   return DispatchTicket(chosen, listener);
 }
 
@@ -358,7 +401,7 @@
                                                    TimePoint now) const {
   std::optional<Deadline> earliest;
   for (const auto& [id, target] : this->targets) {
-    if (!CouldServe(*target, request) || target->said_leaving) continue;
+    if (!CouldServe(*target, request) || target->said_leaving || target->evacuated) continue;
     if (target->paused_until <= now) return std::nullopt;
     earliest = std::min(earliest.value_or(Deadline::max()), target->paused_until);
   }
@@ -420,7 +463,8 @@
                                                 TimePoint now) const {
   std::pair<int, int> sum{0, 0};
   for (const auto& [id, target] : this->targets) {
-    if (!target->eligible || target->service != service || target->model != model) continue;
+    if (!target->eligible || target->evacuated) continue;
+    if (target->service != service || target->model != model) continue;
     sum.first += target->slots;
     sum.second += this->TotalLoad(*target, now);
   }
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "core/cold-limit.h"
 #include "core/group-planner.h"
 #include "core/runner.h"
 #include "core/upstream-health.h"
@@ -41,6 +42,9 @@
    * the same time. */
   std::uint32_t seed = 1;
   UpstreamHealthOptions health{};
+  ColdLimitOptions cold{};
+  /** Nodes that share the rate of a cold upstream until `SetSenderCount` is called. */
+  std::size_t cold_senders = 12;
 };
 
 /** Requirements of a request for its upstream. */
@@ -78,6 +82,11 @@
   Deadline paused_until;         ///< The upstream has asked this node to send nothing until then.
   bool trial_in_flight = false;  ///< The first request after a suspension is in flight.
   std::shared_ptr<UpstreamRateLimit> rate_limit;  ///< Null if the upstream has stated none.
+  bool evacuated = false;                         ///< Its zone is evacuated.
+  std::optional<ColdProfile> cold;                ///< Of its service.
+  Deadline cold_until;
+  TimePoint first_seen;
+  ColdLimit cold_limit;
   std::set<UpstreamLossListener*> listeners;
 };
 
@@ -101,6 +110,9 @@
   /** Returns whether the upstream wants requests. It may have said otherwise since it was chosen.
    */
   [[nodiscard]] bool IsWanted(TimePoint now) const;
+
+  /** Returns whether the zone of the upstream is evacuated. */
+  [[nodiscard]] bool IsEvacuated() const { return this->target->evacuated; }
   [[nodiscard]] TimePoint last_progress() const { return this->target->last_progress; }
 
   /** Records that the request is being sent to the upstream. */
@@ -138,6 +150,20 @@
   void Update(const std::map<VmId, Runner>& runners, const GroupPlan& plan,
               const std::map<ServiceName, int>& engine_slots, TimePoint now);
 
+  /** Sets how the upstreams of services warm up. Takes effect with the next `Update`. */
+  void SetColdProfiles(std::map<ServiceName, ColdProfile> profiles) {
+    this->cold_profiles = std::move(profiles);
+  }
+
+  /** Sets the zones whose upstreams get nothing, and when evacuations of others have ended. */
+  void SetEvacuations(std::set<ZoneId> zones, std::map<ZoneId, TimePoint> ended);
+
+  /** Sets the number of nodes that may send requests, for the bound on cold upstreams. */
+  void SetSenderCount(std::size_t nodes) { this->sender_count = nodes; }
+
+  /** Returns the number of upstreams that are cold now. */
+  [[nodiscard]] std::size_t CountCold(TimePoint now) const;
+
   /** Chooses the upstream with the lowest cost, which depends on load, zone and fault rate. Returns
    * nothing if no eligible upstream is below `max_load`. */
   [[nodiscard]] std::optional<DispatchTicket> Choose(const DispatchRequest& request,
@@ -232,7 +258,11 @@
   [[nodiscard]] double RoutingCost(const detail::DispatchTarget& target,
                                    const DispatchRequest& request, double load,
                                    TimePoint now) const;
-  void RefreshTarget(const Runner& runner, const PlannedGroup* group, int slots);
+  void RefreshTarget(const Runner& runner, const PlannedGroup* group, int slots, TimePoint now);
+  /** Returns until when an upstream counts as cold. */
+  [[nodiscard]] Deadline ColdUntil(const Runner& runner,
+                                   const detail::DispatchTarget& target) const;
+  [[nodiscard]] bool MaySendToCold(const detail::DispatchTarget& target, TimePoint now) const;
   void SetInFlightLimit(detail::DispatchTarget& target, int free_slots);
   /** Returns the number of requests that an upstream can have in flight, given its rate limit. */
   [[nodiscard]] static double EffectiveSlots(const detail::DispatchTarget& target,
@@ -249,6 +279,10 @@
   std::uint64_t last_reported_limit = 0;                                    ///< Upstream boot.
   std::map<std::pair<ServiceName, ModelName>, std::chrono::duration<double>> service_times;
   std::map<NodeId, PeerLoad> peers;
+  std::map<ServiceName, ColdProfile> cold_profiles;
+  std::set<ZoneId> evacuated_zones;
+  std::map<ZoneId, TimePoint> evacuations_ended;
+  std::optional<std::size_t> sender_count;
   std::uint64_t selection_count = 0;  ///< Rotates the choice among upstreams of equal cost.
   double free_slot_fraction = 1;      ///< Free slots that this node may use; 1 for a single node.
   std::minstd_rand random;
--- a/src/core/gateway-config.h
+++ b/src/core/gateway-config.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "core/cold-limit.h"
 #include "limpetfall/result.h"
 #include "limpetfall/time.h"
 
@@ -82,6 +83,7 @@
 struct GatewayService {
   ServiceName name;
   std::optional<EngineProfile> engine;  ///< Absent for a service without engines.
+  std::optional<ColdProfile> cold{};    ///< Absent if its upstreams are never cold.
 
   friend bool operator==(const GatewayService&, const GatewayService&) = default;
 };
--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -122,6 +122,17 @@
     return confirmed && (head == nullptr || this->HasLeft(*head, group));
   }
 
+  [[nodiscard]] bool IsEvacuated(const Runner& runner) const {
+    return this->planner.evacuated_zones.contains(runner.zone);
+  }
+
+  [[nodiscard]] bool IsEvacuated(const PlannedGroup& group) const {
+    return std::any_of(group.members.begin(), group.members.end(), [&](const VmId& member) {
+      const Runner* runner = this->Find(member);
+      return runner != nullptr && this->IsEvacuated(*runner);
+    });
+  }
+
   [[nodiscard]] bool IsLeaving(const VmId& id) const {
     const Runner* runner = this->Find(id);
     return runner != nullptr && runner->leaving;
@@ -183,6 +194,7 @@
 
   /** Issues the join and open orders of a group, or marks it as dissolving if it cannot serve. */
   void Advance(PlannedGroup& group) {
+    if (this->IsEvacuated(group)) return;
     bool lost = this->ModelOf(group) == nullptr;
     bool broken = false;
     for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
@@ -235,6 +247,7 @@
 
   /** Dissolves a group; returns true once its members may join other groups. */
   bool Dissolve(const PlannedGroup& group) {
+    if (this->IsEvacuated(group)) return false;
     const VmId& head_id = group.members.front();
     const Runner* head = this->Find(head_id);
     const bool head_restarted = head != nullptr && head->started_ms != group.started_ms.front();
@@ -382,6 +395,7 @@
     for (const PlannedGroup& group : this->next.groups) planned.insert(group.group);
     for (const auto& [id, runner] : this->runners) {
       if (!IsServingHead(runner) || planned.contains(runner.membership->group)) continue;
+      if (this->IsEvacuated(runner)) continue;
       PlannedGroup unplanned;
       unplanned.group = runner.membership->group;
       unplanned.epoch = runner.membership->epoch;
@@ -411,7 +425,7 @@
     }
     std::map<DomainId, std::vector<const Runner*>> free;
     for (const auto& [id, runner] : this->runners) {
-      if (this->ModelsOf(runner.service).empty()) continue;
+      if (this->ModelsOf(runner.service).empty() || this->IsEvacuated(runner)) continue;
       if (assigned.contains(id) || runner.leaving || this->IsUnreachable(id)) continue;
       const auto hold = this->planner.domain_holds.find(runner.domain);
       const bool is_held = hold != this->planner.domain_holds.end() && this->now < hold->second;
@@ -462,8 +476,9 @@
   /** Returns the number of groups of a model, including those for which a domain is reserved. */
   [[nodiscard]] int CountGroups(const ModelName& model) const {
     const auto planned = std::count_if(
-        this->next.groups.begin(), this->next.groups.end(),
-        [&](const PlannedGroup& group) { return !group.dissolving && group.model == model; });
+        this->next.groups.begin(), this->next.groups.end(), [&](const PlannedGroup& group) {
+          return !group.dissolving && group.model == model && !this->IsEvacuated(group);
+        });
     const auto reserved =
         std::count_if(this->planner.reservations.begin(), this->planner.reservations.end(),
                       [&](const auto& entry) { return entry.second.model == model; });
@@ -633,7 +648,7 @@
     std::optional<Candidate> best;
     std::map<DomainId, ServiceName> domains;
     for (const PlannedGroup& group : this->next.groups) {
-      domains.emplace(group.domain, group.service);
+      if (!this->IsEvacuated(group)) domains.emplace(group.domain, group.service);
     }
     for (const auto& [domain, service] : domains) {
       for (const ServedModel& model : this->ModelsOf(service)) {
@@ -656,7 +671,12 @@
     group.service = candidate.service;
     group.model = candidate.model->name;
     group.domain = candidate.domain;
-    for (const Runner* runner : candidate.members) {
+    std::vector<const Runner*> members = candidate.members;
+    // Only the head gets requests, and a cold one takes few of them.
+    std::stable_partition(members.begin(), members.end(), [&](const Runner* runner) {
+      return runner->cold_until.value_or(Deadline()) <= this->now;
+    });
+    for (const Runner* runner : members) {
       group.members.push_back(runner->id);
       group.started_ms.push_back(runner->started_ms);
     }
@@ -684,7 +704,7 @@
     const bool unlimited = this->now < this->planner.options.unlimited_loads_until;
     for (const PlannedGroup& group : this->next.groups) {
       for (const ServedModel& model : this->ModelsOf(group.service)) {
-        if (model.name == group.model || group.dissolving) continue;
+        if (model.name == group.model || group.dissolving || this->IsEvacuated(group)) continue;
         if (unlimited || this->NeedsStagedMembers(model, group)) this->StageMembers(group, model);
       }
     }
--- a/src/core/group-planner.h
+++ b/src/core/group-planner.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "core/gateway-config.h"
@@ -156,6 +157,10 @@
                      const GatewayConfig& config, const std::map<ModelName, double>& demand,
                      TimePoint now);
 
+  /** Sets the zones whose runners get no orders and are not planned into groups. Their groups stay
+   * planned and count as no capacity. */
+  void SetEvacuatedZones(std::set<ZoneId> zones) { this->evacuated_zones = std::move(zones); }
+
   /** Clears state that is valid only while a single owner issues all orders. */
   void OnOwnershipGained();
 
@@ -209,6 +214,7 @@
   friend struct Step;
 
   PlannerOptions options;
+  std::set<ZoneId> evacuated_zones;
   std::map<VmId, TimePoint> missing_since;
   std::map<VmId, ProbeRecord> probe_results;
   std::map<VmId, LastOrder> last_orders;
--- a/src/core/runner.h
+++ b/src/core/runner.h
@@ -8,6 +8,7 @@
 
 #include "base/ids.h"
 #include "core/store-revision.h"
+#include "limpetfall/time.h"
 
 namespace limpetfall {
 
@@ -42,6 +43,8 @@
   std::vector<ModelName> staged;  ///< Models whose weights are on the VM's host.
   std::vector<ModelName> loaded;  ///< Models that the process serves.
   std::optional<RunnerMembership> membership;
+  /** Until then it takes few requests after a start; absent if the entry does not say. */
+  std::optional<Deadline> cold_until = Deadline();
   StoreRevision revision;    ///< Of the entry.
   bool is_confirmed = true;  ///< False if the membership may have changed since it was written.
 
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -663,6 +663,8 @@
     this->ConfirmMemberships(now);
     if (now < confirm_by && !this->gateway_state.UnconfirmedEngines().empty()) continue;
     const std::map<ModelName, double> demand = this->GroupDemand();
+    this->planner.SetEvacuatedZones(this->gateway_state.EvacuatedZones());
+    this->LogEvacuations(now);
     PlannerOutput output =
         this->planner.Step(this->gateway_state.runners.runners(), this->gateway_state.plan,
                            this->gateway_state.routes->config(), demand, now);
@@ -723,6 +725,24 @@
                                      : "lost"}});
 }
 
+template <CoordinationStore Store, DeploymentAdapter Adapter>
+void GatewayNode<Store, Adapter>::LogEvacuations(TimePoint now) {
+  std::erase_if(this->logged_evacuations, [&](const auto& entry) {
+    return !this->gateway_state.evacuations.zones().contains(entry.first);
+  });
+  const std::vector<const Peer*> peers = this->gateway_state.peers.LivePeers(now);
+  for (const auto& [zone, revision] : this->gateway_state.evacuations.zones()) {
+    if (this->logged_evacuations.contains(zone)) continue;
+    const bool all_know = std::all_of(peers.begin(), peers.end(), [&](const Peer* peer) {
+      return revision <= peer->status.mirror_revision;
+    });
+    if (!all_know) continue;
+    this->logged_evacuations.emplace(zone, revision);
+    Log(LogLevel::kInfo, "evacuation_known_to_all",
+        {{"zone", zone.value}, {"revision", revision.number}, {"nodes", peers.size() + 1}});
+  }
+}
+
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 void GatewayNode<Store, Adapter>::LogCapacity(const std::map<ModelName, double>& demand,
                                               TimePoint now) {
@@ -769,6 +789,7 @@
       continue;
     }
     if (now < this->last_probe[id] + gateway_detail::kProbeInterval) continue;
+    if (this->gateway_state.IsEvacuated(id)) continue;
     this->last_probe[id] = now;
     RunnerOrder probe;
     probe.runner = id;
@@ -784,6 +805,7 @@
   unconfirmed.resize(std::min(unconfirmed.size(), gateway_detail::kMaxConfirmations));
   for (const VmId& id : unconfirmed) {
     if (now < this->last_probe[id] + gateway_detail::kProbeInterval) continue;
+    if (this->gateway_state.IsEvacuated(id)) continue;
     this->last_probe[id] = now;
     RunnerOrder request;
     request.runner = id;
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -25,6 +25,7 @@
 #include "core/runner.h"
 #include "core/state-mirror.h"
 #include "core/traffic-set.h"
+#include "core/zone-evacuation.h"
 #include "gateway/coordination-store.h"
 #include "gateway/http-connection.h"
 #include "gateway/peers.h"
@@ -41,7 +42,8 @@
 };
 
 /** A change decoded from a store item of the deployment; `monostate` for an irrelevant item. */
-using DeploymentChange = std::variant<std::monostate, Runner, RunnerRemoved, GatewayConfig>;
+using DeploymentChange =
+    std::variant<std::monostate, Runner, RunnerRemoved, GatewayConfig, ZoneEvacuation>;
 
 /** Response of a runner to an order. */
 enum class OrderResult {
@@ -154,6 +156,12 @@
   /** Recomputes which nodes carry traffic and which read the store. */
   void UpdateTrafficSet();
 
+  /** Returns the zones that are evacuated. */
+  [[nodiscard]] std::set<ZoneId> EvacuatedZones() const;
+
+  /** Returns whether the upstream is in an evacuated zone. */
+  [[nodiscard]] bool IsEvacuated(const VmId& upstream) const;
+
   /** Recomputes this node's share of the free slots, before its load is sent to other nodes. */
   void ShareFreeSlots();
 
@@ -174,6 +182,7 @@
   Relay relay;
   PeerTable peers;
   RunnerRegistry runners;
+  ZoneEvacuations evacuations;
   GroupPlan plan;                              ///< The newest one known.
   std::vector<Quarantine> stored_quarantines;  ///< Those in the store.
   std::shared_ptr<const RouteTable> routes;
@@ -188,6 +197,10 @@
   void ApplyLeader(const StateItem& item);
   void ApplyPlan(const StateItem& item, ChangeOrigin origin);
   void ApplyQuarantines(const StateItem& item);
+  void ApplyEvacuation(const ZoneEvacuation& change, const StateItem& item, ChangeOrigin origin,
+                       TimePoint now);
+  /** Passes the evacuated zones on to dispatching, after they have changed. */
+  void OnEvacuationsChanged();
 
   StateItem config_item;  ///< Encodes `routes`.
   ConfigVersion stored_version = 0;
@@ -283,6 +296,8 @@
 
   /** Asks the runners whose membership is not confirmed, after a restore of the store. */
   void ConfirmMemberships(TimePoint now);
+  /** Logs the evacuations that all nodes know of, once each. */
+  void LogEvacuations(TimePoint now);
   void LogCapacity(const std::map<ModelName, double>& demand, TimePoint now);
 
   /** Returns the number of groups that callers need of each model. */
@@ -308,7 +323,7 @@
   Adapter& adapter;
   StateMirror mirror;
   GroupPlanner planner;
-  DemandPeak demand_peak;  ///< While this node is the leader.
+  DemandPeak demand_peak;                ///< While this node is the leader.
   std::optional<LeaseGrant> node_lease;  ///< Lease on the registration of this node.
   /** Lease on the leader key while this node is the leader. */
   std::optional<LeaseGrant> leader_lease;
@@ -334,6 +349,7 @@
   std::map<std::pair<VmId, std::int64_t>, std::int64_t> accepted_orders;
   TimePoint capacity_logged;
   TimePoint quarantines_written;
+  std::map<ZoneId, StoreRevision> logged_evacuations;  ///< Known to all nodes.
   std::map<VmId, TimePoint> last_probe;
   std::set<VmId> unreachable_runners;  ///< Runners that the last probe or order did not reach.
   std::mt19937 random;
--- a/src/gateway/gateway-state.cc
+++ b/src/gateway/gateway-state.cc
@@ -43,9 +43,45 @@
     this->AdoptConfig(std::move(*config), item);
   } else if (!item.value && item.key == this->config_item.key) {
     this->stored_version = 0;
+  } else if (const auto* evacuation = std::get_if<ZoneEvacuation>(&change)) {
+    this->ApplyEvacuation(*evacuation, item, origin, now);
   }
 }
 
+void GatewayState::ApplyEvacuation(const ZoneEvacuation& change, const StateItem& item,
+                                   ChangeOrigin origin, TimePoint now) {
+  const auto& known = this->runners.runners();
+  const bool has_runners = std::any_of(known.begin(), known.end(), [&](const auto& entry) {
+    return entry.second.zone == change.zone;
+  });
+  if (!this->evacuations.Apply(change, item.revision, origin, now)) return;
+  Log(has_runners ? LogLevel::kInfo : LogLevel::kWarning,
+      change.requested ? "evacuation_begins" : "evacuation_ends",
+      {{"zone", change.zone.value},
+       {"revision", item.revision.number},
+       {"has_upstreams", has_runners}});
+  this->OnEvacuationsChanged();
+}
+
+void GatewayState::OnEvacuationsChanged() {
+  const std::set<ZoneId> zones = this->EvacuatedZones();
+  this->metrics->Set("evacuated_zones", {}, static_cast<double>(zones.size()));
+  this->dispatch.SetEvacuations(zones, this->evacuations.ended());
+  this->relay.CancelUnservable();
+}
+
+std::set<ZoneId> GatewayState::EvacuatedZones() const {
+  std::set<ZoneId> zones;
+  for (const auto& [zone, revision] : this->evacuations.zones()) zones.insert(zone);
+  return zones;
+}
+
+bool GatewayState::IsEvacuated(const VmId& upstream) const {
+  const auto runner = this->runners.runners().find(upstream);
+  return runner != this->runners.runners().end() &&
+         this->evacuations.zones().contains(runner->second.zone);
+}
+
 void GatewayState::AdoptConfig(GatewayConfig config, const StateItem& item) {
   if (this->routes && config.version <= this->routes->config().version) return;
   Log(LogLevel::kInfo, "configuration",
@@ -155,11 +191,18 @@
 void GatewayState::Refresh() {
   const TimePoint now = Clock::now();
   this->runners.ApplyDue(now, this->store_read);
+  for (const ZoneId& zone : this->evacuations.ApplyDue(now)) {
+    Log(LogLevel::kWarning, "evacuation_lost", {{"zone", zone.value}});
+    this->OnEvacuationsChanged();
+  }
   if (!this->routes) return;
   std::map<ServiceName, int> slots;
+  std::map<ServiceName, ColdProfile> cold;
   for (const auto& [name, service] : this->routes->config().services) {
     if (service.engine) slots.emplace(name, service.engine->slots);
+    if (service.cold) cold.emplace(name, *service.cold);
   }
+  this->dispatch.SetColdProfiles(std::move(cold));
   this->dispatch.Update(this->runners.runners(), this->plan, slots, now);
   this->relay.SetContext({this->routes, this->confirmed});
   this->relay.DispatchWaiting();
@@ -203,6 +246,9 @@
   const std::size_t retained =
       std::min(this->peers.Addresses(now).size() + 1, this->options.traffic.min_nodes);
   this->dispatch.StartRateLimitRounds(std::max(other_active_nodes + 1, retained), now);
+  // Callers go on using addresses of nodes that were active before, so some more may send.
+  const std::size_t active = std::max(other_active_nodes + 1, this->options.traffic.min_nodes);
+  this->dispatch.SetSenderCount(active + active / 2);
   this->relay.DispatchWaiting();
 }
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -382,6 +382,16 @@
   }
 }
 
+void Relay::CancelUnservable() {
+  const TimePoint now = Clock::now();
+  for (const auto& [id, waiter] : this->waiters) {
+    const Call& call = waiter->call;
+    const DispatchRequest wanted{call.service,        call.model,         call.excluded, 1,
+                                 call.IsRepeatable(), call.stream_started};
+    if (!this->table.HasEligible(wanted, now)) waiter->timer.cancel();
+  }
+}
+
 void Relay::BeginStop(Deadline estimate_until, Deadline stop_by) {
   this->stop_admission.BeginStop(estimate_until, stop_by);
   this->CancelDisallowed();
@@ -661,6 +671,8 @@
   call.connection = connected.value();
   const std::shared_ptr<HttpConnection> connection = call.connection;
   if (!slot.ticket.IsWanted(Clock::now())) {
+    if (slot.ticket.IsEvacuated())
+      this->metrics->Add("requests_kept_from_evacuated_zones_total", {});
     this->pool.Release(connection);
     call.error = NotRun(ErrorCode::kUnavailable, "the upstream wants no requests at present");
     co_return Outcome::kNotRun;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -109,6 +109,10 @@
   /** Ends waiting requests that can no longer start in time. */
   void ExpireWaiting();
 
+  /** Ends the waiting requests that no upstream can serve any more. Called after upstreams were
+   * excluded. */
+  void CancelUnservable();
+
   /** Logs quarantines that begin, and ends the waiting requests that they refuse. */
   void OnQuarantined(const std::vector<Quarantine>& added);
 
