--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -686,44 +686,54 @@
     this->changed = true;
   }
 
-  /** Stages weights on the hosts of free runners that can join no group, and on all hosts while
-   * loads are unlimited. */
+  /** Stages weights on the hosts of free runners that the model which is shortest of capacity could
+   * use, and of members of groups that could join no group of another model. */
   void StageWeights(const FreeByDomain& free) {
     for (const auto& [domain, free_runners] : free) {
       const auto& models = this->ModelsOf(free_runners.front()->service);
       for (const Runner* runner : free_runners) {
-        if (!runner->staged.empty()) continue;
-        const auto max_shortage_model = std::max_element(
+        const auto shortest = std::max_element(
             models.begin(), models.end(), [&](const ServedModel& a, const ServedModel& b) {
               return this->Shortage(a.name, this->CountGroups(a.name)) <
                      this->Shortage(b.name, this->CountGroups(b.name));
             });
-        this->OrderStage(*runner, *max_shortage_model);
+        if (this->NeedsWeights(*runner, *shortest)) this->OrderStage(*runner, *shortest);
       }
     }
-    const bool unlimited = this->now < this->planner.options.unlimited_loads_until;
     for (const PlannedGroup& group : this->next.groups) {
-      for (const ServedModel& model : this->ModelsOf(group.service)) {
-        if (model.name == group.model || group.dissolving || this->IsEvacuated(group)) continue;
-        if (unlimited || this->NeedsStagedMembers(model, group)) this->StageMembers(group, model);
-      }
+      if (!group.dissolving && !this->IsEvacuated(group)) this->StageMembers(group);
     }
   }
 
-  /**
-   * Returns whether a model is short of capacity compared with the model of a group. A runner that
-   * joins a group of another model gives up its staged weights, so without staging them again the
-   * groups of a model could only become fewer.
-   */
-  [[nodiscard]] bool NeedsStagedMembers(const ServedModel& model, const PlannedGroup& group) const {
-    const ServedModel* own = this->ModelOf(group);
-    return own != nullptr &&
-           this->JustifiesShift(this->EffectiveUtilization(model, this->CountGroups(model.name)),
-                                this->EffectiveUtilization(*own, this->CountGroups(own->name)));
+  /** Returns whether a free runner should stage a model, and give up the weights that it holds. */
+  [[nodiscard]] bool NeedsWeights(const Runner& runner, const ServedModel& model) const {
+    if (runner.staged.empty()) return true;
+    if (!this->NeedsLoad(runner, model.name)) return false;
+    const double utilization = this->EffectiveUtilization(model, this->CountGroups(model.name));
+    const auto& models = this->ModelsOf(runner.service);
+    return std::all_of(models.begin(), models.end(), [&](const ServedModel& held) {
+      if (!Contains(runner.staged, held.name)) return true;
+      return this->JustifiesShift(utilization,
+                                  this->EffectiveUtilization(held, this->CountGroups(held.name)));
+    });
   }
 
-  /** Stages another model for group members; the model of their own group stays loaded. */
-  void StageMembers(const PlannedGroup& group, const ServedModel& model) {
+  /**
+   * Stages another model for group members that hold no other weights; the model of their own group
+   * stays loaded. A runner that changes to another model gives up the weights of its former one,
+   * and a load takes many times longer than joining a group with staged weights. Without staging in
+   * advance, the groups of a model that lost some could only become fewer.
+   */
+  void StageMembers(const PlannedGroup& group) {
+    const auto& models = this->ModelsOf(group.service);
+    const ServedModel* shortest = nullptr;
+    for (const ServedModel& model : models) {
+      if (model.name == group.model) continue;
+      if (shortest == nullptr || this->Shortage(shortest->name, this->CountGroups(shortest->name)) <
+                                     this->Shortage(model.name, this->CountGroups(model.name)))
+        shortest = &model;
+    }
+    if (shortest == nullptr) return;
     for (const VmId& member : group.members) {
       const Runner* runner = this->Find(member);
       if (runner == nullptr || !InGroup(*runner, group)) continue;
@@ -731,8 +741,11 @@
       // The head must process its open order first.
       const bool head = member == group.members.front();
       if (head && runner->membership->stage != MembershipStage::kOpen) continue;
-      if (!this->NeedsLoad(*runner, model.name)) continue;
-      this->OrderStage(*runner, model);
+      const bool holds_other =
+          std::any_of(models.begin(), models.end(), [&](const ServedModel& model) {
+            return model.name != group.model && !this->NeedsLoad(*runner, model.name);
+          });
+      if (!holds_other) this->OrderStage(*runner, *shortest);
     }
   }
 
