--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -594,14 +594,19 @@
   }
 
   /** Returns whether `donor` serves its callers with `remaining` groups, so that `model` may take
-   * over one. If `model` refuses callers now, no reserve for lost members is kept. */
+   * over one. If `model` would refuse callers after the next loss, no reserve for lost members is
+   * kept. If both refuse callers, the one that is shorter of capacity gets the group. */
   [[nodiscard]] bool MayGiveUpGroup(const ServedModel& donor, int remaining,
                                     const ServedModel& model) const {
     const PlannerOptions& limits = this->planner.options;
     if (this->EffectiveUtilization(donor, remaining) <= limits.shift_max_donor_utilization)
       return true;
-    return this->EffectiveUtilization(model, this->CountGroups(model.name)) > 1 &&
-           this->Utilization(donor.name, remaining) <= limits.relief_max_donor_utilization;
+    const int groups = this->CountGroups(model.name);
+    if (this->EffectiveUtilization(model, groups) <= 1) return false;
+    const double donor_utilization = this->Utilization(donor.name, remaining);
+    return donor_utilization <= limits.relief_max_donor_utilization ||
+           donor_utilization + limits.shift_min_utilization_gap <=
+               this->Utilization(model.name, groups + 1);
   }
 
   /** Finds groups of models with spare capacity to dissolve for a group of `model`. */
--- a/test/group-planner-test.cc
+++ b/test/group-planner-test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(BusyGroupsAreNotDissolved);
   CPPUNIT_TEST(ReserveOfOneModelServesTheOtherThatRefusesCallers);
   CPPUNIT_TEST(ModelThatLosesCallersWithEachMemberGetsRunners);
+  CPPUNIT_TEST(OverloadedModelsShareCapacityByTheirDemand);
   CPPUNIT_TEST(MembersWithoutOtherWeightsStageThem);
   CPPUNIT_TEST(MembersWithOtherWeightsStageNothing);
   CPPUNIT_TEST(SmallGroupIsDissolvedToCompleteLargeGroup);
@@ -375,6 +376,26 @@
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, dissolving);
   }
 
+  // Guards against a model that lost all its groups and gets none, because the other one is fully
+  // used as well (scale-2 of zhw-limpetfall-grown).
+  void OverloadedModelsShareCapacityByTheirDemand() {
+    this->AddRunners("d1", 10);
+    this->demand = {{kSmall, 5}};
+    this->WritePlan(this->Step());
+    for (const PlannedGroup& group : this->plan.groups) this->JoinAll(group);
+    this->StageAllModels();
+    this->now += std::chrono::seconds(60);
+    this->planner.OnOwnershipGained();
+    this->demand = {{kLarge, 4}, {kSmall, 5}};
+    this->WritePlan(this->Step());
+    const auto remaining =
+        std::count_if(this->plan.groups.begin(), this->plan.groups.end(),
+                      [](const PlannedGroup& group) { return !group.dissolving; });
+    // One large group for a demand of 4, three small ones for 5: another shift would make the small
+    // ones the shorter of the two.
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, remaining);
+  }
+
   // Guards against a model whose groups can only become fewer, because runners that joined groups
   // of the other model have given up its weights.
   void MembersWithoutOtherWeightsStageThem() {
