--- a/test/harness/gateway-process-fixture.h
+++ b/test/harness/gateway-process-fixture.h
@@ -63,7 +63,8 @@
           << "\nstrict_keys = true\n"
              "key_revocation_ms = 5000\nretry_share = 0.2\nretry_slack = 100\n"
              "retry_window_s = 10\ngroup_stall_ms = "
-          << this->deployment->stall_time.count() << "\n";
+          << this->deployment->stall_time.count() << "\n"
+          << this->further_limits;
       this->processes.push_back(Process::Start("limpetfall-gateway", {"--settings", settings_path},
                                                settings_path + ".log"));
       if (i == 0) this->caller_address = caller;
@@ -104,6 +105,7 @@
     return address.substr(address.rfind(':') + 1);
   }
 
+  std::string further_limits;    ///< Lines of the settings under `[limits]`.
   std::filesystem::path folder;  ///< Settings and logs of the processes.
   std::vector<std::unique_ptr<Process>> processes;
   boost::asio::io_context ports_io;  ///< Of the held ports, which outlive the deployment.
