--- a/src/daemon/entry-node.cc
+++ b/src/daemon/entry-node.cc
@@ -349,8 +349,12 @@
   api_options.zone = this->settings.zone;
   api_options.request_timeout = Milliseconds(this->settings.request_timeout_ms);
   auto api = CallerApi<NodeDispatcher>::Create(this->dispatcher, api_options);
-  BOOST_OUTCOME_TRY(this->caller_server, HttpServer::Create(this->io, this->settings.caller_address,
-                                                            api->Handler(), {}));
+  HttpServerOptions caller_options;
+  caller_options.request_memory =
+      std::make_shared<RequestMemory>(ListenerLimits().max_request_bytes);
+  BOOST_OUTCOME_TRY(this->caller_server,
+                    HttpServer::Create(this->io, this->settings.caller_address, api->Handler(),
+                                       std::move(caller_options)));
   // The node outlives its servers, so the handler needs no ownership of it.
   auto self = std::shared_ptr<EntryNodeImpl>(std::shared_ptr<void>(), this);
   BOOST_OUTCOME_TRY(this->admin_server,
--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -177,16 +177,20 @@
 template <CoordinationStore Store, DeploymentAdapter Adapter>
 Result<void> GatewayNode<Store, Adapter>::Start() {
   namespace asio = boost::asio;
-  BOOST_OUTCOME_TRY(this->caller_server,
-                    HttpServer::Create(this->io, this->gateway_state.options.caller_address,
-                                       [this](HttpExchange& exchange) {
-                                         return this->gateway_state.relay.Handle(exchange);
-                                       },
-                                       {.max_body_bytes = 8 << 20}));
-  BOOST_OUTCOME_TRY(
-      this->peer_server,
-      HttpServer::Create(this->io, this->gateway_state.options.peer_address,
-                         [this](HttpExchange& exchange) { return this->ServePeer(exchange); }, {}));
+  HttpServerOptions caller_options = this->gateway_state.ListenerOptions();
+  caller_options.max_body_bytes = 8 << 20;
+  caller_options.max_connections = this->gateway_state.options.listeners.max_caller_connections;
+  BOOST_OUTCOME_TRY(this->caller_server, HttpServer::Create(
+                                             this->io, this->gateway_state.options.caller_address,
+                                             [this](HttpExchange& exchange) {
+                                               return this->gateway_state.relay.Handle(exchange);
+                                             },
+                                             std::move(caller_options)));
+  BOOST_OUTCOME_TRY(this->peer_server,
+                    HttpServer::Create(
+                        this->io, this->gateway_state.options.peer_address,
+                        [this](HttpExchange& exchange) { return this->ServePeer(exchange); },
+                        this->gateway_state.ListenerOptions()));
   BOOST_OUTCOME_TRY(const auto endpoint, ParseEndpoint(this->gateway_state.options.peer_address));
   boost::system::error_code error;
   const asio::ip::udp::endpoint udp_endpoint(endpoint.address(), endpoint.port());
@@ -924,6 +928,12 @@
     co_await detail::PauseUntil(Clock::now() + gateway_detail::kRefreshInterval);
     this->gateway_state.relay.ExpireWaiting();
     this->gateway_state.pool.CloseExpired(Clock::now());
+    Metrics& metrics = *this->gateway_state.metrics;
+    const RequestMemory& memory = *this->gateway_state.request_memory;
+    metrics.Set("request_memory_bytes", {}, static_cast<double>(memory.bytes()));
+    metrics.Set("requests_dropped_for_memory", {}, static_cast<double>(memory.drops()));
+    metrics.Set("caller_connections_shed", {},
+                static_cast<double>(this->caller_server->connections_shed()));
     this->gateway_state.Refresh();
   }
 }
--- a/src/gateway/gateway-node.h
+++ b/src/gateway/gateway-node.h
@@ -21,6 +21,7 @@
 #include "core/drain.h"
 #include "core/gateway-config.h"
 #include "core/group-planner.h"
+#include "core/request-memory.h"
 #include "core/runner-registry.h"
 #include "core/runner.h"
 #include "core/state-mirror.h"
@@ -93,6 +94,7 @@
   /** Time after the start in which model loads are not rate-limited. */
   Milliseconds free_load_time{0};
   double capacity = 1;  ///< Processor capacity of this node, in cores.
+  ListenerLimits listeners;
   TrafficSetOptions traffic;
   DispatchOptions dispatch;
   PlannerOptions planner;
@@ -153,6 +155,9 @@
    */
   void ConfirmConfiguration(BootTime copy_confirmed, TimePoint now);
 
+  /** Returns the options of a listener that does not serve callers. */
+  [[nodiscard]] HttpServerOptions ListenerOptions() const;
+
   /** Recomputes which nodes carry traffic and which read the store. */
   void UpdateTrafficSet();
 
@@ -176,6 +181,7 @@
 
   const GatewayOptions options;
   const std::shared_ptr<Metrics> metrics;
+  const std::shared_ptr<RequestMemory> request_memory;  ///< Of all listeners of the process.
   ConnectionPool pool;
   DispatchTable dispatch;
   CrashAttribution crash_attribution;
--- a/src/gateway/gateway-state.cc
+++ b/src/gateway/gateway-state.cc
@@ -16,6 +16,7 @@
                            std::shared_ptr<Metrics> counters)
     : options(std::move(settings)),
       metrics(std::move(counters)),
+      request_memory(std::make_shared<RequestMemory>(this->options.listeners.max_request_bytes)),
       pool(context),
       dispatch(this->options.dispatch),
       relay(context, this->options.relay, this->dispatch, this->pool, this->crash_attribution,
@@ -208,6 +209,13 @@
   this->relay.DispatchWaiting();
 }
 
+HttpServerOptions GatewayState::ListenerOptions() const {
+  HttpServerOptions listener;
+  listener.max_connections = this->options.listeners.max_other_connections;
+  listener.request_memory = this->request_memory;
+  return listener;
+}
+
 void GatewayState::ConfirmConfiguration(BootTime copy_confirmed, TimePoint now) {
   if (this->stored_version < this->NewestConfigVersion()) return;
   // A newer configuration that no node has seen may have been lost.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -4,6 +4,7 @@
 #include <poll.h>
 #include <sys/ioctl.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -16,7 +17,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/lexical_cast.hpp>
+#include <limits>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -86,6 +89,7 @@
   std::atomic<bool> destroyed = false;         ///< The handler must not be called any more.
   std::atomic<std::size_t> in_flight = 0;
   std::atomic<std::uint64_t> requests_begun = 0;
+  std::atomic<std::uint64_t> connections_shed = 0;
 
   std::mutex mutex;
   std::unordered_map<Connection*, std::weak_ptr<Connection>> connections;  ///< Guarded by `mutex`.
@@ -121,10 +125,15 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  /** Adds the connection to the server's list; returns false if the limit is reached. */
+  /** Adds the connection to the server's list. At the limit, the one that has waited longest for a
+   * request is closed; returns false if all are in use. */
   bool Register() {
+    const std::vector<std::shared_ptr<Connection>> open = this->core->Connections();
+    if (open.size() >= this->core->options.max_connections) {
+      ++this->core->connections_shed;
+      if (!CloseLongestWaiting(open)) return false;
+    }
     const std::lock_guard lock(this->core->mutex);
-    if (this->core->connections.size() >= this->core->options.max_connections) return false;
     this->core->connections.emplace(this, this->weak_from_this());
     return true;
   }
@@ -149,6 +158,20 @@
     this->timer.cancel();
   }
 
+  /** Closes the connection unless a request has been read completely and is not answered. */
+  void CloseIfWaiting() {
+    if (this->phase == Phase::kReading || this->phase == Phase::kClosing) return this->Close();
+    this->CloseIfIdle();
+  }
+
+  /** Ends the reading of a request, whose memory is needed for others. */
+  void DropRequest() {
+    if (this->phase != Phase::kReading) return;
+    this->dropped = true;
+    error_code ignored;
+    this->socket.cancel(ignored);
+  }
+
   /** Closes the connection unless a request is in progress. */
   void CloseIfIdle() {
     if (this->phase == Phase::kIdle && !this->HasUnreadBytes()) this->Close();
@@ -180,6 +203,20 @@
  private:
   friend class Exchange;
 
+  /** Closes the connection that has waited longest for a request or the rest of one. Returns false
+   * if there is none. */
+  static bool CloseLongestWaiting(const std::vector<std::shared_ptr<Connection>>& connections) {
+    const auto longest =
+        std::min_element(connections.begin(), connections.end(), [](const auto& a, const auto& b) {
+          return a->waiting_since.load() < b->waiting_since.load();
+        });
+    if (longest == connections.end() || (*longest)->waiting_since == kNotWaiting) return false;
+    const std::shared_ptr<Connection> chosen = *longest;
+    chosen->waiting_since = kNotWaiting;
+    asio::post(chosen->executor(), [chosen] { chosen->CloseIfWaiting(); });
+    return true;
+  }
+
   /** What to do with the connection after a request. */
   enum class NextAction { kKeepAlive, kLinger, kClose };
 
@@ -251,15 +288,19 @@
   asio::awaitable<NextAction> ServeRequest() {
     this->SetDeadline(Clock::now() + this->core->options.request_read_timeout);
     Parser parser;
-    const error_code error = co_await this->ReadRequest(parser);
+    std::optional<RequestMemory::Entry> memory;
+    const error_code error = co_await this->ReadRequest(parser, memory);
     this->SetDeadline(Deadline::max());
+    this->waiting_since = kNotWaiting;
     if (error) co_return co_await this->RespondToReadError(parser, error);
     this->phase = Phase::kHandling;
+    if (memory) memory->OnComplete();
     co_return co_await this->Handle(parser);
   }
 
   /** Waits for the first bytes of a request; returns false if there will be none. */
   asio::awaitable<bool> WaitForFirstBytes() {
+    this->waiting_since = Clock::now().time_since_epoch().count();
     if (this->buffer.size() > 0) co_return true;
     this->SetDeadline(Clock::now() + this->core->options.idle_timeout);
     constexpr std::size_t kFirstRead = 4096;
@@ -270,7 +311,8 @@
     co_return true;
   }
 
-  asio::awaitable<error_code> ReadRequest(Parser& parser) {
+  asio::awaitable<error_code> ReadRequest(Parser& parser,
+                                          std::optional<RequestMemory::Entry>& memory) {
     parser.header_limit(static_cast<std::uint32_t>(this->core->options.max_header_bytes));
     parser.body_limit(this->core->options.max_body_bytes);
     const auto [header_error, header_length] =
@@ -284,16 +326,37 @@
           co_await http::async_write(this->socket, continue_response, kNoThrow);
       if (error) co_return error;
     }
-    const auto [body_error, body_length] =
-        co_await http::async_read(this->socket, this->buffer, parser, kNoThrow);
-    co_return body_error;
+    co_return co_await this->ReadBody(parser, memory);
+  }
+
+  asio::awaitable<error_code> ReadBody(Parser& parser,
+                                       std::optional<RequestMemory::Entry>& memory) {
+    if (this->core->options.request_memory) {
+      memory.emplace(*this->core->options.request_memory, [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (self) asio::post(self->executor(), [self] { self->DropRequest(); });
+      });
+    }
+    parser.eager(true);
+    while (!parser.is_done()) {
+      const auto [error, length] =
+          co_await http::async_read_some(this->socket, this->buffer, parser, kNoThrow);
+      if (error) co_return error;
+      const std::size_t held = parser.get().body().capacity() + this->buffer.capacity();
+      if (!memory || memory->Resize(held, Clock::now())) continue;
+      this->dropped = true;
+      co_return make_error_code(asio::error::operation_aborted);
+    }
+    co_return error_code();
   }
 
   asio::awaitable<NextAction> RespondToReadError(Parser& parser, error_code error) {
     const bool disconnected =
         error == http::error::end_of_stream || error == asio::error::connection_reset;
     if (disconnected || !this->socket.is_open()) co_return NextAction::kClose;
-    if (error == asio::error::operation_aborted && !this->timed_out) co_return NextAction::kClose;
+    const bool has_reason = this->timed_out || this->dropped;
+    if (error == asio::error::operation_aborted && !has_reason) co_return NextAction::kClose;
+    if (this->dropped) co_return co_await this->RefuseForMemory(parser);
     const HttpServerOptions& options = this->core->options;
     int status = 400;
     std::string message = "the request is malformed: " + error.message();
@@ -321,6 +384,21 @@
     co_return written ? NextAction::kLinger : NextAction::kClose;
   }
 
+  /** Responds to a request that was not read to its end, so it has not run. */
+  asio::awaitable<NextAction> RefuseForMemory(Parser& parser) {
+    this->dropped = false;
+    std::string request_id(parser.get()["X-Request-Id"]);
+    if (!IsRequestId(request_id)) request_id.clear();
+    std::string().swap(parser.get().body());
+    const HttpResponse response = ErrorResponse(
+        503, NotRun(ErrorCode::kResourceExhausted, "the memory for requests is used up"),
+        request_id);
+    auto message = this->MakeMessage(response, false);
+    message.set(http::field::retry_after, "1");
+    const bool written = co_await this->Write(message);
+    co_return written ? NextAction::kLinger : NextAction::kClose;
+  }
+
   /** Writes a message within the write timeout; returns whether it was written completely. */
   template <typename Body>
   asio::awaitable<bool> Write(const Message<Body>& message) {
@@ -338,6 +416,9 @@
     if (error) co_return;
     this->SetDeadline(Clock::now() + kLingerTimeout);
     this->buffer.clear();
+    // The response has been sent, so this connection is the first to make room for another.
+    this->phase = Phase::kClosing;
+    this->waiting_since = 0;
     for (;;) {
       const auto space = this->buffer.prepare(kMaxPipelinedBytes);
       const auto [read_error, length] = co_await this->socket.async_read_some(space, kNoThrow);
@@ -371,7 +452,11 @@
   Phase phase = Phase::kIdle;
   Deadline deadline = Deadline::max();
   Deadline timer_expiry = Deadline::max();  ///< Expiry of the timer; max if it is not set.
+  /** Time on the clock since which the connection waits for a request or the rest of one. */
+  static constexpr Clock::rep kNotWaiting = std::numeric_limits<Clock::rep>::max();
+  std::atomic<Clock::rep> waiting_since = kNotWaiting;
   bool timed_out = false;
+  bool dropped = false;  ///< The memory of the request is needed for others.
   bool peer_closed = false;
 };
 
@@ -625,6 +710,10 @@
     return bytes;
   }
 
+  [[nodiscard]] std::uint64_t connections_shed() const override {
+    return this->core->connections_shed;
+  }
+
   [[nodiscard]] std::uint64_t requests_begun() const override { return this->core->requests_begun; }
 
  private:
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/request-memory.h"
 #include "http/client.h"
 
 namespace limpetfall {
@@ -54,12 +55,16 @@
   Milliseconds request_read_timeout{10000};
   Milliseconds write_timeout{10000};
   Milliseconds idle_timeout{60000};
+  /** Beyond this, the connection that has waited longest for a request is closed for a new one. */
   std::size_t max_connections = 4096;
+  /** Account of the request bodies that are being read or handled; null for none. */
+  std::shared_ptr<RequestMemory> request_memory{};
 };
 
 /**
  * HTTP/1.1 server based on Boost.Beast. Requests that are malformed, too large or too slow get a
- * 4xx response with `X-Verdict: not-run`, and the connection is closed.
+ * 4xx response with `X-Verdict: not-run`, and the connection is closed. A request whose body finds
+ * no memory gets 503.
  *
  *     BOOST_OUTCOME_TRY(auto server, HttpServer::Create(io, "127.0.0.1:8080", handler, {}));
  */
@@ -95,6 +100,9 @@
   /** Returns how many bytes of responses the peers have not acknowledged yet. */
   [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
 
+  /** Returns how many connections were closed or refused because of `max_connections`. */
+  [[nodiscard]] virtual std::uint64_t connections_shed() const = 0;
+
   /** Returns the number of requests whose first byte has arrived since the start. */
   [[nodiscard]] virtual std::uint64_t requests_begun() const = 0;
 };
