--- a/test/dispatch-test.cc
+++ b/test/dispatch-test.cc
@@ -40,6 +40,11 @@
   CPPUNIT_TEST(NumberOfReportedRateLimitsIsBounded);
   CPPUNIT_TEST(UpstreamIsUsedAfterItsRateLimitIsForgotten);
   CPPUNIT_TEST(ExpectedRateIsUnknownBeforeFirstRound);
+  CPPUNIT_TEST(UpstreamInEvacuatedZoneIsNotChosen);
+  CPPUNIT_TEST(ChosenUpstreamIsUnwantedOnceItsZoneIsEvacuated);
+  CPPUNIT_TEST(ColdUpstreamGetsNoMoreThanItsShare);
+  CPPUNIT_TEST(UpstreamsAreColdAfterEvacuationOfTheirZone);
+  CPPUNIT_TEST(UpstreamOfServiceWithoutColdPhaseIsNotLimited);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -426,7 +431,76 @@
     CPPUNIT_ASSERT(!this->table.LimitedRate(this->request, At(10)));
   }
 
+  // Guards against requests to a zone that operators have evacuated (EVAC), and against waiting for
+  // its upstreams.
+  void UpstreamInEvacuatedZoneIsNotChosen() {
+    this->OpenGroup("h1", {"h1", "m1"}, "near");
+    this->table.SetEvacuations({ZoneId("near")}, {});
+    CPPUNIT_ASSERT(!this->Choose().has_value());
+    CPPUNIT_ASSERT(!this->table.HasEligible(this->request, At(0)));
+    this->OpenGroup("h2", {"h2", "m2"}, "far");
+    CPPUNIT_ASSERT(this->Choose()->upstream() == VmId("h2"));
+    CPPUNIT_ASSERT_EQUAL(
+        17, this->table.SlotsAndLoad(this->request.service, this->request.model, At(0)).first);
+    this->table.SetEvacuations({}, {});
+    CPPUNIT_ASSERT(this->Choose()->upstream() == VmId("h1"));
+  }
+
+  // Guards against a request that is sent after the evacuation because its connection took time.
+  void ChosenUpstreamIsUnwantedOnceItsZoneIsEvacuated() {
+    this->OpenGroup("h1", {"h1", "m1"}, "near");
+    const auto ticket = this->Choose();
+    CPPUNIT_ASSERT(ticket->IsWanted(At(0)));
+    this->table.SetEvacuations({ZoneId("near")}, {});
+    CPPUNIT_ASSERT(!ticket->IsWanted(At(0)));
+  }
+
+  // Guards against a crash of an upstream that has just returned and looks idle (FAILBACK).
+  void ColdUpstreamGetsNoMoreThanItsShare() {
+    this->table.SetColdProfiles({{this->request.service, {Milliseconds(3000), 24}}});
+    this->table.SetSenderCount(12);
+    this->OpenGroup("h1", {"h1", "m1"});
+    this->runners[VmId("h1")].cold_until = At(3000);
+    this->Update(0);
+    CPPUNIT_ASSERT_EQUAL(2, this->CountChosen(0));
+    CPPUNIT_ASSERT_EQUAL(0, this->CountChosen(900));
+    CPPUNIT_ASSERT_EQUAL(2, this->CountChosen(1100));
+    CPPUNIT_ASSERT_EQUAL(13, this->CountChosen(3000));
+  }
+
+  // Guards against a burst on upstreams that turned cold during an evacuation, by entries that are
+  // older.
+  void UpstreamsAreColdAfterEvacuationOfTheirZone() {
+    this->table.SetColdProfiles({{this->request.service, {Milliseconds(3000), 24}}});
+    this->table.SetSenderCount(12);
+    this->OpenGroup("h1", {"h1", "m1"}, "near");
+    this->table.SetEvacuations({}, {{ZoneId("near"), At(0)}});
+    this->Update(0);
+    CPPUNIT_ASSERT_EQUAL(2, this->CountChosen(0));
+    CPPUNIT_ASSERT_EQUAL(15, this->CountChosen(3100));
+  }
+
+  // Guards against a limit in deployments whose upstreams are never cold.
+  void UpstreamOfServiceWithoutColdPhaseIsNotLimited() {
+    this->OpenGroup("h1", {"h1", "m1"});
+    this->runners[VmId("h1")].cold_until = At(3000);
+    this->Update(0);
+    CPPUNIT_ASSERT_EQUAL(17, this->CountChosen(0));
+  }
+
  private:
+  /** Sends requests until none is taken. Returns their number; they stay in flight. */
+  int CountChosen(int ms) {
+    this->Update(ms);
+    int count = 0;
+    while (auto ticket = this->table.Choose(this->request, nullptr, At(ms))) {
+      ticket->OnSent(At(ms));
+      this->tickets.push_back(std::move(*ticket));
+      ++count;
+    }
+    return count;
+  }
+
   void StateRate(const DispatchTicket& ticket, double per_second, int ms) {
     this->table.OnStatedRate(ticket, RequestRate::FromPerSecond(per_second).value(), At(ms));
   }
--- a/test/gateway-integration-test.cc
+++ b/test/gateway-integration-test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(StandbyNodesMakeNoWatchCalls);
   CPPUNIT_TEST(RequestRefusedAsItGetsItsSlotGivesTheSlotBack);
   CPPUNIT_TEST(LongDeadlineOfOneCallerMakesOthersNoRetries);
+  CPPUNIT_TEST(EvacuatedZoneGetsNoRequestsUntilTheEvacuationEnds);
   CPPUNIT_TEST(StatusOfOrderThatHasRunIsNoPromise);
   CPPUNIT_TEST(LeaderOnStandbyKnowsLoadOfAllNodes);
   CPPUNIT_TEST(GroupWithUnresponsiveHeadIsNotUsed);
@@ -469,6 +470,21 @@
     CPPUNIT_ASSERT(!this->CountCallerRetries().empty());
   }
 
+  // Guards against requests to an evacuated zone (EVAC), and against callers that wait although no
+  // upstream is left.
+  void EvacuatedZoneGetsNoRequestsUntilTheEvacuationEnds() {
+    this->StartServing();
+    this->deployment->Put("op/evacuate/z1", "{}");
+    this->RunUntil([&] { return this->nodes.front()->state().EvacuatedZones().size() == 1; }, 3000);
+    const std::size_t before = this->deployment->runner_requests.size();
+    CPPUNIT_ASSERT_EQUAL(503, this->SendAndWait("GET", "/chat/1", "s1", "k1").status);
+    CPPUNIT_ASSERT_EQUAL(503, this->SendAndWait("POST", "/order/1", "o1", "k1", "{}").status);
+    CPPUNIT_ASSERT_EQUAL(before, this->deployment->runner_requests.size());
+    this->deployment->Remove("op/evacuate/z1");
+    this->RunUntil([&] { return this->nodes.front()->state().EvacuatedZones().empty(); }, 3000);
+    CPPUNIT_ASSERT_EQUAL(200, this->SendAndWait("GET", "/chat/1", "s2", "k1").status);
+  }
+
   // Guards against a promise of "not run" for an order that has run, which its caller would repeat
   // (review/5, REFUSED): only a header of the upstream states it, whatever the status.
   void StatusOfOrderThatHasRunIsNoPromise() {
--- a/test/group-planner-test.cc
+++ b/test/group-planner-test.cc
@@ -39,6 +39,9 @@
   CPPUNIT_TEST(ReserveOfOneModelServesTheOtherThatRefusesCallers);
   CPPUNIT_TEST(ModelThatLosesCallersWithEachMemberGetsRunners);
   CPPUNIT_TEST(OverloadedModelsShareCapacityByTheirDemand);
+  CPPUNIT_TEST(RunnersOfEvacuatedZoneGetNoOrders);
+  CPPUNIT_TEST(GroupsOfEvacuatedZoneAreReplacedElsewhereAndServeAgain);
+  CPPUNIT_TEST(ColdRunnerIsNotTheHead);
   CPPUNIT_TEST(MembersWithoutOtherWeightsStageThem);
   CPPUNIT_TEST(MembersWithOtherWeightsStageNothing);
   CPPUNIT_TEST(SmallGroupIsDissolvedToCompleteLargeGroup);
@@ -396,6 +399,40 @@
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{3}, remaining);
   }
 
+  // Guards against orders to runners that operators want to be left alone.
+  void RunnersOfEvacuatedZoneGetNoOrders() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    this->planner.SetEvacuatedZones({ZoneId()});
+    this->MakeUnreachable(group.members[1]);
+    this->AddRunners("d1", 4);
+    const PlannerOutput output = this->Step();
+    CPPUNIT_ASSERT(output.orders.empty());
+    CPPUNIT_ASSERT(!output.proposal.has_value());
+  }
+
+  // Guards against a model without capacity during an evacuation, and against groups that have to
+  // be built again after it.
+  void GroupsOfEvacuatedZoneAreReplacedElsewhereAndServeAgain() {
+    const PlannedGroup group = this->OpenGroup(kSmall);
+    for (auto& [id, runner] : this->runners) runner.zone = ZoneId("evacuated");
+    this->planner.SetEvacuatedZones({ZoneId("evacuated")});
+    this->AddRunners("d2", 2);
+    this->WritePlan(this->Step());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->plan.groups.size());
+    CPPUNIT_ASSERT(this->plan.groups.front() == group);
+    CPPUNIT_ASSERT(this->plan.groups.back().domain == DomainId("d2"));
+  }
+
+  // Guards against a new group that serves few requests because its head has just started.
+  void ColdRunnerIsNotTheHead() {
+    this->AddRunners("d1", 2);
+    this->runners.at(VmId("i-0")).cold_until = this->now + std::chrono::seconds(60);
+    this->demand = {{kSmall, 1}};
+    this->WritePlan(this->Step());
+    CPPUNIT_ASSERT(this->plan.groups.front().members ==
+                   (std::vector<VmId>{VmId("i-1"), VmId("i-0")}));
+  }
+
   // Guards against a model whose groups can only become fewer, because runners that joined groups
   // of the other model have given up its weights.
   void MembersWithoutOtherWeightsStageThem() {
--- a/test/platform-wire-test.cc
+++ b/test/platform-wire-test.cc
@@ -43,6 +43,9 @@
   CPPUNIT_TEST(DecodingDamagedTextDoesNotCrash);
   CPPUNIT_TEST(LastPromptPartIsNotShared);
   CPPUNIT_TEST(UnreadableTokenCountsStateNoLength);
+  CPPUNIT_TEST(EvacuationKeyNamesZoneWhateverItsBody);
+  CPPUNIT_TEST(ColdPhaseOfRunnerIsDecoded);
+  CPPUNIT_TEST(ColdPhaseOfServiceIsDecoded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,6 +76,49 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, platform::MaxAnswerTokens({}));
   }
 
+  // Guards against an evacuation that is not obeyed because its body cannot be read (EVAC).
+  void EvacuationKeyNamesZoneWhateverItsBody() {
+    platform::WireAdapter adapter;
+    for (const char* body : {"{}", "", "{\"a\":", "[[[["}) {
+      const auto change = adapter.Decode({"op/evacuate/ennis", body, {1, 7}, 7}).value();
+      CPPUNIT_ASSERT((std::get<ZoneEvacuation>(change) == ZoneEvacuation{ZoneId("ennis"), true}));
+    }
+    const auto end = adapter.Decode({"op/evacuate/ennis", std::nullopt, {1, 8}, 0}).value();
+    CPPUNIT_ASSERT((std::get<ZoneEvacuation>(end) == ZoneEvacuation{ZoneId("ennis"), false}));
+  }
+
+  // Guards against a runner that counts as warm, or as cold for ever, because of an odd value.
+  void ColdPhaseOfRunnerIsDecoded() {
+    const TimePoint now(std::chrono::seconds(100));
+    const auto cold_until = [now](const nlohmann::json& left) {
+      nlohmann::json entry = nlohmann::json::parse(kRunnerEntry);
+      entry["coldLeftMs"] = left;
+      return platform::DecodeRunner("i-1", entry.dump(), {1, 1}, now).value().cold_until;
+    };
+    CPPUNIT_ASSERT(cold_until(2500) == now + Milliseconds(2500));
+    CPPUNIT_ASSERT(cold_until(0) == now);
+    CPPUNIT_ASSERT(cold_until(1e300) == now + Milliseconds(600'000));
+    for (const nlohmann::json& odd : {nlohmann::json(-1), nlohmann::json("3"), nlohmann::json()})
+      CPPUNIT_ASSERT(!cold_until(odd).has_value());
+  }
+
+  // Guards against an upstream that gets requests while cold because its rate cannot be read.
+  void ColdPhaseOfServiceIsDecoded() {
+    const auto cold = [](const nlohmann::json& seconds, const nlohmann::json& rate) {
+      nlohmann::json document = nlohmann::json::parse(kConfigDocument);
+      nlohmann::json& service = document["services"][0];
+      service["coldS"] = seconds;
+      service["coldPerS"] = rate;
+      const GatewayConfig config = platform::DecodeConfig(document.dump()).value();
+      return config.services.at(ServiceName(service["name"].get<std::string>())).cold;
+    };
+    CPPUNIT_ASSERT((cold(3.0, 17.0) == ColdProfile{Milliseconds(3000), 17}));
+    CPPUNIT_ASSERT(!cold(0, 0).has_value());
+    CPPUNIT_ASSERT((cold(3, -1) == ColdProfile{Milliseconds(3000), 0}));
+    CPPUNIT_ASSERT((cold(3, "x") == ColdProfile{Milliseconds(3000), 0}));
+    CPPUNIT_ASSERT((cold(1e300, 2) == ColdProfile{Milliseconds(600'000), 2}));
+  }
+
   // Guards against a field that is decoded from the wrong key of an entry.
   void RunnerEntryDecodesAllFields() {
     const Runner runner = platform::DecodeRunner("i-1", kRunnerEntry, {1, 17}).value();
