--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -595,18 +595,14 @@
 
   /** Returns whether `donor` serves its callers with `remaining` groups, so that `model` may take
    * over one. If `model` would refuse callers after the next loss, no reserve for lost members is
-   * kept. If both refuse callers, the one that is shorter of capacity gets the group. */
+   * kept. */
   [[nodiscard]] bool MayGiveUpGroup(const ServedModel& donor, int remaining,
                                     const ServedModel& model) const {
     const PlannerOptions& limits = this->planner.options;
     if (this->EffectiveUtilization(donor, remaining) <= limits.shift_max_donor_utilization)
       return true;
-    const int groups = this->CountGroups(model.name);
-    if (this->EffectiveUtilization(model, groups) <= 1) return false;
-    const double donor_utilization = this->Utilization(donor.name, remaining);
-    return donor_utilization <= limits.relief_max_donor_utilization ||
-           donor_utilization + limits.shift_min_utilization_gap <=
-               this->Utilization(model.name, groups + 1);
+    return this->EffectiveUtilization(model, this->CountGroups(model.name)) > 1 &&
+           this->Utilization(donor.name, remaining) <= limits.relief_max_donor_utilization;
   }
 
   /** Finds groups of models with spare capacity to dissolve for a group of `model`. */
@@ -691,54 +687,45 @@
     this->changed = true;
   }
 
-  /** Stages weights on the hosts of free runners that the model which is shortest of capacity could
-   * use, and of members of groups that could join no group of another model. */
+  /** Stages weights on the hosts of free runners that can join no group, of members of groups for
+   * models that are short of capacity, and on all hosts while loads are unlimited. */
   void StageWeights(const FreeByDomain& free) {
     for (const auto& [domain, free_runners] : free) {
       const auto& models = this->ModelsOf(free_runners.front()->service);
       for (const Runner* runner : free_runners) {
-        const auto shortest = std::max_element(
+        if (!runner->staged.empty()) continue;
+        const auto max_shortage_model = std::max_element(
             models.begin(), models.end(), [&](const ServedModel& a, const ServedModel& b) {
               return this->Shortage(a.name, this->CountGroups(a.name)) <
                      this->Shortage(b.name, this->CountGroups(b.name));
             });
-        if (this->NeedsWeights(*runner, *shortest)) this->OrderStage(*runner, *shortest);
+        this->OrderStage(*runner, *max_shortage_model);
       }
     }
+    const bool unlimited = this->now < this->planner.options.unlimited_loads_until;
     for (const PlannedGroup& group : this->next.groups) {
-      if (!group.dissolving && !this->IsEvacuated(group)) this->StageMembers(group);
+      if (group.dissolving || this->IsEvacuated(group)) continue;
+      for (const ServedModel& model : this->ModelsOf(group.service)) {
+        if (model.name == group.model) continue;
+        if (unlimited || this->NeedsStagedMembers(model, group)) this->StageMembers(group, model);
+      }
     }
   }
 
-  /** Returns whether a free runner should stage a model, and give up the weights that it holds. */
-  [[nodiscard]] bool NeedsWeights(const Runner& runner, const ServedModel& model) const {
-    if (runner.staged.empty()) return true;
-    if (!this->NeedsLoad(runner, model.name)) return false;
-    const double utilization = this->EffectiveUtilization(model, this->CountGroups(model.name));
-    const auto& models = this->ModelsOf(runner.service);
-    return std::all_of(models.begin(), models.end(), [&](const ServedModel& held) {
-      if (!Contains(runner.staged, held.name)) return true;
-      return this->JustifiesShift(utilization,
-                                  this->EffectiveUtilization(held, this->CountGroups(held.name)));
-    });
-  }
-
   /**
-   * Stages another model for group members that hold no other weights; the model of their own group
-   * stays loaded. A runner that changes to another model gives up the weights of its former one,
-   * and a load takes many times longer than joining a group with staged weights. Without staging in
-   * advance, the groups of a model that lost some could only become fewer.
+   * Returns whether a model is short of capacity compared with the model of a group. A runner that
+   * joins a group of another model gives up its staged weights, so without staging them again the
+   * groups of a model could only become fewer.
    */
-  void StageMembers(const PlannedGroup& group) {
-    const auto& models = this->ModelsOf(group.service);
-    const ServedModel* shortest = nullptr;
-    for (const ServedModel& model : models) {
-      if (model.name == group.model) continue;
-      if (shortest == nullptr || this->Shortage(shortest->name, this->CountGroups(shortest->name)) <
-                                     this->Shortage(model.name, this->CountGroups(model.name)))
-        shortest = &model;
-    }
-    if (shortest == nullptr) return;
+  [[nodiscard]] bool NeedsStagedMembers(const ServedModel& model, const PlannedGroup& group) const {
+    const ServedModel* own = this->ModelOf(group);
+    return own != nullptr &&
+           this->JustifiesShift(this->EffectiveUtilization(model, this->CountGroups(model.name)),
+                                this->EffectiveUtilization(*own, this->CountGroups(own->name)));
+  }
+
+  /** Stages another model for group members; the model of their own group stays loaded. */
+  void StageMembers(const PlannedGroup& group, const ServedModel& model) {
     for (const VmId& member : group.members) {
       const Runner* runner = this->Find(member);
       if (runner == nullptr || !InGroup(*runner, group)) continue;
@@ -746,11 +733,7 @@
       // The head must process its open order first.
       const bool head = member == group.members.front();
       if (head && runner->membership->stage != MembershipStage::kOpen) continue;
-      const bool holds_other =
-          std::any_of(models.begin(), models.end(), [&](const ServedModel& model) {
-            return model.name != group.model && !this->NeedsLoad(*runner, model.name);
-          });
-      if (!holds_other) this->OrderStage(*runner, *shortest);
+      if (this->NeedsLoad(*runner, model.name)) this->OrderStage(*runner, model);
     }
   }
 
