--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -737,8 +737,10 @@
   const std::vector<const Peer*> peers = this->gateway_state.peers.LivePeers(now);
   for (const auto& [zone, revision] : this->gateway_state.evacuations.zones()) {
     if (this->logged_evacuations.contains(zone)) continue;
-    const bool all_know = std::all_of(peers.begin(), peers.end(), [&](const Peer* peer) {
-      return revision <= peer->status.mirror_revision;
+    // clang 14 does not let lambdas refer to structured bindings.
+    const StoreRevision evacuated_at = revision;
+    const bool all_know = std::all_of(peers.begin(), peers.end(), [evacuated_at](const Peer* peer) {
+      return evacuated_at <= peer->status.mirror_revision;
     });
     if (!all_know) continue;
     this->logged_evacuations.emplace(zone, revision);
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -76,7 +76,7 @@
 struct ServerCore {
   ServerCore(asio::io_context& io, HttpHandler http_handler, HttpServerOptions server_options)
       : handler(std::move(http_handler)),
-        options(server_options),
+        options(std::move(server_options)),
         acceptor(asio::make_strand(io)),
         accept_timer(this->acceptor.get_executor()) {}
 
@@ -211,7 +211,7 @@
           return a->waiting_since.load() < b->waiting_since.load();
         });
     if (longest == connections.end() || (*longest)->waiting_since == kNotWaiting) return false;
-    const std::shared_ptr<Connection> chosen = *longest;
+    const std::shared_ptr<Connection>& chosen = *longest;
     chosen->waiting_since = kNotWaiting;
     asio::post(chosen->executor(), [chosen] { chosen->CloseIfWaiting(); });
     return true;
@@ -740,7 +740,7 @@
                                                        HttpHandler handler,
                                                        HttpServerOptions options) {
   BOOST_OUTCOME_TRY(const auto endpoint, ParseEndpoint(address));
-  auto core = std::make_shared<ServerCore>(io, std::move(handler), options);
+  auto core = std::make_shared<ServerCore>(io, std::move(handler), std::move(options));
   error_code error;
   core->acceptor.open(endpoint.protocol(), error);
   if (!error) core->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -462,8 +462,9 @@
   }
 
   void Start(HttpHandler handler, HttpServerOptions options) {
-    this->server =
-        HttpServer::Create(this->threads->io(), "127.0.0.1:0", std::move(handler), options).value();
+    this->server = HttpServer::Create(this->threads->io(), "127.0.0.1:0", std::move(handler),
+                                      std::move(options))
+                       .value();
   }
 
   /** Sends the bytes and expects an error response with verdict not-run and no handler call. */
--- a/test/request-memory-test.cc
+++ b/test/request-memory-test.cc
@@ -78,9 +78,9 @@
 
   // Guards against limits that refuse a single request of 4 MiB on the smallest VM.
   void LimitsOfSmallVmLeaveRoomForTheLargestBody() {
-    const ListenerLimits limits = ListenerLimits::ForVm(112 << 20, 2870);
+    const ListenerLimits limits = ListenerLimits::ForVm(std::size_t{112} << 20, 2870);
     // A string may have twice the capacity that it needs.
-    CPPUNIT_ASSERT(limits.max_request_bytes >= 2 * (4 << 20));
+    CPPUNIT_ASSERT(limits.max_request_bytes >= std::size_t{8} << 20);
     CPPUNIT_ASSERT(limits.max_caller_connections >= 800);
     CPPUNIT_ASSERT(limits.max_caller_connections + 4 * limits.max_other_connections < 2870);
   }
