--- a/src/gateway/gateway-node-impl.h
+++ b/src/gateway/gateway-node-impl.h
@@ -934,6 +934,8 @@
     const RequestMemory& memory = *this->gateway_state.request_memory;
     metrics.Set("request_memory_bytes", {}, static_cast<double>(memory.bytes()));
     metrics.Set("requests_dropped_for_memory", {}, static_cast<double>(memory.drops()));
+    metrics.Set("cold_upstreams", {},
+                static_cast<double>(this->gateway_state.dispatch.CountCold(Clock::now())));
     metrics.Set("caller_connections_shed", {},
                 static_cast<double>(this->caller_server->connections_shed()));
     this->gateway_state.Refresh();
