--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -31,6 +31,11 @@
   return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
 }
 
+/** Returns whether waiting requests of the same priority start before a new one. */
+bool StartsBefore(bool late, const AdmissionRequest& request, TimePoint now) {
+  return !late || request.on_time_by <= now;
+}
+
 }  // namespace
 
 AdmissionQueue::AdmissionQueue(AdmissionOptions options) : options(options) {}
@@ -95,8 +100,9 @@
 
 // A busy lane serves requests at the rate (running requests) / (mean duration). A request waits for
 // those of higher priority. Among those of equal priority, it waits for the share of the remaining
-// rate that the weight of its team gives.
-Milliseconds AdmissionQueue::ExpectedWait(const AdmissionRequest& request) const {
+// rate that the weight of its team gives. Late requests start after those that can be on time, so
+// they delay only other late ones.
+Milliseconds AdmissionQueue::ExpectedWait(const AdmissionRequest& request, TimePoint now) const {
   auto lane = this->lanes.find(request.lane);
   if (lane == this->lanes.end() || lane->second.mean_service_seconds == 0) return Milliseconds(0);
   if (lane->second.running == 0) return Milliseconds(0);
@@ -113,7 +119,8 @@
     for (const auto& [flow, ids] : team.flows) {
       if (flow.lane != request.lane) continue;
       if (flow.priority < request.priority) higher += static_cast<double>(ids.size());
-      if (flow.priority == request.priority) same += ids.size();
+      if (flow.priority == request.priority && StartsBefore(flow.late, request, now))
+        same += ids.size();
     }
     equal += static_cast<double>(same);
     if (same_team) own += static_cast<double>(same);
@@ -130,7 +137,7 @@
   auto lane = this->lanes.find(request.lane);
   // An idle lane admits every request, so that the mean is measured again.
   if (lane == this->lanes.end() || lane->second.running == 0) return true;
-  const TimePoint start = now + this->ExpectedWait(request);
+  const TimePoint start = now + this->ExpectedWait(request, now);
   const double needed = request.response_started ? 0 : lane->second.ServiceSecondsUpperBound();
   return start <= request.start_by && start + FromSeconds(needed) <= request.deadline;
 }
@@ -150,7 +157,7 @@
   if (!this->MeetsDeadline(request, now)) {
     return NotRun(ErrorCode::kDeadlineExceeded,
                   "the request cannot be served before its deadline; expected wait " +
-                      std::to_string(this->ExpectedWait(request).count()) + " ms");
+                      std::to_string(this->ExpectedWait(request, now).count()) + " ms");
   }
   if (!request.is_retry && !this->TryTakeRateToken(team, now)) {
     return NotRun(ErrorCode::kResourceExhausted,
@@ -233,13 +240,18 @@
   return this->waiting.at(id).request.lane;
 }
 
-std::size_t AdmissionQueue::QueuedBefore(const AdmissionRequest& request) const {
-  const auto found = this->lanes.find(request.lane);
+std::size_t AdmissionQueue::QueuedBefore(const AdmissionRequest& request, TimePoint now) const {
   // Retries are put in front of the requests of their priority.
-  if (found == this->lanes.end() || request.is_retry) return 0;
-  const auto& queued = found->second.queued;
-  const auto end = queued.begin() + static_cast<int>(request.priority) + 1;
-  return std::accumulate(queued.begin(), end, std::size_t{0});
+  if (request.is_retry) return 0;
+  std::size_t before = 0;
+  for (const auto& [name, team] : this->teams) {
+    for (const auto& [flow, ids] : team.flows) {
+      if (flow.lane != request.lane || request.priority < flow.priority) continue;
+      if (flow.priority == request.priority && !StartsBefore(flow.late, request, now)) continue;
+      before += ids.size();
+    }
+  }
+  return before;
 }
 
 void AdmissionQueue::Remove(AdmissionId id) {
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -97,10 +97,10 @@
   [[nodiscard]] std::vector<AdmissionId> Expire(TimePoint now);
 
   /** Returns the expected queueing time of a request that would be queued now. */
-  [[nodiscard]] Milliseconds ExpectedWait(const AdmissionRequest& request) const;
+  [[nodiscard]] Milliseconds ExpectedWait(const AdmissionRequest& request, TimePoint now) const;
 
   /** Returns the number of waiting requests that would start before a new one. */
-  [[nodiscard]] std::size_t QueuedBefore(const AdmissionRequest& request) const;
+  [[nodiscard]] std::size_t QueuedBefore(const AdmissionRequest& request, TimePoint now) const;
 
   [[nodiscard]] std::size_t queued() const { return this->waiting.size(); }
   [[nodiscard]] std::size_t running() const { return this->running_requests.size(); }
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -512,7 +512,7 @@
     const std::chrono::duration<double> time_left =
         std::min(request.deadline, request.start_by) - now;
     const double starts = *rate * time_left.count();
-    if (starts <= 0 || static_cast<double>(this->queue.QueuedBefore(request)) > starts) {
+    if (starts <= 0 || static_cast<double>(this->queue.QueuedBefore(request, now)) > starts) {
       co_return NotRun(ErrorCode::kResourceExhausted,
                        "the rate limits of the upstreams allow no start in time");
     }
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -112,6 +112,7 @@
   CPPUNIT_TEST(LongServiceTimeIsNotCountedAsWait);
   CPPUNIT_TEST(LateRequestStartsAfterThoseThatCanBeOnTime);
   CPPUNIT_TEST(UrgencyGoesBeforeBeingOnTime);
+  CPPUNIT_TEST(LateRequestsDoNotDelayOneThatCanBeOnTime);
   CPPUNIT_TEST(CancelledLateRequestIsRemoved);
   CPPUNIT_TEST(BacklogAfterOutageDelaysNoNewRequests);
   CPPUNIT_TEST(StartedStreamIsAdmittedWithShortDeadline);
@@ -268,6 +269,28 @@
     CPPUNIT_ASSERT(queue.Next({}, now + milliseconds(150)) == late);
   }
 
+  // Guards against refusing a request that can be on time because many late ones wait, which start
+  // after it.
+  void LateRequestsDoNotDelayOneThatCanBeOnTime() {
+    AdmissionQueue queue({});
+    TimePoint now(seconds(100));
+    AdmissionRequest request = Request("a", Priority::kNormal, seconds(160));
+    for (int i = 0; i < 2; ++i) {
+      const AdmissionId served = queue.Enqueue(request, now).value();
+      queue.Start(served, now);
+      if (i > 0) break;
+      now += seconds(1);
+      queue.Finish(served, true, now);
+    }
+    request.on_time_by = now;
+    for (int i = 0; i < 5; ++i) CPPUNIT_ASSERT(queue.Enqueue(request, now));
+    request.start_by = now + seconds(1);
+    CPPUNIT_ASSERT(!queue.Enqueue(request, now));
+    request.on_time_by = request.start_by;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.QueuedBefore(request, now));
+    CPPUNIT_ASSERT(queue.Enqueue(request, now));
+  }
+
   // Guards against serving less urgent requests more often than urgent ones under overload.
   void UrgencyGoesBeforeBeingOnTime() {
     AdmissionQueue queue({});
