--- a/src/core/request-memory.h
+++ b/src/core/request-memory.h
@@ -146,11 +146,11 @@
       if (ids.empty()) return false;
       const std::size_t chosen = ChooseBodyToDrop(bodies, now);
       ++this->drop_count;
-      if (ids[chosen] == id) return false;
       Holder& dropped = this->held.at(ids[chosen]);
       dropped.is_dropped = true;
       // The memory itself is returned a moment later, on the thread of the connection.
       this->in_use -= std::exchange(dropped.body.bytes, 0);
+      if (ids[chosen] == id) return false;
       dropped.drop();
     }
     return true;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -2,6 +2,7 @@
 
 #include <iostream>
 
+#include "base/allocator.h"
 #include "base/log.h"
 #include "daemon/entry-node.h"
 
@@ -35,6 +36,7 @@
 }  // namespace limpetfall
 
 int main(int argc, char** argv) {
+  limpetfall::ReturnLargeBlocks();
   try {
     TCLAP::CmdLine command("Entry node of limpetfall", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> settings("s", "settings", "settings file", true, "", "FILE",
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -23,6 +23,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "base/log-rate-limit.h"
 #include "base/log.h"
 #include "http/address.h"
 #include "http/error-response.h"
@@ -43,6 +44,15 @@
 // Maximum number of pipelined bytes read ahead; further bytes stay in the socket.
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
 
+// Bytes of a body that are read at once.
+constexpr std::size_t kMaxReadBytes = 64 << 10;
+
+// "0\r\n\r\n".
+constexpr std::size_t kLastChunkBytes = 5;
+
+// Bytes that are read at once when they are discarded. Very many connections may do so.
+constexpr std::size_t kDiscardBytes = 4 << 10;
+
 // Closing a socket that has unread bytes discards a response still in transit. If a request was not
 // read to its end, the rest is therefore read and discarded for up to this time.
 constexpr Milliseconds kLingerTimeout{1000};
@@ -94,6 +104,18 @@
   std::mutex mutex;
   std::unordered_map<Connection*, std::weak_ptr<Connection>> connections;  ///< Guarded by `mutex`.
 
+  LogRateLimit overload_log_limit;  ///< Guarded by `mutex`.
+
+  /** Logs that a connection or a request was given up because a limit is reached. */
+  void LogOverload(const char* limit) {
+    const std::lock_guard lock(this->mutex);
+    if (!this->overload_log_limit.TryTake(Clock::now())) return;
+    Log(LogLevel::kWarning, "listener_overloaded",
+        {{"limit", limit},
+         {"connections", this->connections.size()},
+         {"suppressed", this->overload_log_limit.TakeSuppressed()}});
+  }
+
   std::vector<std::shared_ptr<Connection>> Connections() {
     const std::lock_guard lock(this->mutex);
     std::vector<std::shared_ptr<Connection>> open_connections;
@@ -131,6 +153,7 @@
     const std::vector<std::shared_ptr<Connection>> open = this->core->Connections();
     if (open.size() >= this->core->options.max_connections) {
       ++this->core->connections_shed;
+      this->core->LogOverload("connections");
       if (!CloseLongestWaiting(open)) return false;
     }
     const std::lock_guard lock(this->core->mutex);
@@ -158,10 +181,10 @@
     this->timer.cancel();
   }
 
-  /** Closes the connection unless a request has been read completely and is not answered. */
+  /** Closes the connection unless a request has been read completely and is not answered. A request
+   * of which bytes have arrived has not run. */
   void CloseIfWaiting() {
-    if (this->phase == Phase::kReading || this->phase == Phase::kClosing) return this->Close();
-    this->CloseIfIdle();
+    if (this->phase != Phase::kHandling) this->Close();
   }
 
   /** Ends the reading of a request, whose memory is needed for others. */
@@ -319,6 +342,9 @@
         co_await http::async_read_header(this->socket, this->buffer, parser, kNoThrow);
     if (header_error) co_return header_error;
     if (parser.get().version() != 11) co_return make_error_code(http::error::bad_version);
+    // A body in an unknown coding has no known end, and its rest would be taken for a request.
+    const bool coded = parser.get().count(http::field::transfer_encoding) > 0;
+    if (coded && !parser.chunked()) co_return make_error_code(http::error::bad_transfer_encoding);
     if (parser.is_done()) co_return error_code();
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
       const Message<http::empty_body> continue_response(http::status::continue_, 11);
@@ -329,6 +355,28 @@
     co_return co_await this->ReadBody(parser, memory);
   }
 
+  /** Parses what has been read, or reads more of the body if that is too little. */
+  asio::awaitable<error_code> ReadSome(Parser& parser) {
+    // Beast 1.81 asserts that this many bytes are present when it parses the last chunk. Every
+    // chunked body ends with as many, and the parser consumes them together.
+    const std::size_t least_bytes = parser.chunked() ? kLastChunkBytes : 1;
+    if (least_bytes <= this->buffer.size()) {
+      error_code parse_error;
+      this->buffer.consume(parser.put(this->buffer.data(), parse_error));
+      if (parse_error != http::error::need_more) co_return parse_error;
+    }
+    const std::size_t size = beast::read_size(this->buffer, kMaxReadBytes);
+    if (size == 0) co_return make_error_code(http::error::buffer_overflow);
+    const auto space = this->buffer.prepare(size);
+    auto [error, length] = co_await this->socket.async_read_some(space, kNoThrow);
+    this->buffer.commit(length);
+    if (error == asio::error::eof) {
+      error = error_code();
+      parser.put_eof(error);
+    }
+    co_return error;
+  }
+
   asio::awaitable<error_code> ReadBody(Parser& parser,
                                        std::optional<RequestMemory::Entry>& memory) {
     if (this->core->options.request_memory) {
@@ -339,8 +387,7 @@
     }
     parser.eager(true);
     while (!parser.is_done()) {
-      const auto [error, length] =
-          co_await http::async_read_some(this->socket, this->buffer, parser, kNoThrow);
+      const error_code error = co_await this->ReadSome(parser);
       if (error) co_return error;
       const std::size_t held = parser.get().body().capacity() + this->buffer.capacity();
       if (!memory || memory->Resize(held, Clock::now())) continue;
@@ -387,6 +434,7 @@
   /** Responds to a request that was not read to its end, so it has not run. */
   asio::awaitable<NextAction> RefuseForMemory(Parser& parser) {
     this->dropped = false;
+    this->core->LogOverload("request_memory");
     std::string request_id(parser.get()["X-Request-Id"]);
     if (!IsRequestId(request_id)) request_id.clear();
     std::string().swap(parser.get().body());
@@ -415,12 +463,12 @@
     this->socket.shutdown(tcp::socket::shutdown_send, error);
     if (error) co_return;
     this->SetDeadline(Clock::now() + kLingerTimeout);
-    this->buffer.clear();
+    this->buffer = beast::flat_buffer(kDiscardBytes);
     // The response has been sent, so this connection is the first to make room for another.
     this->phase = Phase::kClosing;
     this->waiting_since = 0;
     for (;;) {
-      const auto space = this->buffer.prepare(kMaxPipelinedBytes);
+      const auto space = this->buffer.prepare(kDiscardBytes);
       const auto [read_error, length] = co_await this->socket.async_read_some(space, kNoThrow);
       if (read_error) co_return;
     }
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(MalformedRequestGets400);
   CPPUNIT_TEST(ConflictingLengthsGet400);
+  CPPUNIT_TEST(UnknownTransferCodingGets400);
   CPPUNIT_TEST(TruncatedBodyGets400);
   CPPUNIT_TEST(OversizedHeaderGets431);
   CPPUNIT_TEST(OversizedBodyGets413);
@@ -85,6 +86,14 @@
                         400);
   }
 
+  // Guards against a body in an unknown coding that is taken for an empty one, so that its bytes
+  // are read as the next request.
+  void UnknownTransferCodingGets400() {
+    for (const std::string coding : {"gzip", "chunked, gzip", "xchunked"}) {
+      this->ExpectRefusal("POST / HTTP/1.1\r\nTransfer-Encoding: " + coding + "\r\n\r\n", 400);
+    }
+  }
+
   // Guards against running an order with a truncated body.
   void TruncatedBodyGets400() {
     this->Start(&Echo, {});
