--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -14,7 +14,7 @@
 
 // Fraction of its capacity that a group is assumed to lose per member. The loss of one member stops
 // the whole group until it serves again, and a long prompt delays every request of its group.
-constexpr double kCapacityLossPerMember = 0.07;
+constexpr double kCapacityLossPerMember = 0.02;
 
 // Lower bound of the capacity factor, for groups of very many members.
 constexpr double kMinCapacityFactor = 0.4;
@@ -691,16 +691,7 @@
    * models that are short of capacity, and on all hosts while loads are unlimited. */
   void StageWeights(const FreeByDomain& free) {
     for (const auto& [domain, free_runners] : free) {
-      const auto& models = this->ModelsOf(free_runners.front()->service);
-      for (const Runner* runner : free_runners) {
-        if (!runner->staged.empty()) continue;
-        const auto max_shortage_model = std::max_element(
-            models.begin(), models.end(), [&](const ServedModel& a, const ServedModel& b) {
-              return this->Shortage(a.name, this->CountGroups(a.name)) <
-                     this->Shortage(b.name, this->CountGroups(b.name));
-            });
-        this->OrderStage(*runner, *max_shortage_model);
-      }
+      this->StageSpares(domain, this->StageMissingMembers(domain, free_runners));
     }
     const bool unlimited = this->now < this->planner.options.unlimited_loads_until;
     for (const PlannedGroup& group : this->next.groups) {
@@ -712,6 +703,117 @@
     }
   }
 
+  [[nodiscard]] bool IsBeingStaged(const Runner& runner, const ModelName& model) const {
+    const auto staging = this->planner.stagings.find(runner.id);
+    return staging != this->planner.stagings.end() && staging->second.model == model &&
+           this->now < staging->second.until && !Contains(runner.staged, model);
+  }
+
+  /** Returns the order in which free runners are chosen for a group of a model: those that need no
+   * load, those whose load is in progress, those without weights, and all others. */
+  [[nodiscard]] int MemberRank(const Runner& runner, const ModelName& model) const {
+    if (!this->NeedsLoad(runner, model)) return 0;
+    if (this->IsBeingStaged(runner, model)) return 1;
+    return runner.staged.empty() ? 2 : 3;
+  }
+
+  /** Returns the model that needs the fewest loads for one more group of the runners, of those that
+   * need more groups. `groups` counts the groups that are about to be formed. */
+  [[nodiscard]] const ServedModel* EasiestModel(const std::vector<const Runner*>& free,
+                                                const std::map<ModelName, int>& groups) const {
+    const ServedModel* easiest = nullptr;
+    std::pair<std::ptrdiff_t, double> least;
+    for (const ServedModel& model : this->ModelsOf(free.front()->service)) {
+      if (free.size() < static_cast<std::size_t>(model.group_size)) continue;
+      const auto more = groups.find(model.name);
+      const double utilization = this->EffectiveUtilization(
+          model, this->CountGroups(model.name) + (more == groups.end() ? 0 : more->second));
+      if (utilization < this->planner.options.completion_min_utilization) continue;
+      const auto ready = std::count_if(free.begin(), free.end(), [&](const Runner* runner) {
+        return this->MemberRank(*runner, model.name) <= 1;
+      });
+      const std::pair<std::ptrdiff_t, double> cost(
+          std::max<std::ptrdiff_t>(0, model.group_size - ready), -utilization);
+      if (easiest != nullptr && least <= cost) continue;
+      least = cost;
+      easiest = &model;
+    }
+    return easiest;
+  }
+
+  /** Returns whether runners of a domain become free soon, so that groups may need no loads. */
+  [[nodiscard]] bool AwaitsMembers(const DomainId& domain) const {
+    return this->planner.reservations.contains(domain) ||
+           std::any_of(this->next.groups.begin(), this->next.groups.end(),
+                       [&](const PlannedGroup& group) {
+                         return group.dissolving && group.domain == domain &&
+                                this->Find(group.members.front()) != nullptr &&
+                                !this->IsUnreachable(group.members.front());
+                       });
+  }
+
+  /**
+   * Orders the loads by which the free runners of a domain can form groups, and returns the runners
+   * that are not needed for them.
+   *
+   * Answers the load of a fleet that loses single members of large groups. The other members of
+   * each group would otherwise stay idle, since none of the runners left over in their domain have
+   * the same weights.
+   */
+  [[nodiscard]] std::vector<const Runner*> StageMissingMembers(const DomainId& domain,
+                                                               std::vector<const Runner*> free) {
+    if (this->AwaitsMembers(domain)) return {};
+    std::map<ModelName, int> groups;
+    while (!free.empty()) {
+      const ServedModel* model = this->EasiestModel(free, groups);
+      if (model == nullptr) break;
+      std::stable_sort(free.begin(), free.end(), [&](const Runner* a, const Runner* b) {
+        return this->MemberRank(*a, model->name) < this->MemberRank(*b, model->name);
+      });
+      const auto members_end = free.begin() + model->group_size;
+      for (auto member = free.begin(); member != members_end; ++member) {
+        if (1 < this->MemberRank(**member, model->name)) this->OrderStage(**member, *model);
+      }
+      free.erase(free.begin(), members_end);
+      ++groups[model->name];
+    }
+    return free;
+  }
+
+  /** Stages weights for the runners that are left over in a domain. They replace lost members of
+   * groups there, so the models are chosen by the number of members that a loss leaves idle. */
+  void StageSpares(const DomainId& domain, const std::vector<const Runner*>& spares) {
+    if (spares.empty()) return;
+    const auto& models = this->ModelsOf(spares.front()->service);
+    std::map<ModelName, double> idle_after_loss;
+    for (const PlannedGroup& group : this->next.groups) {
+      if (group.dissolving || group.domain != domain) continue;
+      idle_after_loss[group.model] += static_cast<double>(group.members.size()) - 1;
+    }
+    std::map<ModelName, int> replacements;
+    for (const ServedModel& model : models) {
+      replacements[model.name] =
+          static_cast<int>(std::count_if(spares.begin(), spares.end(), [&](const Runner* runner) {
+            return Contains(runner->staged, model.name) || this->IsBeingStaged(*runner, model.name);
+          }));
+    }
+    const auto benefit = [&](const ServedModel& model) {
+      return std::pair(idle_after_loss[model.name] / (replacements[model.name] + 1),
+                       this->Shortage(model.name, this->CountGroups(model.name)));
+    };
+    for (const Runner* runner : spares) {
+      const auto staging = this->planner.stagings.find(runner->id);
+      const bool staged = !runner->staged.empty() || (staging != this->planner.stagings.end() &&
+                                                      this->now < staging->second.until);
+      if (staged) continue;
+      const auto model = std::max_element(
+          models.begin(), models.end(),
+          [&](const ServedModel& a, const ServedModel& b) { return benefit(a) < benefit(b); });
+      this->OrderStage(*runner, *model);
+      ++replacements[model->name];
+    }
+  }
+
   /**
    * Returns whether a model is short of capacity compared with the model of a group. A runner that
    * joins a group of another model gives up its staged weights, so without staging them again the
@@ -742,10 +844,12 @@
     target.group = GroupId("stage-" + model.name.value);
     target.model = model.name;
     if (!this->MayOrder(RunnerOrderKind::kStage, runner, target)) return;
-    const auto staging = this->planner.staging_deadlines.find(runner.id);
-    if (staging != this->planner.staging_deadlines.end() && this->now < staging->second) return;
+    const auto staging = this->planner.stagings.find(runner.id);
+    if (staging != this->planner.stagings.end() &&
+        this->IsBeingStaged(runner, staging->second.model))
+      return;
     if (!this->TryStartLoad(model)) return;
-    this->planner.staging_deadlines[runner.id] = this->now + 2 * model.load_time;
+    this->planner.stagings[runner.id] = {model.name, this->now + 2 * model.load_time};
     this->Order(RunnerOrderKind::kStage, runner, target);
   }
 
@@ -771,6 +875,10 @@
     if (!this->HasStartupSettled()) return;
     std::erase_if(this->planner.reservations,
                   [&](const auto& entry) { return entry.second.until <= this->now; });
+    // What is reserved in an evacuated zone is no capacity.
+    for (const auto& [id, runner] : this->runners) {
+      if (this->IsEvacuated(runner)) this->planner.reservations.erase(runner.domain);
+    }
     // The sequence only increases, so no two plans share an epoch.
     const auto epoch = static_cast<Generation>(this->next.version.sequence);
     for (int number = 1;; ++number) {
--- a/src/core/group-planner.h
+++ b/src/core/group-planner.h
@@ -198,6 +198,12 @@
     }
   };
 
+  /** The last load of weights that was ordered for the host of a runner. */
+  struct Staging {
+    ModelName model;
+    Deadline until;  ///< When the order is considered failed.
+  };
+
   struct LoadBudget {
     double tokens = 0;
     TimePoint updated;
@@ -230,7 +236,7 @@
   std::map<DomainId, Reservation> reservations;
   /** When unknown members of adopted groups are certainly no longer needed by their heads. */
   std::map<DomainId, Deadline> domain_holds;
-  std::map<VmId, Deadline> staging_deadlines;  ///< When a staging order is considered failed.
+  std::map<VmId, Staging> stagings;
 };
 
 }  // namespace limpetfall
--- a/test/group-planner-test.cc
+++ b/test/group-planner-test.cc
@@ -43,6 +43,8 @@
   CPPUNIT_TEST(ColdRunnerIsNotTheHead);
   CPPUNIT_TEST(MembersOfIdleModelStageWeightsOfModelShortOfCapacity);
   CPPUNIT_TEST(BalancedModelsStageNoWeightsDuringTraffic);
+  CPPUNIT_TEST(FreeRunnerStagesWeightsThatCompleteGroup);
+  CPPUNIT_TEST(SpareRunnersReplaceLossesOfLargeGroupsFirst);
   CPPUNIT_TEST(SmallGroupIsDissolvedToCompleteLargeGroup);
   CPPUNIT_TEST(RemainingMembersOfLargeGroupAreHeldForShift);
   CPPUNIT_TEST(SoonFreeRunnersPreventDissolvingSmallGroups);
@@ -426,6 +428,36 @@
     CPPUNIT_ASSERT(this->StageOrdersOfSmallGroups({{kSmall, 1}}).empty());
   }
 
+  // Guards against the members of a broken group that stay idle because the free runner in their
+  // domain holds the weights of the other model (trouble-1 of zhw-limpetfall-grown: 58 of 155
+  // runners idle, while callers were refused).
+  void FreeRunnerStagesWeightsThatCompleteGroup() {
+    this->AddRunners("d1", 4);
+    for (int i = 0; i < 3; ++i) this->runners.at(VmId("i-" + std::to_string(i))).staged = {kLarge};
+    this->runners.at(VmId("i-3")).staged = {kSmall};
+    this->now += std::chrono::seconds(60);
+    this->demand = {{kLarge, 2}};
+    const std::vector<RunnerOrder> orders = this->Orders(RunnerOrderKind::kStage);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
+    CPPUNIT_ASSERT(orders.front().runner == VmId("i-3"));
+    CPPUNIT_ASSERT(orders.front().group.model == kLarge);
+  }
+
+  // Guards against spare runners that all hold the weights of a small model, so that the loss of
+  // one member of a large group leaves all its other members idle.
+  void SpareRunnersReplaceLossesOfLargeGroupsFirst() {
+    this->demand = {{kLarge, 1}, {kSmall, 1.1}};
+    this->AddRunners("d1", 6);
+    this->WritePlan(this->Step());
+    for (const PlannedGroup& group : this->plan.groups) this->JoinAll(group);
+    this->AddRunners("d1", 1);
+    std::vector<ModelName> staged;
+    for (const RunnerOrder& order : this->Orders(RunnerOrderKind::kStage)) {
+      if (!this->runners.at(order.runner).membership) staged.push_back(order.group.model);
+    }
+    CPPUNIT_ASSERT(staged == std::vector<ModelName>{kLarge});
+  }
+
   // Guards against a large model that loses its groups one by one, because the remaining members of
   // each join small groups (quiet-1 of odalaigh-fold-grown loses a single member every three
   // seconds).
