--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -12,8 +12,8 @@
 // may have used up the rate of the current window.
 constexpr double kLoadBurst = 2;
 
-// Fraction of its capacity that a group is assumed to lose per member. The loss of one member stops
-// the whole group until it serves again, and a long prompt delays every request of its group.
+// Fraction of its capacity that a group is assumed to lose per member: the loss of one member stops
+// the whole group until it serves again.
 constexpr double kCapacityLossPerMember = 0.02;
 
 // Lower bound of the capacity factor, for groups of very many members.
--- a/test/caller-api-test.cc
+++ b/test/caller-api-test.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "harness/net.h"
 #include "http/client.h"
@@ -298,9 +299,9 @@
     CallerApiOptions options;
     options.zone = ZoneId("ennis");
     const auto api = CallerApi<FakeBackend>::Create(this->backend, options);
-    this->server =
-        HttpServer::Create(this->threads.io(), "127.0.0.1:0", api->Handler(), server_options)
-            .value();
+    this->server = HttpServer::Create(this->threads.io(), "127.0.0.1:0", api->Handler(),
+                                      std::move(server_options))
+                       .value();
   }
 
   HttpResponse Complete(const std::string& body) {
