--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -127,6 +127,8 @@
   }
 
   [[nodiscard]] bool IsEvacuated(const PlannedGroup& group) const {
+    // Groups are counted very often, so their members are only looked up during an evacuation.
+    if (this->planner.evacuated_zones.empty()) return false;
     return std::any_of(group.members.begin(), group.members.end(), [&](const VmId& member) {
       const Runner* runner = this->Find(member);
       return runner != nullptr && this->IsEvacuated(*runner);
