--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -59,6 +59,7 @@
   GroupPlan next;
   PlannerOutput output;
   bool changed = false;
+  std::set<GroupId> evacuated_groups;
 
   [[nodiscard]] const Runner* Find(const VmId& id) const {
     const auto found = this->runners.find(id);
@@ -127,12 +128,21 @@
   }
 
   [[nodiscard]] bool IsEvacuated(const PlannedGroup& group) const {
-    // Groups are counted very often, so their members are only looked up during an evacuation.
-    if (this->planner.evacuated_zones.empty()) return false;
-    return std::any_of(group.members.begin(), group.members.end(), [&](const VmId& member) {
-      const Runner* runner = this->Find(member);
-      return runner != nullptr && this->IsEvacuated(*runner);
-    });
+    return this->evacuated_groups.contains(group.group);
+  }
+
+  /** Groups are counted very often, so their members are looked up only once. New groups have no
+   * evacuated members. */
+  void FindEvacuatedGroups() {
+    if (this->planner.evacuated_zones.empty()) return;
+    for (const PlannedGroup& group : this->next.groups) {
+      const bool evacuated =
+          std::any_of(group.members.begin(), group.members.end(), [&](const VmId& member) {
+            const Runner* runner = this->Find(member);
+            return runner != nullptr && this->IsEvacuated(*runner);
+          });
+      if (evacuated) this->evacuated_groups.insert(group.group);
+    }
   }
 
   [[nodiscard]] bool IsLeaving(const VmId& id) const {
@@ -925,8 +935,9 @@
   for (const auto& [id, runner] : runners) this->first_listed.try_emplace(id, now);
   const bool is_new_era = plan.version.era < plan.revision.era;
   struct Step step {
-    *this, runners, config, demand, now, concurrent_loads, plan, {}, false
+    *this, runners, config, demand, now, concurrent_loads, plan, {}, false, {}
   };
+  step.FindEvacuatedGroups();
   step.next.version = plan.version.Next(plan.revision.era);
   step.next.is_stored = true;
   for (const PlannedGroup& group : plan.groups) {
