--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 #include <tuple>
 #include <utility>
 
--- a/src/core/group-planner.cc
+++ b/src/core/group-planner.cc
@@ -888,8 +888,10 @@
     std::erase_if(this->planner.reservations,
                   [&](const auto& entry) { return entry.second.until <= this->now; });
     // What is reserved in an evacuated zone is no capacity.
-    for (const auto& [id, runner] : this->runners) {
-      if (this->IsEvacuated(runner)) this->planner.reservations.erase(runner.domain);
+    if (!this->planner.evacuated_zones.empty()) {
+      for (const auto& [id, runner] : this->runners) {
+        if (this->IsEvacuated(runner)) this->planner.reservations.erase(runner.domain);
+      }
     }
     // The sequence only increases, so no two plans share an epoch.
     const auto epoch = static_cast<Generation>(this->next.version.sequence);
