--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -1,6 +1,6 @@
 """Stand-ins of the platform for the scripts of this review: its store, its runners and its callers.
 
-Everything runs in the event loop of the script; only the gateways are processes of their own. The
+All of it runs in the event loop of the script; only the gateways are processes of their own. The
 formats are those of the platform's pages. Without injected faults, all stand-ins behave soundly.
 """
 
@@ -11,11 +11,9 @@
 import os
 import pathlib
 import re
-import resource
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 import tomllib
